--- a/src/balance.rs
+++ b/src/balance.rs
@@ -505,7 +505,7 @@
         if was_up && server.budget.steps == 0 {
             server.budget.back_off(now, first);
             server.strain = 1.0;
-            actions.push(Action::Log { text: format!("server {} set aside", server.id.0) });
+            actions.push(Action::Log { text: format!("server {} set aside: {outcome:?}", server.id.0) });
         }
     }
 
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -5,7 +5,7 @@
 use badgerramp::settings::{self, Facts};
 use badgerramp::{
     Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
-    State, TenantId,
+    Settings, State, TenantId,
 };
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -172,8 +172,10 @@
 
 impl Driver {
     pub fn new(seed: u64, facts: Facts, clock: Clock, sockets: Rc<Hosts>) -> Self {
+        // Only the simulator pushes the list by itself: on sockets it comes by a watch, at every site.
+        let settings = Settings { ask: true, ..facts.settings };
         let core = Core {
-            balancer: Balancer::new(seed, facts.settings),
+            balancer: Balancer::new(seed, settings),
             classes: facts.classes,
             tenants: facts.tenants,
             max_open: facts.transport.max_open,
@@ -315,6 +317,9 @@
                 started,
             });
         }
+        let count = |state| entries.iter().filter(|e| e.state == state).count();
+        let (up, draining, gone) = (count(State::Ready), count(State::Draining), count(State::Gone));
+        eprintln!("badgerramp: list, {kind:?}: {up} up, {draining} draining, {gone} gone");
         core.events.push_back(Event::Members { kind, entries });
         self.run_with(core);
     }
@@ -539,7 +544,6 @@
     use super::*;
     use crate::net::Descriptors;
     use badgerramp::settings::Transport;
-    use badgerramp::Settings;
 
     fn driver() -> Driver {
         let clock = Clock::start();
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -207,6 +207,20 @@
     assert!(all_from(b"2"));
 }
 
+#[test]
+fn the_list_is_watched_also_where_the_settings_say_that_changes_are_pushed() {
+    let (discovery, one, two) = (Discovery::start(), Host::serving("1"), Host::serving("2"));
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let text = config(listen, discovery.address, 1_024, &[up("s-1", &one)]);
+    let proxy = Proxy::with(&text.replace(r#""discovery":"ask""#, r#""discovery":"push""#));
+    assert!(discovery.asked().contains("index=41&"));
+    discovery.tell(&list(42, true, &[up("s-2", &two)]));
+    assert!(discovery.asked().contains("index=42&"));
+    assert_eq!(proxy.call("safe", "2000m").body, b"2");
+    discovery.say(String::new());
+    assert!(discovery.asked().contains("index=42&"), "a watch that breaks is taken up again");
+}
+
 #[test]
 fn a_new_start_or_address_of_a_host_closes_what_led_to_the_old_one() {
     let (discovery, old, new) = (Discovery::start(), Host::serving("old"), Host::serving("new"));
