--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -55,7 +55,7 @@
 /// What the module is told of a request.
 #[derive(Debug)]
 pub struct Intake {
-    pub class: String,
+    pub class: ClassId,
     pub tenant: Option<String>,
     pub deadline: Micros,
     pub resent: bool,
@@ -205,6 +205,11 @@
         self.event(Event::Start);
     }
 
+    /// The class of this name, if the settings have one.
+    pub fn class(&self, name: &str) -> Option<ClassId> {
+        place(&self.core.borrow().classes, name).map(ClassId)
+    }
+
     /// Calls without their final answer.
     pub fn open_calls(&self) -> usize {
         self.core.borrow().open
@@ -224,11 +229,9 @@
         let entry = Call { request: Rc::new(request), deadline, answer: Some(sender), attempts: Vec::new() };
         core.calls.insert(call, entry);
         core.timers.insert((deadline, Due::Backstop(call)));
-        let place = |all: &[String], name: &str| all.iter().position(|n| n == name);
         let event = Event::Request {
             call,
-            // A class that the settings do not name is unsafe: the module takes it so.
-            class: ClassId(place(&core.classes, &intake.class).unwrap_or(usize::MAX)),
+            class: intake.class,
             tenant: intake.tenant.and_then(|t| place(&core.tenants, &t)).map(TenantId),
             time_left: deadline.saturating_sub(self.clock.now()),
             resent: intake.resent,
@@ -476,6 +479,10 @@
     }
 }
 
+fn place(all: &[String], name: &str) -> Option<usize> {
+    all.iter().position(|n| n == name)
+}
+
 /// Reports the outcome of an attempt when its task ends, however that comes about.
 struct Guard {
     driver: Driver,
@@ -599,7 +606,7 @@
     async fn calls_are_bounded_and_a_client_that_leaves_makes_room() {
         let driver = driver();
         let intake = || Intake {
-            class: "x".to_owned(),
+            class: ClassId(0),
             tenant: None,
             deadline: driver.clock.now() + 60_000_000,
             resent: false,
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -177,7 +177,11 @@
         if !parts.headers.contains_key("x-request-id") {
             return plain(StatusCode::BAD_REQUEST, "X-Request-ID missing");
         }
-        let class = path.trim_start_matches('/').split('/').next().unwrap_or_default().to_owned();
+        // No server knows what the settings do not name: it would only answer with an error.
+        let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+        let Some(class) = self.driver.class(name) else {
+            return plain(StatusCode::NOT_FOUND, "no such class of request");
+        };
         let deadline = arrived + time.saturating_sub(MARGIN).max(1);
         let body = Limited::new(body, BODY_MOST).collect();
         let body = match tokio::time::timeout(Duration::from_micros(time), body).await {
