Close clients' connections that come to no whole request within 2.7 s

From 7 s on all 168 places were taken while 3 to 25 calls were open: a head could take 120 s, a body as long as the peer claimed to wait, and the front refused the real clients (the module gave up a fifth as many).

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -29,8 +29,10 @@
 const TIME_MOST: Micros = 600_000_000;
 /// Most bytes of a request's head.
 const HEAD_MOST: usize = 32 * 1024;
-/// How long a client may take over a request's head.
-const HEAD_TIME: Duration = Duration::from_secs(120);
+/// How long a client may take over a request's head, and over its body from then on. A peer that never comes
+/// to a whole request must be gone within 3 s, and a connection may rest for 2 s between requests.
+const HEAD_TIME: Duration = Duration::from_millis(2_100);
+const BODY_TIME: Duration = Duration::from_millis(600);
 /// ... and one whose request will be refused, as its place is wanted.
 const CROWDED_TIME: Duration = Duration::from_secs(1);
 /// At a stop, connections are accepted for at least this long, and until none has come for a while.
@@ -58,6 +60,7 @@
         let places = Arc::new(Semaphore::new(self.most + self.beyond));
         let mut stop = pin!(stop);
         let mut end: Option<Instant> = None;
+        let mut was_crowded = false;
         loop {
             let late = async move {
                 match end {
@@ -82,6 +85,11 @@
                 (accepted, place) = accept => match accepted {
                     Ok((stream, _)) => {
                         let crowded = places.available_permits() < self.beyond;
+                        if crowded != std::mem::replace(&mut was_crowded, crowded) {
+                            let (most, open) = (self.most, self.driver.open_calls());
+                            let state = if crowded { "all taken" } else { "free again" };
+                            eprintln!("badgerramp: clients' {most} places {state}, {open} calls open");
+                        }
                         self.accepted(stream, closed.clone(), crowded, place);
                     }
                     Err(fault) => self.short_of_sockets(&fault).await,
@@ -184,7 +192,7 @@
         };
         let deadline = arrived + time.saturating_sub(MARGIN).max(1);
         let body = Limited::new(body, BODY_MOST).collect();
-        let body = match tokio::time::timeout(Duration::from_micros(time), body).await {
+        let body = match tokio::time::timeout(BODY_TIME.min(Duration::from_micros(time)), body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(fault)) if fault.is::<LengthLimitError>() => {
                 return plain(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB");
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -176,6 +176,33 @@
     assert_eq!(proxy.call("unsafe", "2000m").status(), 200);
 }
 
+#[test]
+fn peers_that_never_come_to_a_whole_request_lose_their_places() {
+    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let proxy = Proxy::with(&config(listen, discovery.address, 64, &[up("s-1", &host)]));
+    let head =
+        "GET /safe HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\nX-Timeout: 60000m\r\nContent-Length: 9\r\n";
+    let mut peers: Vec<Client> = ["", "GET /sa", head, &format!("{head}\r\nhalf")]
+        .iter()
+        .cycle()
+        .take(8)
+        .map(|text| {
+            let mut peer = proxy.client();
+            peer.write(text);
+            peer
+        })
+        .collect();
+    let asked = Instant::now();
+    for peer in &mut peers {
+        assert!(peer.answer().is_none_or(|a| (400..500).contains(&a.status())));
+        // It takes 3 s at the most; the peers themselves would have stayed on.
+        assert!(asked.elapsed() < LONG / 2, "{:?}", asked.elapsed());
+    }
+    assert_eq!(proxy.call("safe", "2000m").status(), 200, "the places are free again");
+    assert_eq!(host.further_requests(), 1, "only the whole request reached the host");
+}
+
 #[test]
 fn odd_load_reports_are_skipped() {
     let discovery = Discovery::start();
