--- a/src/main.rs
+++ b/src/main.rs
@@ -16,6 +16,7 @@
 use std::time::Duration;
 use tokio::net::TcpSocket;
 use tokio::signal::unix::{signal, SignalKind};
+use tokio::sync::watch;
 
 /// Descriptors kept out of the count: standard streams, the runtime's own, the listener, discovery, and a
 /// client's connection that is closed as soon as it is accepted.
@@ -48,6 +49,7 @@
     let facts = settings::read(&config.settings).map_err(|e| format!("settings: {e}"))?;
     let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("seed {}: {e}", config.seed))?;
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let socket = TcpSocket::new_v4().map_err(|e| format!("socket: {e}"))?;
     let bind = |e| format!("listen on {}: {e}", config.listen);
     socket.set_reuseaddr(true).map_err(bind)?;
@@ -67,7 +69,19 @@
         let driver = driver.clone();
         async move { driver.timers().await }
     });
-    let mut watch = tokio::task::spawn_local(discovery::run(driver.clone(), config.discovery, index));
+    let (moved, discovery) = watch::channel(config.discovery);
+    let mut watch = tokio::task::spawn_local(discovery::run(driver.clone(), discovery, index));
+    let reload = async {
+        while hangup.recv().await.is_some() {
+            match crate::config() {
+                Ok(config) => {
+                    eprintln!("badgerramp: discovery is at {}", config.discovery);
+                    moved.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+                }
+                Err(fault) => eprintln!("badgerramp: not reloaded: {fault}"),
+            }
+        }
+    };
     let sweep = async {
         loop {
             tokio::time::sleep(Duration::from_millis(250)).await;
@@ -88,6 +102,7 @@
         ended = &mut timers => Err(format!("the timers ended: {ended:?}")),
         ended = &mut watch => Err(format!("discovery ended: {ended:?}")),
         () = sweep => Ok(()),
+        () = reload => Err("no more signals".to_owned()),
     }
 }
 
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -12,6 +12,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
+use tokio::sync::watch;
 use tokio::task::JoinHandle;
 
 /// How long a watch waits for news. A service that has fallen silent shows only after that, so it is short;
@@ -36,14 +37,25 @@
     }
 }
 
-/// Keeps the list up to date, for as long as the program runs.
-pub async fn run(driver: Driver, address: SocketAddr, mut index: Option<u64>) {
+/// Keeps the list up to date, for as long as the program runs, also when discovery moves to another address.
+pub async fn run(driver: Driver, mut address: watch::Receiver<SocketAddr>, mut index: Option<u64>) {
     loop {
-        driver.subscribed().await;
+        tokio::select! {
+            () = driver.subscribed() => {}
+            () = moved(&mut address) => index = None,
+        }
         let mut link = None;
         loop {
-            let asked = Instant::now();
-            match tokio::time::timeout(WAIT + SILENCE, ask(&mut link, address, index)).await {
+            let (asked, at) = (Instant::now(), *address.borrow());
+            let answer = tokio::select! {
+                answer = tokio::time::timeout(WAIT + SILENCE, ask(&mut link, at, index)) => answer,
+                () = moved(&mut address) => {
+                    // What another service calls the version may be anything: it is asked for the whole list.
+                    (link, index) = (None, None);
+                    continue;
+                }
+            };
+            match answer {
                 Ok(Ok(list)) => {
                     let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
                     driver.members(kind, &list.endpoints);
@@ -67,6 +79,14 @@
     }
 }
 
+/// Waits until discovery has another address.
+async fn moved(address: &mut watch::Receiver<SocketAddr>) {
+    if address.changed().await.is_err() {
+        // Nobody is left to name another.
+        std::future::pending::<()>().await;
+    }
+}
+
 async fn ask(link: &mut Option<Link>, address: SocketAddr, index: Option<u64>) -> Result<List, String> {
     let open = match link.take().filter(|l| l.sender.is_ready()) {
         Some(open) => open,
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -321,7 +321,17 @@
     }
 
     pub fn terminate(&self) {
-        let done = Command::new("kill").arg("-TERM").arg(self.child.id().to_string()).status();
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration file and says so.
+    pub fn reload(&self, text: &str) {
+        std::fs::write(&self.config, text).expect("a temporary file");
+        self.signal("-HUP");
+    }
+
+    fn signal(&self, name: &str) {
+        let done = Command::new("kill").arg(name).arg(self.child.id().to_string()).status();
         assert!(done.expect("kill").success());
     }
 
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -333,6 +333,28 @@
     assert!(discovery.asked().contains("index=42&"));
 }
 
+#[test]
+fn a_hangup_moves_the_watch_to_where_discovery_is_now() {
+    let (old, new) = (Discovery::start(), Discovery::start());
+    let (one, two) = (Host::serving("1"), Host::serving("2"));
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let at = |discovery: &Discovery| config(listen, discovery.address, 1_024, &[up("s-1", &one)]);
+    let mut proxy = Proxy::with(&at(&old));
+    assert!(old.asked().contains("index=41&"));
+    // Half a file, and one that names the same address, change nothing: the open watch goes on.
+    proxy.reload("{\"name\":");
+    proxy.reload(&at(&old));
+    old.tell(&list(42, false, &[]));
+    assert!(old.asked().contains("index=42&"));
+    proxy.reload(&at(&new));
+    assert!(new.asked().starts_with("GET /catalog/members HTTP"), "the whole list, asked for at once");
+    assert_eq!(proxy.call("safe", "2000m").body, b"1", "what it knows stands meanwhile");
+    new.tell(&list(7, true, &[up("s-2", &two)]));
+    assert!(new.asked().contains("index=7&"));
+    assert_eq!(proxy.call("safe", "2000m").body, b"2");
+    assert!(proxy.child.try_wait().expect("a child").is_none(), "it still runs");
+}
+
 #[test]
 fn a_stop_finishes_what_is_taken_and_a_start_binds_at_once() {
     let discovery = Discovery::start();
