Take a 4xx answer for the request's fault: fail it at once, hold nothing against the server

What looks like a request and is none (a safe class by POST, an id no client sent) got 400 from every server; each was tried three times and its servers were set aside.

--- a/src/api.rs
+++ b/src/api.rs
@@ -298,6 +298,8 @@
     Served,
     /// The server answered with an error.
     Error,
+    /// The server found the request itself at fault: no other would serve it, and the server is well.
+    Rejected,
     /// Turned away unseen: full or draining.
     TurnedAway,
     /// No answer in time.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -384,7 +384,11 @@
             self.end(id);
             self.cancel_others(id, None, actions);
         } else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && c.out() == 0) {
-            self.again(now, id, outcome, actions);
+            if outcome == Outcome::Rejected {
+                self.close(id, Action::Fail { call: id }, actions);
+            } else {
+                self.again(now, id, outcome, actions);
+            }
         }
         self.forget(id);
     }
@@ -427,7 +431,7 @@
             Outcome::Served => false,
             // Late while others are answered: the server is slow, not gone, and is sent less, not nothing.
             Outcome::TimedOut if server.answered > sent => false,
-            Outcome::CalledOff | Outcome::NotSent => {
+            Outcome::CalledOff | Outcome::NotSent | Outcome::Rejected => {
                 // A loser called off was at least this slow.
                 server.strain += (strain - server.strain).max(0.0) * SMOOTHING;
                 server.budget.trial_out &= !trial;
@@ -534,20 +538,23 @@
         }
     }
 
-    fn give_up(&mut self, id: CallId, retry_after: Micros, actions: &mut Actions) {
-        let class_id = self.calls[&id].class_id;
-        self.paces.iter_mut().skip(class_id).take(1).for_each(|p| p.turned_back += 1);
-        if self.calls[&id].may_be_refused() {
-            let retry_after = retry_after.min(self.settings.limits.max_retry_after);
-            actions.push(Action::Refuse { call: id, retry_after });
-        } else {
-            actions.push(Action::Fail { call: id });
-        }
+    /// The call's last answer, and its end.
+    fn close(&mut self, id: CallId, last: Action, actions: &mut Actions) {
+        actions.push(last);
         self.end(id);
         self.cancel_others(id, None, actions);
         self.forget(id);
     }
 
+    fn give_up(&mut self, id: CallId, retry_after: Micros, actions: &mut Actions) {
+        let class_id = self.calls[&id].class_id;
+        self.paces.iter_mut().skip(class_id).take(1).for_each(|p| p.turned_back += 1);
+        let retry_after = retry_after.min(self.settings.limits.max_retry_after);
+        let refuse = self.calls[&id].may_be_refused();
+        let last = if refuse { Action::Refuse { call: id, retry_after } } else { Action::Fail { call: id } };
+        self.close(id, last, actions);
+    }
+
     fn end(&mut self, id: CallId) {
         self.wakes.set(id, None);
         let Some(call) = self.calls.get_mut(&id) else { return };
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -292,6 +292,8 @@
         StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
             Ended { outcome: Outcome::TurnedAway, load, served: None }
         }
+        StatusCode::TOO_MANY_REQUESTS => Ended { outcome: Outcome::Error, load, served: None },
+        status if status.is_client_error() => Ended { outcome: Outcome::Rejected, load, served: None },
         _ => Ended { outcome: Outcome::Error, load, served: None },
     }
 }
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -235,3 +235,16 @@
     });
     assert!(advice.is_some_and(|a| a > 0), "{actions:?}");
 }
+
+#[test]
+fn a_request_at_fault_fails_at_once_and_is_not_held_against_its_server() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 4);
+    for _ in 0..40 {
+        let (call, actions) = proxy.call();
+        assert_eq!(sent(&actions).len(), 1, "no server is set aside");
+        proxy.now += MS;
+        let actions = proxy.end(call, 0, Outcome::Rejected, MS);
+        assert!(failed(&actions, call) && sent(&actions).is_empty(), "{actions:?}");
+    }
+    assert!(!proxy.actions.iter().any(|a| matches!(a, Action::Log { .. })), "{:?}", proxy.actions);
+}
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -71,6 +71,17 @@
     }
 }
 
+#[test]
+fn a_request_that_its_host_finds_at_fault_goes_nowhere_else() {
+    let discovery = Discovery::start();
+    let hosts = [0, 1].map(|_| Host::start(|_| Reply::Write(answer("400 Bad Request", "", ""))));
+    let proxy = Proxy::start(&discovery, &[up("s-1", &hosts[0]), up("s-2", &hosts[1])]);
+    for _ in 0..6 {
+        assert!(![200, 429, 503].contains(&proxy.call("safe", "2000m").status()));
+    }
+    assert_eq!(hosts[0].further_requests() + hosts[1].further_requests(), 6);
+}
+
 #[test]
 fn what_never_ran_goes_to_another_host() {
     let turned_away = answer("503 Service Unavailable", "X-Not-Processed: 1\r\n", "");
