--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -180,25 +180,25 @@
         }
         let time = match parts.headers.get("x-timeout").map(|v| v.to_str().ok().and_then(timeout)) {
             Some(Some(time)) => time,
-            _ => return plain(StatusCode::BAD_REQUEST, "X-Timeout missing or odd"),
+            _ => return improper(StatusCode::BAD_REQUEST, "X-Timeout missing or odd"),
         };
         if !parts.headers.contains_key("x-request-id") {
-            return plain(StatusCode::BAD_REQUEST, "X-Request-ID missing");
+            return improper(StatusCode::BAD_REQUEST, "X-Request-ID missing");
         }
         // No server knows what the settings do not name: it would only answer with an error.
         let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
         let Some(class) = self.driver.class(name) else {
-            return plain(StatusCode::NOT_FOUND, "no such class of request");
+            return improper(StatusCode::NOT_FOUND, "no such class of request");
         };
         let deadline = arrived + time.saturating_sub(MARGIN).max(1);
         let body = Limited::new(body, BODY_MOST).collect();
         let body = match tokio::time::timeout(BODY_TIME.min(Duration::from_micros(time)), body).await {
             Ok(Ok(body)) => body.to_bytes(),
             Ok(Err(fault)) if fault.is::<LengthLimitError>() => {
-                return plain(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB");
+                return improper(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB");
             }
-            Ok(Err(_)) => return plain(StatusCode::BAD_REQUEST, "broken body"),
-            Err(_) => return plain(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+            Ok(Err(_)) => return improper(StatusCode::BAD_REQUEST, "broken body"),
+            Err(_) => return improper(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
         };
         let intake = Intake {
             class,
@@ -264,6 +264,13 @@
     response
 }
 
+/// The answer to what is no request of a client's. Its connection ends with it and frees its place.
+fn improper(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+    let mut response = plain(status, text);
+    response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+    response
+}
+
 /// A refusal tells the client when to come back, in seconds.
 fn refused(retry_after: Micros) -> Response<Full<Bytes>> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -181,6 +181,9 @@
         let _ = client.stream.get_mut().write_all(text.as_bytes());
         if let Some(answer) = client.answer() {
             assert!((400..500).contains(&answer.status()), "{shown}: {}", answer.head);
+            let asked = Instant::now();
+            assert!(client.answer().is_none(), "{shown}");
+            assert!(asked.elapsed() < SHORT, "{shown}: its place is free at once");
         }
     }
     assert_eq!(host.further_requests(), 0, "nothing of it reached the host");
