Let the client connection that has rested longest make room when places run out

From 7.2 s some 300 connections a second ask /_health once and stay: all 168 places were idle, clients were refused.

--- a/src/main.rs
+++ b/src/main.rs
@@ -6,7 +6,7 @@
 use badgerramp::{settings, ListKind};
 use net::discovery;
 use net::driver::{Clock, Driver, List};
-use net::front::Front;
+use net::front::{Front, Resting};
 use net::hosts::Hosts;
 use net::Descriptors;
 use serde::Deserialize;
@@ -91,8 +91,14 @@
     if let Ok(address) = listener.local_addr() {
         eprintln!("badgerramp: listening on {address}");
     }
-    let front =
-        Rc::new(Front { driver, hosts: Rc::clone(&hosts), descriptors, most: room / 2, beyond: room / 8 });
+    let front = Rc::new(Front {
+        driver,
+        hosts: Rc::clone(&hosts),
+        descriptors,
+        most: room / 2,
+        beyond: room / 8,
+        resting: Resting::default(),
+    });
     let stop = async move {
         term.recv().await;
     };
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -12,6 +12,8 @@
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
 use hyper_util::rt::{TokioIo, TokioTimer};
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
@@ -20,7 +22,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
 
 /// Taken off the client's time, so that the final answer reaches it before that is up.
@@ -35,6 +37,8 @@
 const BODY_TIME: Duration = Duration::from_millis(600);
 /// ... and one whose request will be refused, as its place is wanted.
 const CROWDED_TIME: Duration = Duration::from_secs(1);
+/// A connection that has rested for less is not made to leave: a new one's request may be on its way.
+const REST_LEAST: Duration = Duration::from_millis(250);
 /// At a stop, connections are accepted for at least this long, and until none has come for a while.
 const STOP_ACCEPT: Duration = Duration::from_millis(450);
 /// ... and without an open call for this long, what is still connected has nothing to come.
@@ -51,6 +55,57 @@
     pub most: usize,
     /// Further ones that are taken to be refused and closed.
     pub beyond: usize,
+    pub resting: Resting,
+}
+
+/// Clients' connections without an open request, the one that has rested longest first. When no place is left
+/// they make room: a crowd that keeps its connections must not keep others out.
+#[derive(Default)]
+pub struct Resting {
+    order: RefCell<BTreeMap<u64, (Instant, Rc<Notify>)>>,
+    next: Cell<u64>,
+}
+
+impl Resting {
+    /// Tells the connection that has rested longest to end. False if none has rested for long enough.
+    fn make_room(&self) -> bool {
+        let mut order = self.order.borrow_mut();
+        let longest = order.first_entry().filter(|e| e.get().0.elapsed() >= REST_LEAST);
+        longest.map(|e| e.remove().1.notify_one()).is_some()
+    }
+}
+
+/// One client's connection, as the front counts it.
+struct Visit<'a> {
+    resting: &'a Resting,
+    leave: Rc<Notify>,
+    place: Cell<u64>,
+    requests: Cell<u64>,
+}
+
+impl<'a> Visit<'a> {
+    fn new(resting: &'a Resting) -> Self {
+        let visit = Visit { resting, leave: Rc::default(), place: Cell::new(0), requests: Cell::new(0) };
+        visit.rest();
+        visit
+    }
+
+    fn rest(&self) {
+        self.place.set(self.resting.next.get());
+        self.resting.next.set(self.place.get() + 1);
+        self.resting.order.borrow_mut().insert(self.place.get(), (Instant::now(), Rc::clone(&self.leave)));
+    }
+
+    fn work(&self) {
+        self.requests.set(self.requests.get() + 1);
+        self.resting.order.borrow_mut().remove(&self.place.get());
+    }
+}
+
+impl Drop for Visit<'_> {
+    fn drop(&mut self) {
+        self.resting.order.borrow_mut().remove(&self.place.get());
+    }
 }
 
 impl Front {
@@ -84,7 +139,8 @@
                 }
                 (accepted, place) = accept => match accepted {
                     Ok((stream, _)) => {
-                        let crowded = places.available_permits() < self.beyond;
+                        let full = places.available_permits() < self.beyond;
+                        let crowded = full && !self.resting.make_room();
                         if crowded != std::mem::replace(&mut was_crowded, crowded) {
                             let (most, open) = (self.most, self.driver.open_calls());
                             let state = if crowded { "all taken" } else { "free again" };
@@ -147,9 +203,15 @@
         _held: (Option<OwnedSemaphorePermit>, Option<Descriptor>),
     ) {
         let _ = stream.set_nodelay(true);
+        let visit = Visit::new(&self.resting);
         let service = service_fn(|request| {
-            let front = Rc::clone(&self);
-            async move { Ok::<_, Infallible>(if crowded { refused(0) } else { front.request(request).await }) }
+            let (front, visit) = (&self, &visit);
+            async move {
+                visit.work();
+                let answer = if crowded { refused(0) } else { front.request(request).await };
+                visit.rest();
+                Ok::<_, Infallible>(answer)
+            }
         });
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
@@ -167,6 +229,13 @@
                     told = true;
                     connection.as_mut().graceful_shutdown();
                 }
+                () = visit.leave.notified() => {
+                    if visit.requests.get() == 0 {
+                        // Nothing is taken; half a head would keep it from ending by itself.
+                        return;
+                    }
+                    connection.as_mut().graceful_shutdown();
+                }
             }
         }
     }
