--- a/tests/proxy.rs
+++ b/tests/proxy.rs
@@ -405,8 +405,9 @@
 fn short_of_descriptors_it_refuses_and_lives() {
     let discovery = Discovery::start();
     // The calls that have the places stay open until their time is up.
-    let host =
-        Host::start(|n| if n < 40 { Reply::Silence } else { Reply::Write(answer("200 OK", "", "ok")) });
+    let (stuck, well) = (Arc::new(AtomicBool::new(true)), Reply::Write(answer("200 OK", "", "ok")));
+    let seen = Arc::clone(&stuck);
+    let host = Host::start(move |_| if seen.load(Ordering::SeqCst) { Reply::Silence } else { well.clone() });
     let listen = "127.0.0.1:0".parse().expect("an address");
     let proxy = Proxy::with(&config(listen, discovery.address, 64, &[up("s-1", &host)]));
     let mut clients: Vec<Client> = (0..40).map(|_| proxy.client()).collect();
