--- a/src/balance.rs
+++ b/src/balance.rs
@@ -99,7 +99,28 @@
     }
 }
 
+impl Fare {
+    fn fails(&self) -> bool {
+        self.failing > FAIL_LIMIT
+    }
+
+    fn back_off(&mut self, now: Micros, first: Micros) {
+        self.retry_at = now + (first << self.doublings);
+    }
+
+    fn note(&mut self, now: Micros, failed: bool, first: Micros) {
+        self.failing += (f64::from(u8::from(failed)) - self.failing) * FAIL_WEIGHT;
+        self.back_off(now, first);
+        self.doublings = if failed { (self.doublings + 1).min(BACKOFF_DOUBLINGS) } else { 0 };
+    }
+}
+
 impl Server {
+    /// Does this class fail here, though other classes need not, and is no call of it due to try?
+    fn shuns(&self, class_id: usize, now: Micros) -> bool {
+        self.fares.get(&class_id).is_some_and(|f| f.fails() && now < f.retry_at)
+    }
+
     fn full(&self, now: Micros, rules: &Rules) -> bool {
         let budget = f64::from(self.budget.steps) * self.budget.concurrency * self.warmth(now, rules);
         self.in_flight >= (budget + 0.5).max(1.0) as u32
@@ -439,6 +460,16 @@
             }
             _ => true,
         };
+        // Errors and silence may meet one class alone: the others' answers must not hide that.
+        let silent = outcome == Outcome::TimedOut && elapsed as f64 > limit;
+        if outcome == Outcome::Served || outcome == Outcome::Error || silent {
+            let fare = server.fares.entry(class_id).or_default();
+            let failed_before = fare.fails();
+            fare.note(now, outcome != Outcome::Served, first);
+            if fare.fails() && !failed_before {
+                actions.push(Action::Log { text: format!("server {} fails class #{class_id}", id.0) });
+            }
+        }
         // A time-out proves less than an error: a crowded server may owe a lone call for that long.
         let weight = if outcome == Outcome::TimedOut { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
         server.failing += (f64::from(u8::from(failed)) - server.failing) * weight;
@@ -608,6 +639,12 @@
         if up.iter().any(|&i| call.untried(&self.servers[i])) {
             up.retain(|&i| call.untried(&self.servers[i]));
         }
+        // Elsewhere, where a class fails at some servers only, unless that would make it wait.
+        let well: Vec<usize> =
+            up.iter().copied().filter(|&i| !self.servers[i].shuns(call.class_id, now)).collect();
+        if well.len() * 2 >= up.len() && well.iter().any(|&i| !self.servers[i].full(now, rules)) {
+            up = well;
+        }
         if self.sparse() {
             let at = |i: usize| &self.servers[i];
             let group = |i: usize| self.groups.get(&(at(i).zone, at(i).kind));
@@ -783,8 +820,11 @@
     }
 
     fn send(&mut self, now: Micros, id: CallId, place: usize, trial: bool, actions: &mut Actions) {
-        let fresh_for = self.ask_wait(&self.calls[&id]);
+        let (fresh_for, first) = (self.ask_wait(&self.calls[&id]), self.first_backoff());
         let server = &mut self.servers[place];
+        if let Some(fare) = server.fares.get_mut(&self.calls[&id].class_id).filter(|f| f.fails()) {
+            fare.back_off(now, first);
+        }
         let fresh = server.asked != 0 && server.in_hand < f64::MAX && server.asked + fresh_for > now;
         let crowd = if fresh { server.load(now, &self.settings.rules) } else { 0.0 };
         server.in_flight += 1;
--- a/src/state.rs
+++ b/src/state.rs
@@ -50,10 +50,22 @@
     pub(crate) answered: Micros,
     /// Recent share of failures.
     pub(crate) failing: f64,
+    /// The same for each class by itself.
+    pub(crate) fares: BTreeMap<usize, Fare>,
     /// It is sent nothing before this: it has just refused as full.
     pub(crate) not_before: Micros,
 }
 
+/// How one class has fared at a server of late: it may fail there while the others are served.
+#[derive(Debug, Default)]
+pub(crate) struct Fare {
+    /// Recent share of failures.
+    pub(crate) failing: f64,
+    pub(crate) doublings: u32,
+    /// While it fails, it is tried by one call from then on.
+    pub(crate) retry_at: Micros,
+}
+
 /// What an attempt may have done.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Effect {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -248,3 +248,32 @@
     }
     assert!(!proxy.actions.iter().any(|a| matches!(a, Action::Log { .. })), "{:?}", proxy.actions);
 }
+
+/// Servers 1 and 2 of five hold calls of the second class until their time is up and serve all others.
+#[test]
+fn a_class_that_fails_at_some_servers_goes_to_the_others() {
+    let mut settings = settings(Repeat::Free);
+    let class = Class { repeat: Repeat::SingleShot, ..settings.classes[0] };
+    settings.classes.push(class);
+    let mut proxy = Proxy::new(settings, 5);
+    let mut lost = Vec::new();
+    for round in 0..200 {
+        assert_eq!(proxy.serve(20 * MS).map(|s| s.0 > 5), Some(false));
+        let (call, actions) = proxy.call_of(1);
+        let server = sent(&actions)[0].1 .0;
+        if server > 2 {
+            proxy.now += 20 * MS;
+            proxy.end(call, 0, Outcome::Served, 20 * MS);
+        } else {
+            // Others are served there meanwhile.
+            for _ in 0..10 {
+                proxy.serve(50 * MS);
+            }
+            proxy.end(call, 0, Outcome::TimedOut, 500 * MS);
+            lost.push(round);
+        }
+    }
+    assert!(!lost.is_empty() && lost.len() <= 40, "an even part would be 80: {lost:?}");
+    let first_class = proxy.call().1;
+    assert_eq!(sent(&first_class).len(), 1, "no server is set aside for it");
+}
