Answer operators: HEALTH, the figures, and files at SIGHUP taken whole or turned down

A file is checked as one value (net/config.rs); one with 'soon' for a deadline or cut short changes nothing and is counted. Classes appear and vanish under stable numbers; a call keeps the class it was taken with. The tests in tests/operations.rs fail without these parts: no second address, and half a file moved the watch.

--- a/src/api.rs
+++ b/src/api.rs
@@ -72,6 +72,8 @@
     pub late_value: f64,
     /// Whether it may run again.
     pub repeat: Repeat,
+    /// The settings in force name it; one that they have dropped keeps its number for calls under way.
+    pub live: bool,
 }
 
 /// A tenant's part of the service.
@@ -180,7 +182,7 @@
     pub worst_window: f64,
 }
 
-/// What a balancer is told at start, for good.
+/// What a balancer is told at start, and again by [`Event::Settings`].
 #[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// How many balancers send to these servers, this one included.
@@ -220,7 +222,14 @@
             zone: ZoneId::default(),
             tick: 1_000,
             ask: false,
-            classes: vec![Class { aim: 500_000, deadline: 1_000_000, worth: 1.0, late_value: 0.0, repeat }],
+            classes: vec![Class {
+                aim: 500_000,
+                deadline: 1_000_000,
+                worth: 1.0,
+                late_value: 0.0,
+                repeat,
+                live: true,
+            }],
             tenants: Vec::new(),
             limits: Limits {
                 cancel: true,
@@ -401,6 +410,8 @@
     },
     /// A time asked for by [`Action::Wake`] has come.
     Timer,
+    /// New settings are in force. Classes keep their numbers; new ones follow, none is left out.
+    Settings(Box<Settings>),
 }
 
 /// What the balancer tells the proxy to do.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -202,10 +202,9 @@
 impl Balancer {
     /// A balancer that draws all its random numbers from `seed`.
     pub fn new(seed: u64, settings: Settings) -> Self {
-        let pace = |c: &Class| Pace { mean: c.aim as f64 / 4.0, base: c.aim as f64 / 4.0, ..Pace::default() };
         Balancer {
             random: Pcg32::seed_from_u64(seed),
-            paces: settings.classes.iter().map(pace).collect(),
+            paces: settings.classes.iter().map(Pace::new).collect(),
             settings,
             servers: Vec::new(),
             calls: BTreeMap::new(),
@@ -254,6 +253,7 @@
                 self.forget(call);
             }
             Event::Timer => self.timer_at = Micros::MAX,
+            Event::Settings(settings) => self.retune(*settings),
         }
         self.wake_calls(now, actions);
         self.drain_hold(now, actions);
@@ -264,6 +264,23 @@
         self.set_timer(now, actions);
     }
 
+    /// Listed servers that are sent nothing now: set aside, or resting after a refusal as full.
+    pub fn avoided(&self, now: Micros) -> usize {
+        self.listed().filter(|s| !s.usable(now)).count()
+    }
+
+    /// What is learned stays, and calls under way keep their class. Classes keep their numbers.
+    fn retune(&mut self, settings: Settings) {
+        let known = self.paces.len();
+        self.paces.extend(settings.classes.iter().skip(known).map(Pace::new));
+        self.settings = settings;
+    }
+
+    /// The classes in force, with their answer times.
+    fn live(&self) -> impl Iterator<Item = (&Pace, &Class)> {
+        self.paces.iter().zip(&self.settings.classes).filter(|(_, c)| c.live)
+    }
+
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
             // Jitter keeps balancers that lost the list together from asking together again.
@@ -316,6 +333,7 @@
         let call = Call {
             class: spec,
             class_id: class.0,
+            most: self.settings.limits.max_attempts,
             arrived: now,
             asked: now.saturating_sub(self.spent(class.0, &spec, left)),
             deadline: now.saturating_add(left),
@@ -352,16 +370,15 @@
         let call = &self.calls[&id];
         let usual = self.usual(call.class_id, call.class.aim);
         let aim = call.aim_at().saturating_sub(call.arrived) as f64;
-        let shortest = self.settings.classes.iter().map(|c| c.aim).min().unwrap_or(0) as f64;
+        let shortest = self.live().map(|(_, c)| c.aim).min().unwrap_or(0) as f64;
         let limit = aim.min(WAIT_LONGEST * shortest) * WAIT_AIM;
         let protected = if self.protected(call) { aim - SPARE_TIMES * usual } else { 0.0 };
         limit.max(protected).min(aim - usual).max(0.0) as Micros
     }
 
     fn protected(&self, call: &Call) -> bool {
-        let all = self.paces.iter().zip(&self.settings.classes);
         let (worth, work) =
-            all.fold((0.0, 0.0), |(w, t), (p, c)| (w + p.asked * c.worth, t + p.asked * p.base));
+            self.live().fold((0.0, 0.0), |(w, t), (p, c)| (w + p.asked * c.worth, t + p.asked * p.base));
         let base = self.paces.get(call.class_id).map_or(f64::MAX, |p| p.base);
         let density = call.class.worth / base * work / worth.max(f64::MIN_POSITIVE);
         let goal = &self.settings.goal;
@@ -559,7 +576,7 @@
         let call = &self.calls[&id];
         let in_time = now as f64 + self.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
         let some = self.servers.iter().any(|s| s.listed && call.may_go(now, s, self.settings.tick));
-        let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts;
+        let more = self.more(call);
         let paid = self.retries >= 1.0 || outcome == Outcome::NoConnection;
         if in_time && some && more && paid && !call.streaming {
             self.retries = (self.retries - 1.0).max(0.0);
@@ -569,6 +586,11 @@
         }
     }
 
+    /// May this call have another attempt, by what was allowed when it came and by what is now?
+    fn more(&self, call: &Call) -> bool {
+        (call.attempts.len() as u32) < call.most.min(self.settings.limits.max_attempts)
+    }
+
     /// The call's last answer, and its end.
     fn close(&mut self, id: CallId, last: Action, actions: &mut Actions) {
         actions.push(last);
@@ -888,8 +910,7 @@
         let repeats = |c: &Class| c.repeat != Repeat::SingleShot;
         // Else trials of many servers set aside would take most calls of a balancer of little traffic.
         let few = !self.sparse() || call.chance < SMOOTHING;
-        few && call.attempts.is_empty()
-            && (repeats(&call.class) || !self.settings.classes.iter().any(repeats))
+        few && call.attempts.is_empty() && (repeats(&call.class) || !self.live().any(|(_, c)| repeats(c)))
     }
 
     fn take(&mut self, index: usize) {
@@ -915,7 +936,7 @@
     /// A second copy for a call that is late on a server that may have stalled.
     fn second_copy(&mut self, now: Micros, id: CallId, actions: &mut Actions) {
         let call = &self.calls[&id];
-        let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts && call.out() == 1;
+        let more = self.more(call) && call.out() == 1;
         let spare = self.retries >= 1.0 && self.hold.is_empty() && !call.streaming;
         if !more || !spare {
             return;
@@ -949,11 +970,11 @@
     }
 
     fn longest_aim(&self) -> f64 {
-        self.settings.classes.iter().map(|c| c.aim).max().unwrap_or(0).max(1) as f64
+        self.live().map(|(_, c)| c.aim).max().unwrap_or(0).max(1) as f64
     }
 
     fn longest_usual(&self) -> f64 {
-        self.paces.iter().map(|p| p.mean).fold(1.0, f64::max)
+        self.live().map(|(p, _)| p.mean).fold(1.0, f64::max)
     }
 
     /// A random number from 0 to 1.
--- a/src/main.rs
+++ b/src/main.rs
@@ -3,14 +3,13 @@
 
 mod net;
 
-use badgerramp::{settings, ListKind};
-use net::discovery;
-use net::driver::{Clock, Driver, List};
+use badgerramp::ListKind;
+use net::config::Config;
+use net::driver::{Clock, Driver};
+use net::figures::Figures;
 use net::front::{Front, Resting};
 use net::hosts::Hosts;
-use net::Descriptors;
-use serde::Deserialize;
-use std::net::SocketAddr;
+use net::{discovery, operator, Descriptors};
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,36 +17,13 @@
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 
-/// Descriptors kept out of the count: standard streams, the runtime's own, the listener, discovery, and a
-/// client's connection that is closed as soon as it is accepted.
+/// Descriptors kept out of the count: standard streams, the runtime's own, the listeners, discovery, operators'
+/// callers, and a client's connection that is closed as soon as it is accepted.
 const RESERVE: usize = 48;
 /// Connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
 
-#[derive(Deserialize)]
-struct Config {
-    listen: SocketAddr,
-    discovery: SocketAddr,
-    seed: String,
-    limits: Limits,
-    known: Option<List>,
-    settings: serde_json::Value,
-}
-
-#[derive(Deserialize)]
-struct Limits {
-    sockets: usize,
-}
-
-fn config() -> Result<Config, String> {
-    let path = std::env::var("RELAY_CONFIG").map_err(|_| "RELAY_CONFIG is not set".to_owned())?;
-    let text = std::fs::read(&path).map_err(|e| format!("configuration {path}: {e}"))?;
-    serde_json::from_slice(&text).map_err(|e| format!("configuration {path}: {e}"))
-}
-
-async fn run(config: Config) -> Result<(), String> {
-    let facts = settings::read(&config.settings).map_err(|e| format!("settings: {e}"))?;
-    let seed = u64::from_str_radix(&config.seed, 16).map_err(|e| format!("seed {}: {e}", config.seed))?;
+async fn run(mut config: Config) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
     let socket = TcpSocket::new_v4().map_err(|e| format!("socket: {e}"))?;
@@ -56,11 +32,15 @@
     socket.bind(config.listen).map_err(bind)?;
     let listener = socket.listen(BACKLOG).map_err(bind)?;
 
+    let operator = config.operator;
     let clock = Clock::start();
     let room = config.limits.sockets.saturating_sub(RESERVE).max(8);
     let descriptors = Descriptors::new(room);
-    let hosts = Hosts::new(facts.transport, facts.settings.balancers, Rc::clone(&descriptors), clock);
-    let driver = Driver::new(seed, facts, clock, Rc::clone(&hosts));
+    let figures = Rc::<Figures>::default();
+    let facts = config.facts.clone();
+    let (transport, balancers) = (facts.transport, facts.settings.balancers);
+    let hosts = Hosts::new(transport, balancers, Rc::clone(&descriptors), clock, Rc::clone(&figures));
+    let driver = Driver::new(config.seed, facts, clock, Rc::clone(&hosts), Rc::clone(&figures));
     driver.start();
     let index = config.known.as_ref().map(|k| k.index);
     driver.members(ListKind::Cached, config.known.as_ref().map_or(&[], |k| &k.endpoints));
@@ -71,17 +51,29 @@
     });
     let (moved, discovery) = watch::channel(config.discovery);
     let mut watch = tokio::task::spawn_local(discovery::run(driver.clone(), discovery, index));
-    let reload = async {
-        while hangup.recv().await.is_some() {
-            match crate::config() {
-                Ok(config) => {
-                    eprintln!("badgerramp: discovery is at {}", config.discovery);
-                    moved.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
+    let reload = {
+        let driver = driver.clone();
+        async move {
+            while hangup.recv().await.is_some() {
+                let next = config.again();
+                figures.reload(next.is_ok());
+                match next {
+                    Ok(next) => {
+                        config = next;
+                        eprintln!("badgerramp: reloaded: {}", config.summary());
+                        driver.retune(config.facts.clone());
+                        moved.send_if_modified(|at| {
+                            std::mem::replace(at, config.discovery) != config.discovery
+                        });
+                    }
+                    Err(fault) => eprintln!("badgerramp: not reloaded, nothing changed: {fault}"),
                 }
-                Err(fault) => eprintln!("badgerramp: not reloaded: {fault}"),
             }
         }
     };
+    if let Some(address) = operator {
+        tokio::task::spawn_local(operator::run(driver.clone(), address));
+    }
     let sweep = async {
         loop {
             tokio::time::sleep(Duration::from_millis(250)).await;
@@ -114,7 +106,7 @@
 
 fn main() -> ExitCode {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
-    let done = config().and_then(|config| {
+    let done = Config::read().and_then(|config| {
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
         tokio::task::LocalSet::new().block_on(&runtime, run(config))
     });
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,11 +1,12 @@
 //! The one owner of the [`Balancer`]: turns what happens into events, carries the actions out, and owns the
 //! timers, the calls and the maps between names and numbers. It never picks, retries or sheds by itself.
 
+use super::figures::{End, Figures, Report};
 use super::hosts::{self, Ended, Hosts, Target};
 use badgerramp::settings::{self, Facts};
 use badgerramp::{
-    Action, Balancer, CallId, CellId, ClassId, Entry, Event, ListKind, Load, Micros, Outcome, ServerId,
-    Settings, State, TenantId,
+    Action, Balancer, CallId, CellId, Class, ClassId, Entry, Event, ListKind, Load, Micros, Outcome,
+    ServerId, Settings, State, TenantId,
 };
 use bytes::Bytes;
 use hyper::header::HeaderValue;
@@ -129,6 +130,7 @@
 
 #[derive(Debug)]
 struct Call {
+    class: ClassId,
     request: Rc<Request>,
     deadline: Micros,
     /// Taken when the final answer is given.
@@ -147,9 +149,14 @@
 
 struct Core {
     balancer: Balancer,
-    classes: Vec<String>,
+    figures: Rc<Figures>,
+    /// All classes ever named, by their numbers: one that has vanished keeps its own.
+    names: Vec<String>,
+    classes: Vec<Class>,
     tenants: Vec<String>,
     max_open: usize,
+    /// New requests are taken.
+    taking: bool,
     calls: HashMap<CallId, Call>,
     open: usize,
     next_call: u64,
@@ -171,14 +178,16 @@
 }
 
 impl Driver {
-    pub fn new(seed: u64, facts: Facts, clock: Clock, sockets: Rc<Hosts>) -> Self {
-        // Only the simulator pushes the list by itself: on sockets it comes by a watch, at every site.
-        let settings = Settings { ask: true, ..facts.settings };
+    pub fn new(seed: u64, facts: Facts, clock: Clock, sockets: Rc<Hosts>, figures: Rc<Figures>) -> Self {
+        let settings = on_sockets(facts.settings);
         let core = Core {
+            names: facts.classes,
+            classes: settings.classes.clone(),
             balancer: Balancer::new(seed, settings),
-            classes: facts.classes,
+            figures,
             tenants: facts.tenants,
             max_open: facts.transport.max_open,
+            taking: false,
             calls: HashMap::new(),
             open: 0,
             next_call: 0,
@@ -205,9 +214,53 @@
         self.event(Event::Start);
     }
 
+    /// New settings are in force. Calls under way keep the class they were taken with.
+    pub fn retune(&self, facts: Facts) {
+        let mut core = self.core.borrow_mut();
+        core.classes.iter_mut().for_each(|class| class.live = false);
+        for (name, class) in facts.classes.into_iter().zip(&facts.settings.classes) {
+            match place(&core.names, &name) {
+                Some(number) => core.classes[number] = *class,
+                None => {
+                    core.names.push(name);
+                    core.classes.push(*class);
+                }
+            }
+        }
+        core.tenants = facts.tenants;
+        core.max_open = facts.transport.max_open;
+        self.sockets.retune(facts.transport, facts.settings.balancers);
+        let settings = on_sockets(Settings { classes: core.classes.clone(), ..facts.settings });
+        drop(core);
+        self.event(Event::Settings(Box::new(settings)));
+    }
+
     /// The class of this name, if the settings have one.
     pub fn class(&self, name: &str) -> Option<ClassId> {
-        place(&self.core.borrow().classes, name).map(ClassId)
+        let core = self.core.borrow();
+        place(&core.names, name).filter(|&number| core.classes[number].live).map(ClassId)
+    }
+
+    /// Says whether new requests are taken.
+    pub fn take_clients(&self, taking: bool) {
+        self.core.borrow_mut().taking = taking;
+    }
+
+    pub fn takes_clients(&self) -> bool {
+        self.core.borrow().taking
+    }
+
+    /// A request that was refused before it became a call.
+    pub fn turned_back(&self, class: ClassId) {
+        self.core.borrow().figures.ended(class, End::Refused);
+    }
+
+    /// The operators' figures as they are now.
+    pub fn report(&self) -> Report {
+        let core = self.core.borrow();
+        let listed = core.hosts.iter().filter(|h| h.state != State::Gone).count();
+        let down = core.balancer.avoided(self.clock.now());
+        core.figures.report(&core.names, core.open, (listed, down))
     }
 
     /// Calls without their final answer.
@@ -220,18 +273,20 @@
         let (sender, receiver) = oneshot::channel();
         let mut core = self.core.borrow_mut();
         if core.open >= core.max_open {
+            core.figures.ended(intake.class, End::Refused);
             return None;
         }
         let call = CallId(core.next_call);
         core.next_call += 1;
         core.open += 1;
-        let deadline = intake.deadline;
-        let entry = Call { request: Rc::new(request), deadline, answer: Some(sender), attempts: Vec::new() };
+        let Intake { class, deadline, .. } = intake;
+        let (request, attempts) = (Rc::new(request), Vec::new());
+        let entry = Call { class, request, deadline, answer: Some(sender), attempts };
         core.calls.insert(call, entry);
         core.timers.insert((deadline, Due::Backstop(call)));
         let event = Event::Request {
             call,
-            class: intake.class,
+            class,
             tenant: intake.tenant.and_then(|t| place(&core.tenants, &t)).map(TenantId),
             time_left: deadline.saturating_sub(self.clock.now()),
             resent: intake.resent,
@@ -479,6 +534,11 @@
     }
 }
 
+/// Only the simulator pushes the list by itself: on sockets it comes by a watch, at every site.
+fn on_sockets(settings: Settings) -> Settings {
+    Settings { ask: true, ..settings }
+}
+
 fn place(all: &[String], name: &str) -> Option<usize> {
     all.iter().position(|n| n == name)
 }
@@ -507,6 +567,8 @@
             self.open -= 1;
             self.timers.remove(&(call.deadline, Due::Backstop(id)));
             if let Some(answer) = answer {
+                let refused = matches!(answer, Answer::Refused { .. });
+                self.figures.ended(call.class, if refused { End::Refused } else { End::Failed });
                 // The client may be gone: then its connection's end says so.
                 let _ = sender.send(answer);
             }
@@ -530,6 +592,7 @@
             if let Some(sender) = call.answer.take() {
                 self.open -= 1;
                 self.timers.remove(&(call.deadline, Due::Backstop(id)));
+                self.figures.ended(call.class, End::Served);
                 let _ = sender.send(Answer::Served { body, content_type });
             }
         }
@@ -555,9 +618,10 @@
     fn driver() -> Driver {
         let clock = Clock::start();
         let transport = Transport { max_open: 9, conn_idle: 60_000_000, connect_timeout: 9_000_000 };
-        let sockets = Hosts::new(transport, 1, Descriptors::new(9), clock);
+        let figures = Rc::<Figures>::default();
+        let sockets = Hosts::new(transport, 1, Descriptors::new(9), clock, Rc::clone(&figures));
         let facts = Facts { settings: Settings::default(), classes: vec![], tenants: vec![], transport };
-        Driver::new(7, facts, clock, sockets)
+        Driver::new(7, facts, clock, sockets, figures)
     }
 
     fn request() -> Request {
@@ -572,8 +636,8 @@
         let deadline = driver.clock.now() + 30_000;
         let (sender, receiver) = oneshot::channel();
         let call = CallId(99);
-        let forgotten =
-            Call { request: Rc::new(request()), deadline, answer: Some(sender), attempts: Vec::new() };
+        let (class, request, attempts) = (ClassId(0), Rc::new(request()), Vec::new());
+        let forgotten = Call { class, request, deadline, answer: Some(sender), attempts };
         driver.core.borrow_mut().calls.insert(call, forgotten);
         driver.core.borrow_mut().open += 1;
         driver.core.borrow_mut().timers.insert((deadline, Due::Backstop(call)));
--- /dev/null
+++ b/src/net/figures.rs
@@ -0,0 +1,85 @@
+//! The figures that operators read. Each fact is counted once, where it becomes final.
+
+use badgerramp::ClassId;
+use serde::Serialize;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    Served,
+    Refused,
+    Failed,
+}
+
+/// Requests of one class by their ends.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct Ends {
+    pub success: u64,
+    pub busy: u64,
+    pub failure: u64,
+}
+
+/// What is counted from the start of the process.
+#[derive(Debug, Default)]
+pub struct Figures {
+    calls: RefCell<Vec<Ends>>,
+    attempts: Cell<u64>,
+    reloads: Cell<(u64, u64)>,
+}
+
+/// All figures as they are now, in the form that is told.
+#[derive(Debug, Serialize)]
+pub struct Report {
+    pub calls: BTreeMap<String, Ends>,
+    pub inflight: usize,
+    pub backend_calls: u64,
+    pub hosts_listed: usize,
+    pub hosts_down: usize,
+    pub reconfig_ok: u64,
+    pub reconfig_failed: u64,
+}
+
+impl Figures {
+    /// The final answer of a request.
+    pub fn ended(&self, class: ClassId, end: End) {
+        let mut calls = self.calls.borrow_mut();
+        if calls.len() <= class.0 {
+            calls.resize(class.0 + 1, Ends::default());
+        }
+        let ends = &mut calls[class.0];
+        match end {
+            End::Served => ends.success += 1,
+            End::Refused => ends.busy += 1,
+            End::Failed => ends.failure += 1,
+        }
+    }
+
+    /// An attempt has been written whole.
+    pub fn attempt(&self) {
+        self.attempts.set(self.attempts.get() + 1);
+    }
+
+    /// A file was taken, or turned down.
+    pub fn reload(&self, taken: bool) {
+        let (ok, failed) = self.reloads.get();
+        self.reloads.set(if taken { (ok + 1, failed) } else { (ok, failed + 1) });
+    }
+
+    /// The report, with what only its callers know. Classes are numbered as `names` has them.
+    pub fn report(&self, names: &[String], inflight: usize, (listed, down): (usize, usize)) -> Report {
+        let calls = self.calls.borrow();
+        let ends = |number: usize| calls.get(number).copied().unwrap_or_default();
+        let (reconfig_ok, reconfig_failed) = self.reloads.get();
+        Report {
+            calls: names.iter().cloned().zip((0..).map(ends)).collect(),
+            inflight,
+            backend_calls: self.attempts.get(),
+            hosts_listed: listed,
+            hosts_down: down,
+            reconfig_ok,
+            reconfig_failed,
+        }
+    }
+}
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -3,7 +3,7 @@
 use super::driver::{Answer, Driver, Intake, Request};
 use super::hosts::{Hosts, BODY_MOST};
 use super::{Descriptor, Descriptors};
-use badgerramp::{CallId, Micros};
+use badgerramp::{CallId, ClassId, Micros};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::Incoming;
@@ -118,6 +118,7 @@
         let mut stop = pin!(stop);
         let mut end: Option<Instant> = None;
         let mut was_crowded = false;
+        self.driver.take_clients(true);
         loop {
             let late = async move {
                 match end {
@@ -138,6 +139,7 @@
                     // ones are still taken: clients move over before the listener goes.
                     end = Some(Instant::now() + STOP_ACCEPT);
                     let _ = closing.send(true);
+                    self.driver.take_clients(false);
                 }
                 (accepted, place) = accept => match accepted {
                     Ok((stream, _)) => {
@@ -210,7 +212,7 @@
             let (front, visit) = (&self, &visit);
             async move {
                 visit.work();
-                let answer = if crowded { refused(COME_BACK) } else { front.request(request).await };
+                let answer = if crowded { front.turn_back(&request) } else { front.request(request).await };
                 visit.rest();
                 Ok::<_, Infallible>(answer)
             }
@@ -242,6 +244,20 @@
         }
     }
 
+    /// The class is the first part of the path.
+    fn class(&self, path: &str) -> Option<ClassId> {
+        self.driver.class(path.trim_start_matches('/').split('/').next().unwrap_or_default())
+    }
+
+    /// The answer to whoever finds no place.
+    fn turn_back(&self, request: &hyper::Request<Incoming>) -> Response<Full<Bytes>> {
+        let proper = request.headers().contains_key("x-request-id");
+        if let Some(class) = self.class(request.uri().path()).filter(|_| proper) {
+            self.driver.turned_back(class);
+        }
+        refused(COME_BACK)
+    }
+
     async fn request(&self, request: hyper::Request<Incoming>) -> Response<Full<Bytes>> {
         let arrived = self.driver.clock().now();
         let (parts, body) = request.into_parts();
@@ -257,8 +273,7 @@
             return improper(StatusCode::BAD_REQUEST, "X-Request-ID missing");
         }
         // No server knows what the settings do not name: it would only answer with an error.
-        let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        let Some(class) = self.driver.class(name) else {
+        let Some(class) = self.class(path) else {
             return improper(StatusCode::NOT_FOUND, "no such class of request");
         };
         let deadline = arrived + time.saturating_sub(MARGIN).max(1);
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -2,6 +2,7 @@
 //! there is no task behind it, so dropping the attempt closes it, and nothing is ever sent twice.
 
 use super::driver::{Clock, Request};
+use super::figures::Figures;
 use super::{Descriptor, Descriptors};
 use badgerramp::settings::Transport;
 use badgerramp::{Load, Micros, Outcome, ServerId};
@@ -110,7 +111,11 @@
     }
 
     /// One exchange, driven from here. None: the connection broke before the answer was whole.
-    async fn exchange(&mut self, request: hyper::Request<Full<Bytes>>) -> Option<(Response<()>, Bytes)> {
+    async fn exchange(
+        &mut self,
+        request: hyper::Request<Full<Bytes>>,
+        figures: &Figures,
+    ) -> Option<(Response<()>, Bytes)> {
         self.handed_over.set(false);
         let mut exchange = pin!(async {
             let answer = self.sender.send_request(request).await.ok()?;
@@ -118,7 +123,7 @@
             let body = whole(&parts.headers, parts.status, body).await?;
             Some((Response::from_parts(parts, ()), body))
         });
-        let connection = &mut self.connection;
+        let (connection, handed_over, mut counted) = (&mut self.connection, &self.handed_over, false);
         poll_fn(|cx| {
             // The first poll hands the request over, the second writes it, the third takes an answer that
             // has come with the end of the connection.
@@ -126,6 +131,9 @@
                 return Poll::Ready(answer);
             }
             let ended = Pin::new(&mut *connection).poll(cx).is_ready();
+            if handed_over.get() && !std::mem::replace(&mut counted, true) {
+                figures.attempt();
+            }
             match exchange.as_mut().poll(cx) {
                 Poll::Pending if ended => Poll::Ready(None),
                 other => other,
@@ -150,26 +158,52 @@
     current: RefCell<HashMap<ServerId, u64>>,
     descriptors: Rc<Descriptors>,
     clock: Clock,
+    figures: Rc<Figures>,
+    limits: Cell<Limits>,
+}
+
+/// What the settings say of connections.
+#[derive(Clone, Copy)]
+struct Limits {
     connect_timeout: Duration,
     idle_most: Micros,
     spares: usize,
 }
 
+impl Limits {
+    fn new(transport: Transport, balancers: u32) -> Self {
+        Limits {
+            connect_timeout: Duration::from_micros(transport.connect_timeout),
+            // Well ahead of the host, which may close it any time from then on.
+            idle_most: transport.conn_idle / 4 * 3,
+            spares: (SPARES_OF_ALL / balancers.max(1) as usize).clamp(SPARES.0, SPARES.1),
+        }
+    }
+}
+
 impl Hosts {
-    pub fn new(transport: Transport, balancers: u32, descriptors: Rc<Descriptors>, clock: Clock) -> Rc<Self> {
-        let spares = (SPARES_OF_ALL / balancers.max(1) as usize).clamp(SPARES.0, SPARES.1);
+    pub fn new(
+        transport: Transport,
+        balancers: u32,
+        descriptors: Rc<Descriptors>,
+        clock: Clock,
+        figures: Rc<Figures>,
+    ) -> Rc<Self> {
         Rc::new(Hosts {
             idle: RefCell::new(HashMap::new()),
             current: RefCell::new(HashMap::new()),
             descriptors,
             clock,
-            connect_timeout: Duration::from_micros(transport.connect_timeout),
-            // Well ahead of the host, which may close it any time from then on.
-            idle_most: transport.conn_idle / 4 * 3,
-            spares,
+            figures,
+            limits: Cell::new(Limits::new(transport, balancers)),
         })
     }
 
+    /// New settings are in force.
+    pub fn retune(&self, transport: Transport, balancers: u32) {
+        self.limits.set(Limits::new(transport, balancers));
+    }
+
     /// Closes the idle connections to a host, and those in use of a generation before this one when they
     /// come back: a host that drains would otherwise keep connections that nothing uses any more.
     pub fn close(&self, server: ServerId, generation: u64) {
@@ -179,9 +213,9 @@
 
     /// Closes what has been idle for too long.
     pub fn sweep(&self) {
-        let now = self.clock.now();
+        let (now, idle_most) = (self.clock.now(), self.limits.get().idle_most);
         let mut idle = self.idle.borrow_mut();
-        idle.values_mut().for_each(|links| links.retain(|l| l.idle_since + self.idle_most > now));
+        idle.values_mut().for_each(|links| links.retain(|l| l.idle_since + idle_most > now));
         idle.retain(|_, links| !links.is_empty());
     }
 
@@ -203,7 +237,7 @@
     async fn checkout(&self, target: &Target) -> Option<Link> {
         loop {
             let mut link = self.idle.borrow_mut().get_mut(&target.server)?.pop()?;
-            let fresh = link.idle_since + self.idle_most > self.clock.now();
+            let fresh = link.idle_since + self.limits.get().idle_most > self.clock.now();
             if fresh && link.generation == target.generation && link.alive().await {
                 return Some(link);
             }
@@ -217,7 +251,8 @@
             None if self.evict() => self.descriptors.take().ok_or(Outcome::NotSent)?,
             None => return Err(Outcome::NotSent),
         };
-        let connect = tokio::time::timeout(self.connect_timeout, TcpStream::connect(target.address));
+        let connect =
+            tokio::time::timeout(self.limits.get().connect_timeout, TcpStream::connect(target.address));
         let stream = match connect.await {
             Ok(Ok(stream)) => stream,
             Ok(Err(fault)) if matches!(fault.raw_os_error(), Some(ENFILE | EMFILE)) => {
@@ -249,7 +284,7 @@
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(server).or_default();
         links.push(link);
-        if links.len() > self.spares {
+        if links.len() > self.limits.get().spares {
             links.remove(0);
         }
     }
@@ -276,7 +311,7 @@
         return Outcome::NotSent.into();
     }
     let Some(message) = message(request, left()) else { return Outcome::NotSent.into() };
-    let Some((answer, body)) = link.exchange(message).await else {
+    let Some((answer, body)) = link.exchange(message, &hosts.figures).await else {
         // Never ran only if the last byte was not handed to the socket; all else may have run.
         let whole = link.handed_over.get();
         return if whole { Outcome::Reset } else { Outcome::NoConnection }.into();
@@ -368,7 +403,7 @@
             conn_idle: 60_000_000,
             connect_timeout: Duration::from_secs(9).as_micros() as Micros,
         };
-        let hosts = Hosts::new(transport, 1, Descriptors::new(9), Clock::start());
+        let hosts = Hosts::new(transport, 1, Descriptors::new(9), Clock::start(), Rc::default());
         let target = Target { server: ServerId(0), address, generation: 0 };
         let request = Request {
             method: Method::GET,
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,9 +1,12 @@
 //! The program round the decisions: sockets, clock and timers. It decides nothing.
 
+pub mod config;
 pub mod discovery;
 pub mod driver;
+pub mod figures;
 pub mod front;
 pub mod hosts;
+pub mod operator;
 
 use std::cell::Cell;
 use std::rc::Rc;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -192,9 +192,19 @@
             _ => Repeat::SingleShot,
         };
         let (aim, deadline) = (class.objective_us, class.deadline_us);
-        classes.push(Class { aim, deadline, worth: class.worth, late_value: class.late_value, repeat });
+        if deadline == 0 {
+            return Err(format!("class {}: a deadline of 0", class.name));
+        }
+        if facts.classes.iter().filter(|c| c.name == class.name).count() > 1 {
+            return Err(format!("class {} is named twice", class.name));
+        }
+        let (worth, late_value) = (class.worth, class.late_value);
+        classes.push(Class { aim, deadline, worth, late_value, repeat, live: true });
     }
     let limits = &facts.limits;
+    if limits.max_attempts == 0 {
+        return Err("limits: 0 attempts".to_owned());
+    }
     let rules = &facts.invariants;
     let (mix, charges, harmless) = (&facts.result_mix, &facts.charges, Settings::default());
     let weights = match facts.weight_source.as_str() {
--- a/src/state.rs
+++ b/src/state.rs
@@ -90,6 +90,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Call {
     pub(crate) class: Class,
+    /// Attempts that it was allowed when it came.
+    pub(crate) most: u32,
     pub(crate) class_id: usize,
     pub(crate) arrived: Micros,
     /// When its client first asked, as far as can be told.
@@ -183,6 +185,12 @@
 }
 
 impl Pace {
+    /// Before any answer: an unloaded server is taken to need a quarter of the aim.
+    pub(crate) fn new(class: &Class) -> Self {
+        let guess = class.aim as f64 / 4.0;
+        Pace { mean: guess, base: guess, ..Pace::default() }
+    }
+
     /// Takes an answer in; the least drifts up to the mean, as fleets and work change.
     pub(crate) fn answered(&mut self, now: Micros, elapsed: f64) {
         self.seen = self.seen.saturating_add(1);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -15,7 +15,8 @@
 
 /// Settings with one class of the given kind: wanted in 500 ms, given up after 1.2 s.
 pub fn settings(repeat: Repeat) -> Settings {
-    let class = Class { aim: 500 * MS, deadline: 1_200 * MS, worth: 1.0, late_value: 0.0, repeat };
+    let class =
+        Class { aim: 500 * MS, deadline: 1_200 * MS, worth: 1.0, late_value: 0.0, repeat, live: true };
     Settings {
         classes: vec![class],
         balancers: 7,
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,253 @@
+//! What operators do with a running program: its second address, its figures, new settings.
+
+mod peers;
+
+use peers::*;
+use std::io::{Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+/// A configuration with an operators' address.
+fn with_operator(text: &str) -> String {
+    text.replacen('{', r#"{"operator":"127.0.0.1:0","#, 1)
+}
+
+fn start(discovery: &Discovery, known: &[String]) -> Proxy {
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    Proxy::with(&with_operator(&config(listen, discovery.address, 1_024, known)))
+}
+
+fn up(name: &str, host: &Host) -> String {
+    entry(name, host.address, "up", 0)
+}
+
+/// What the address answers to these bytes.
+fn ask(address: SocketAddr, line: &[u8]) -> String {
+    let mut stream = TcpStream::connect(address).expect("it listens");
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+    stream.write_all(line).expect("an open connection");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an answer and a close");
+    text
+}
+
+fn figures(address: SocketAddr) -> serde_json::Value {
+    let text = ask(address, b"DUMP\n");
+    let (figures, end) = text.split_once('\n').expect("two lines");
+    assert_eq!(end, "END\n");
+    serde_json::from_str(figures).expect("the figures")
+}
+
+/// Asks until the figures hold `wanted` at `path`.
+fn comes_to(address: SocketAddr, path: &str, wanted: u64) -> serde_json::Value {
+    let asked = Instant::now();
+    loop {
+        let figures = figures(address);
+        if figures.pointer(path).and_then(|v| v.as_u64()) == Some(wanted) {
+            return figures;
+        }
+        assert!(asked.elapsed() < LONG, "{path} is not {wanted}: {figures}");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+}
+
+#[test]
+fn a_line_gets_yes_or_the_figures_and_any_other_no() {
+    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
+    let mut proxy = start(&discovery, &[up("s-1", &host)]);
+    let operator = proxy.operator();
+    for line in ["HEALTH\n", "HEALTH\r\n"] {
+        assert!(ask(operator, line.as_bytes()).starts_with("YES"), "{line:?}");
+    }
+    let long = [b'H'; 100_000];
+    for line in [&b"health\n"[..], b"\n", b"HEALTH now\n", b" HEALTH\n", b"LEAVE\n", b"\xff\xfe\x00\n", &long]
+    {
+        let answer = ask(operator, line);
+        assert!(answer.starts_with("NO ") && answer.ends_with('\n'), "{answer:?}");
+    }
+    // A caller that ends its side instead of its line.
+    let mut stream = TcpStream::connect(operator).expect("it listens");
+    stream.write_all(b"HEALTH").expect("an open connection");
+    stream.shutdown(Shutdown::Write).expect("an open connection");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an answer");
+    assert!(text.starts_with("YES"), "{text:?}");
+    assert!(proxy.child.try_wait().expect("a child").is_none(), "it still runs");
+}
+
+#[test]
+fn callers_that_hold_a_connection_delay_nobody() {
+    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
+    let mut proxy = start(&discovery, &[up("s-1", &host)]);
+    let operator = proxy.operator();
+    let holders: Vec<TcpStream> = (0..40)
+        .map(|n| {
+            let mut stream = TcpStream::connect(operator).expect("it listens");
+            // Those that were there longest have been sent away by now.
+            let _ = stream.write_all(if n % 2 == 0 { b"" } else { b"DUM" });
+            stream
+        })
+        .collect();
+    let asked = Instant::now();
+    assert!(ask(operator, b"HEALTH\n").starts_with("YES"));
+    figures(operator);
+    assert!(asked.elapsed() < Duration::from_secs(2), "{:?}", asked.elapsed());
+    assert_eq!(proxy.call("safe", "2000m").status(), 200);
+    drop(holders);
+}
+
+#[test]
+fn without_an_operators_address_nothing_is_opened() {
+    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let text = config(listen, discovery.address, 1_024, &[up("s-1", &host)]);
+    let listeners = |proxy: &Proxy| {
+        let id = proxy.child.id();
+        let open = std::fs::read_dir(format!("/proc/{id}/fd")).expect("a process");
+        let links = open.flatten().filter_map(|fd| std::fs::read_link(fd.path()).ok());
+        let sockets: Vec<String> = links
+            .filter_map(|l| l.to_str()?.strip_prefix("socket:[")?.strip_suffix(']').map(str::to_owned))
+            .collect();
+        // Column 4 is the state, 0A a listener; column 10 names the socket.
+        let table = std::fs::read_to_string(format!("/proc/{id}/net/tcp")).expect("a table");
+        let rows = table.lines().map(|l| l.split_whitespace().collect::<Vec<_>>());
+        rows.filter(|r| r.get(3) == Some(&"0A") && r.get(9).is_some_and(|i| sockets.iter().any(|s| s == i)))
+            .count()
+    };
+    assert_eq!(listeners(&Proxy::with(&text)), 1);
+    let mut proxy = Proxy::with(&with_operator(&text));
+    proxy.operator();
+    assert_eq!(listeners(&proxy), 2);
+}
+
+#[test]
+fn the_figures_tell_how_requests_ended_and_what_is_open() {
+    let ((arrived, came), (open, gate)) = (channel(), channel::<()>());
+    let gate = Mutex::new(gate);
+    let host = Host::start(move |n| match n {
+        0 | 1 => Reply::Write(answer("200 OK", "", "ok")),
+        2 => Reply::Write(answer("400 Bad Request", "", "")),
+        _ => {
+            let _ = arrived.send(());
+            let _ = gate.lock().expect("one call").recv();
+            Reply::Write(answer("200 OK", "", "late"))
+        }
+    });
+    let discovery = Discovery::start();
+    let mut proxy = start(&discovery, &[up("s-1", &host), entry("s-2", nobody(), "removed", 0)]);
+    let operator = proxy.operator();
+    assert_eq!(proxy.call("safe", "2000m").status(), 200);
+    assert_eq!(proxy.call("unsafe", "2000m").status(), 200);
+    assert_ne!(proxy.call("unsafe", "2000m").status(), 200);
+    assert_eq!(proxy.call("never-heard-of", "2000m").status(), 404);
+    let mut client = proxy.client();
+    client.send("safe", "20000m");
+    came.recv_timeout(LONG).expect("the call at the host");
+    let figures = comes_to(operator, "/inflight", 1);
+    let wanted = serde_json::json!({
+        "calls": {"safe": {"success": 1, "busy": 0, "failure": 0}, "unsafe": {"success": 1, "busy": 0, "failure": 1}},
+        "inflight": 1, "backend_calls": 4, "hosts_listed": 1, "hosts_down": 0, "reconfig_ok": 0,
+        "reconfig_failed": 0,
+    });
+    assert_eq!(figures, wanted);
+    open.send(()).expect("the host waits");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert_eq!(comes_to(operator, "/inflight", 0)["calls"]["safe"]["success"], 2);
+}
+
+#[test]
+fn refusals_and_hosts_that_are_avoided_show_in_the_figures() {
+    let discovery = Discovery::start();
+    let dead: Vec<String> = (1..3).map(|n| entry(&format!("s-{n}"), nobody(), "up", 0)).collect();
+    let mut proxy = start(&discovery, &dead);
+    let operator = proxy.operator();
+    for _ in 0..6 {
+        assert_eq!(proxy.call("unsafe", "900m").status(), 503);
+    }
+    let figures = figures(operator);
+    assert_eq!(figures["calls"]["unsafe"], serde_json::json!({"success": 0, "busy": 6, "failure": 0}));
+    assert_eq!((&figures["backend_calls"], &figures["hosts_listed"]), (&0.into(), &2.into()));
+    // Never most of the fleet: one of two may be set aside.
+    assert_eq!(figures["hosts_down"], 1);
+}
+
+#[test]
+fn a_bad_file_is_turned_down_whole_and_counted() {
+    let (discovery, decoy, host) = (Discovery::start(), Discovery::start(), Host::serving("ok"));
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let text = with_operator(&config(listen, discovery.address, 1_024, &[up("s-1", &host)]));
+    let mut proxy = Proxy::with(&text);
+    let operator = proxy.operator();
+    assert!(discovery.asked().contains("index=41&"));
+    // All of them also name another discovery and another class, which must not be taken.
+    let other = text
+        .replace(&discovery.address.to_string(), &decoy.address.to_string())
+        .replace(r#""name":"safe""#, r#""name":"other""#);
+    let bad = [
+        String::new(),
+        other[..other.len() / 2].to_owned(),
+        other.replace(r#""max_attempts":3"#, r#""max_attempts":0"#),
+        other.replace(r#""deadline_us":3000000"#, r#""deadline_us":"soon""#),
+        other.replace(r#""seed":"8c1f30d27a5be964","#, ""),
+        other.replace(r#""invariants""#, r#""rules""#),
+    ];
+    for (count, text) in (1..).zip(&bad) {
+        proxy.reload(text);
+        let figures = comes_to(operator, "/reconfig_failed", count);
+        assert_eq!(figures["reconfig_ok"], 0, "{text}");
+        assert_eq!(proxy.call("safe", "2000m").status(), 200);
+        assert_eq!(proxy.call("other", "2000m").status(), 404);
+    }
+    discovery.tell(&list(42, false, &[]));
+    assert!(discovery.asked().contains("index=42&"), "the watch has stayed where it was");
+    proxy.reload(&other);
+    comes_to(operator, "/reconfig_ok", 1);
+    assert!(decoy.asked().starts_with("GET /catalog/members HTTP"), "and the good one moves it");
+    assert_eq!(proxy.call("other", "2000m").status(), 200);
+    assert_eq!(proxy.call("safe", "2000m").status(), 404);
+}
+
+#[test]
+fn a_request_under_way_keeps_its_class_when_that_changes_or_vanishes() {
+    let ((arrived, came), (open, gate)) = (channel(), channel::<()>());
+    let gate = Mutex::new(gate);
+    let failing = Host::start(move |_| {
+        let _ = arrived.send(());
+        let _ = gate.lock().expect("one call").recv();
+        Reply::WriteAndClose(String::new())
+    });
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let discovery = Discovery::start();
+    let text = with_operator(&config(listen, discovery.address, 1_024, &[up("s-1", &failing)]));
+    let mut proxy = Proxy::with(&text);
+    let operator = proxy.operator();
+    discovery.asked();
+    let mut clients = ["safe", "unsafe"].map(|class| {
+        let mut client = proxy.client();
+        client.send(class, "20000m");
+        came.recv_timeout(LONG).expect("the call at the host");
+        client
+    });
+    // What may be repeated and what may not change places, under new names beside.
+    let swapped =
+        text.replace(r#""name":"safe""#, r#""name":"x""#).replace(r#""name":"unsafe""#, r#""name":"safe""#);
+    proxy.reload(&swapped.replace(r#""name":"x""#, r#""name":"unsafe""#));
+    comes_to(operator, "/reconfig_ok", 1);
+    proxy.reload(&text.replace(r#""name":"safe""#, r#""name":"x""#));
+    comes_to(operator, "/reconfig_ok", 2);
+    let good = Host::serving("ok");
+    discovery.tell(&list(42, false, &[up("s-2", &good)]));
+    discovery.asked();
+    // Both connections break with their requests on them.
+    open.send(()).expect("the host waits");
+    open.send(()).expect("the host waits");
+    assert_eq!(clients[0].answer().expect("an answer").status(), 200, "it may go again, as when it came");
+    assert!(![200, 429, 503].contains(&clients[1].answer().expect("an answer").status()), "it may not");
+    assert_eq!(good.further_requests(), 1);
+    let figures = figures(operator);
+    assert_eq!(figures["calls"]["safe"]["success"], 1);
+    assert_eq!(figures["calls"]["unsafe"]["failure"], 1);
+    assert_eq!(figures["calls"]["x"]["success"], 0);
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -320,6 +320,17 @@
         }
     }
 
+    /// Where operators call, from the line that tells it.
+    pub fn operator(&mut self) -> SocketAddr {
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("text") > 0, "it ended before it told");
+            if let Some((_, address)) = line.split_once("operators call ") {
+                return address.trim().parse().expect("an address");
+            }
+        }
+    }
+
     pub fn terminate(&self) {
         self.signal("-TERM");
     }
