Serve on through an upgrade: take the inherited listener and leave accepting to the next

At a stop connections are not closed by hyper's graceful shutdown any more, which drops a head that is half read: the next answer says close, and one that rests goes after 3 ms in which all that had come was read.

--- a/src/main.rs
+++ b/src/main.rs
@@ -1,5 +1,5 @@
 //! The client proxy: start, configuration, signals, exit.
-#![forbid(unsafe_code)]
+#![deny(unsafe_code)]
 
 mod net;
 
@@ -9,11 +9,15 @@
 use net::figures::Figures;
 use net::front::{Front, Resting};
 use net::hosts::Hosts;
-use net::{discovery, operator, Descriptors};
+use net::upgrade::Shared;
+use net::{discovery, operator, upgrade, Descriptors};
+use std::cell::RefCell;
+use std::io;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::TcpSocket;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::sync::watch;
 
@@ -23,34 +27,49 @@
 /// Connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
 
-async fn run(mut config: Config) -> Result<(), String> {
+fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+async fn run(mut config: Config, inherited: Option<std::net::TcpListener>) -> Result<(), String> {
     let mut term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
     let mut hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
-    let socket = TcpSocket::new_v4().map_err(|e| format!("socket: {e}"))?;
-    let bind = |e| format!("listen on {}: {e}", config.listen);
-    socket.set_reuseaddr(true).map_err(bind)?;
-    socket.bind(config.listen).map_err(bind)?;
-    let listener = socket.listen(BACKLOG).map_err(bind)?;
+    let successor = inherited.is_some();
+    let listener = match inherited {
+        Some(listener) => TcpListener::from_std(listener),
+        None => listen(config.listen),
+    };
+    let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
+    // Where the platform holds the listener, two processes serve for a while and share what is allowed.
+    let shared = Shared::open().filter(|_| successor).map(|shared| Rc::new(RefCell::new(shared)));
+    let mut alone = shared.as_ref().is_none_or(|shared| shared.borrow_mut().alone());
+    let left = shared.as_ref().and_then(|shared| shared.borrow().left(config.discovery));
+    let known = upgrade::newer(config.known.take(), left);
 
     let operator = config.operator;
     let clock = Clock::start();
     let room = config.limits.sockets.saturating_sub(RESERVE).max(8);
-    let descriptors = Descriptors::new(room);
+    let part = (room / 2).max(8);
+    let descriptors = Descriptors::new(if alone { room } else { part });
     let figures = Rc::<Figures>::default();
     let facts = config.facts.clone();
     let (transport, balancers) = (facts.transport, facts.settings.balancers);
     let hosts = Hosts::new(transport, balancers, Rc::clone(&descriptors), clock, Rc::clone(&figures));
     let driver = Driver::new(config.seed, facts, clock, Rc::clone(&hosts), Rc::clone(&figures));
     driver.start();
-    let index = config.known.as_ref().map(|k| k.index);
-    driver.members(ListKind::Cached, config.known.as_ref().map_or(&[], |k| &k.endpoints));
+    let index = known.as_ref().map(|k| k.index);
+    driver.members(ListKind::Cached, known.as_ref().map_or(&[], |k| &k.endpoints));
 
     let mut timers = tokio::task::spawn_local({
         let driver = driver.clone();
         async move { driver.timers().await }
     });
     let (moved, discovery) = watch::channel(config.discovery);
-    let mut watch = tokio::task::spawn_local(discovery::run(driver.clone(), discovery, index));
+    let mut watch =
+        tokio::task::spawn_local(discovery::run(driver.clone(), discovery, index, shared.clone()));
     let reload = {
         let driver = driver.clone();
         async move {
@@ -78,6 +97,10 @@
         loop {
             tokio::time::sleep(Duration::from_millis(250)).await;
             hosts.sweep();
+            if let (false, Some(shared)) = (alone, &shared) {
+                alone = shared.borrow_mut().alone();
+                descriptors.allow(if alone { room } else { part });
+            }
         }
     };
     if let Ok(address) = listener.local_addr() {
@@ -86,16 +109,21 @@
     let front = Rc::new(Front {
         driver,
         hosts: Rc::clone(&hosts),
-        descriptors,
+        descriptors: Rc::clone(&descriptors),
         most: room / 2,
         beyond: room / 8,
-        resting: Resting::default(),
+        resting: Rc::<Resting>::default(),
     });
-    let stop = async move {
+    let stop = async {
         term.recv().await;
+        if successor {
+            // The next process needs its part from now on.
+            descriptors.allow(part);
+            while descriptors.over() && hosts.evict() {}
+        }
     };
     tokio::select! {
-        () = front.serve(listener, stop) => Ok(()),
+        () = front.serve(listener, successor, stop) => Ok(()),
         // Without these calls would stay unanswered: better a crash that is seen.
         ended = &mut timers => Err(format!("the timers ended: {ended:?}")),
         ended = &mut watch => Err(format!("discovery ended: {ended:?}")),
@@ -105,10 +133,13 @@
 }
 
 fn main() -> ExitCode {
-    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    // First of all: a descriptor that was not inherited must not come to bear its number.
+    let inherited = upgrade::inherited();
     let done = Config::read().and_then(|config| {
+        let inherited = inherited?;
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
         let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
-        tokio::task::LocalSet::new().block_on(&runtime, run(config))
+        tokio::task::LocalSet::new().block_on(&runtime, run(config, inherited))
     });
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -2,6 +2,7 @@
 //! to ask again; calls never wait for it.
 
 use super::driver::{Driver, List};
+use super::upgrade::Shared;
 use badgerramp::ListKind;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
@@ -9,7 +10,9 @@
 use hyper::header::HOST;
 use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -38,7 +41,13 @@
 }
 
 /// Keeps the list up to date, for as long as the program runs, also when discovery moves to another address.
-pub async fn run(driver: Driver, mut address: watch::Receiver<SocketAddr>, mut index: Option<u64>) {
+/// What it learns is left in `shared` for the next process.
+pub async fn run(
+    driver: Driver,
+    mut address: watch::Receiver<SocketAddr>,
+    mut index: Option<u64>,
+    shared: Option<Rc<RefCell<Shared>>>,
+) {
     loop {
         tokio::select! {
             () = driver.subscribed() => {}
@@ -59,6 +68,9 @@
                 Ok(Ok(list)) => {
                     let kind = if list.snapshot { ListKind::Full } else { ListKind::Delta };
                     driver.members(kind, &list.endpoints);
+                    if let Some(shared) = shared.as_ref().filter(|_| index != Some(list.index)) {
+                        shared.borrow().leave(at, driver.list(list.index));
+                    }
                     if index == Some(list.index) && asked.elapsed() < CALM {
                         tokio::time::sleep(CALM).await;
                     }
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use hyper::http::{HeaderMap, Method, Uri};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap, VecDeque};
 use std::net::SocketAddr;
@@ -78,7 +78,7 @@
 }
 
 /// An entry of the list in discovery's form.
-#[derive(Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Endpoint {
     name: String,
     #[serde(default)]
@@ -98,7 +98,7 @@
 }
 
 /// The list, or what changed of it.
-#[derive(Debug, Deserialize)]
+#[derive(Debug, Deserialize, Serialize)]
 pub struct List {
     pub index: u64,
     #[serde(default)]
@@ -109,6 +109,8 @@
 #[derive(Debug)]
 struct Host {
     name: String,
+    /// As discovery last told it.
+    told: Endpoint,
     address: Option<SocketAddr>,
     started: Micros,
     state: State,
@@ -351,8 +353,8 @@
             let (next, started) = (core.hosts.len() as u32, endpoint.since_ms.saturating_mul(1_000));
             let server = *core.numbers.entry(endpoint.name.clone()).or_insert(ServerId(next));
             if server.0 == next {
-                let name = endpoint.name.clone();
-                core.hosts.push(Host { name, address: None, started, state, generation: 0 });
+                let (name, told) = (endpoint.name.clone(), endpoint.clone());
+                core.hosts.push(Host { name, told, address: None, started, state, generation: 0 });
             }
             let Some(host) = core.hosts.get_mut(server.0 as usize) else { continue };
             let address = endpoint.address.parse().ok().or(host.address.filter(|_| state != State::Ready));
@@ -365,6 +367,7 @@
                 self.sockets.close(server, host.generation);
             }
             (host.state, host.address, host.started) = (state, address, started);
+            host.told = endpoint.clone();
             entries.push(Entry {
                 server,
                 state,
@@ -382,6 +385,13 @@
         self.run_with(core);
     }
 
+    /// The list as it is now, of this version.
+    pub fn list(&self, index: u64) -> List {
+        let core = self.core.borrow();
+        let listed = core.hosts.iter().filter(|h| h.state != State::Gone);
+        List { index, snapshot: true, endpoints: listed.map(|h| h.told.clone()).collect() }
+    }
+
     /// Asking for the list failed, or the watch broke.
     pub fn members_failed(&self) {
         self.event(Event::Members { kind: ListKind::Failed, entries: Vec::new() });
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -11,16 +11,18 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::{Method, Response, StatusCode};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::convert::Infallible;
 use std::future::Future;
 use std::io;
-use std::pin::pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::sync::Arc;
+use std::task::{Context, Poll};
 use std::time::Duration;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, Notify, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
@@ -31,20 +33,26 @@
 const TIME_MOST: Micros = 600_000_000;
 /// Most bytes of a request's head.
 const HEAD_MOST: usize = 32 * 1024;
-/// How long a client may take over a request's head, and over its body from then on. A peer that never comes
-/// to a whole request must be gone within 3 s, and a connection may rest for 2 s between requests.
-const HEAD_TIME: Duration = Duration::from_millis(2_100);
-const BODY_TIME: Duration = Duration::from_millis(600);
+/// A client may take 2 s for a request's head and rest as long between requests. A peer that never comes to a
+/// whole request must be gone within 3 s of connecting, its body included.
+const REST_TIME: Duration = Duration::from_millis(2_100);
+const HEAD_TIME: Duration = Duration::from_millis(2_300);
+const FIRST_TIME: Duration = Duration::from_millis(2_400);
+const BODY_TIME: Duration = Duration::from_millis(500);
 /// ... and one whose request will be refused, as its place is wanted.
 const CROWDED_TIME: Duration = Duration::from_secs(1);
+/// How long a client may take nothing of its answer.
+const STUCK_TIME: Duration = Duration::from_secs(8);
 /// A connection that has rested for less is not made to leave: a new one's request may be on its way.
 const REST_LEAST: Duration = Duration::from_millis(250);
 /// Advice to a client that finds no place here: by then some connection has rested for long enough.
 const COME_BACK: Micros = 250_000;
-/// At a stop, connections are accepted for at least this long, and until none has come for a while.
+/// At a stop without a successor, connections are accepted for at least this long.
 const STOP_ACCEPT: Duration = Duration::from_millis(450);
-/// ... and without an open call for this long, what is still connected has nothing to come.
-const QUIET: Duration = Duration::from_millis(100);
+/// At a stop a connection that rests is closed after this, in which all that has come is read; one on which no
+/// request has come yet is given longer, as its first is on the way.
+const STOP_REST: Duration = Duration::from_millis(3);
+const STOP_FIRST: Duration = Duration::from_millis(300);
 /// Pause of accepting when the system has no descriptor left.
 const SHORT_PAUSE: Duration = Duration::from_millis(10);
 
@@ -57,7 +65,7 @@
     pub most: usize,
     /// Further ones that are taken to be refused and closed.
     pub beyond: usize,
-    pub resting: Resting,
+    pub resting: Rc<Resting>,
 }
 
 /// Clients' connections without an open request, the one that has rested longest first. When no place is left
@@ -77,43 +85,168 @@
     }
 }
 
-/// One client's connection, as the front counts it.
-struct Visit<'a> {
-    resting: &'a Resting,
+/// One client's connection, as the front sees it.
+struct Visit {
+    resting: Rc<Resting>,
     leave: Rc<Notify>,
     place: Cell<u64>,
     requests: Cell<u64>,
+    state: Cell<State>,
+    /// Since when the client has taken nothing of what is to be written.
+    stuck: Cell<Option<Instant>>,
+    changed: Notify,
 }
 
-impl<'a> Visit<'a> {
-    fn new(resting: &'a Resting) -> Self {
-        let visit = Visit { resting, leave: Rc::default(), place: Cell::new(0), requests: Cell::new(0) };
+/// What happens on a connection, and since when.
+#[derive(Clone, Copy)]
+enum State {
+    /// Nothing of a next request has come.
+    Rests(Instant),
+    /// Some of a head has.
+    Begun(Instant),
+    /// A request is open.
+    Open,
+    /// Its answer is there and not yet written whole.
+    Answers,
+}
+
+impl Visit {
+    fn new(resting: Rc<Resting>) -> Rc<Self> {
+        let visit = Visit {
+            resting,
+            leave: Rc::default(),
+            place: Cell::new(0),
+            requests: Cell::new(0),
+            state: Cell::new(State::Open),
+            stuck: Cell::default(),
+            changed: Notify::new(),
+        };
         visit.rest();
-        visit
+        Rc::new(visit)
     }
 
     fn rest(&self) {
         self.place.set(self.resting.next.get());
         self.resting.next.set(self.place.get() + 1);
         self.resting.order.borrow_mut().insert(self.place.get(), (Instant::now(), Rc::clone(&self.leave)));
+        self.state.set(State::Rests(Instant::now()));
+        self.changed.notify_one();
+    }
+
+    /// The answer is there.
+    fn answer(&self) {
+        self.state.set(State::Answers);
+    }
+
+    /// All that there was to write has been written.
+    fn flushed(&self) {
+        if let State::Answers = self.state.get() {
+            self.rest();
+        }
+    }
+
+    /// The client has taken some of what is to be written, or for now takes nothing.
+    fn wrote(&self, some: bool) {
+        match (some, self.stuck.get()) {
+            (true, _) => self.stuck.set(None),
+            (false, None) => {
+                self.stuck.set(Some(Instant::now()));
+                self.changed.notify_one();
+            }
+            (false, Some(_)) => {}
+        }
+    }
+
+    /// Some bytes have come.
+    fn heard(&self) {
+        if let State::Rests(_) = self.state.get() {
+            self.resting.order.borrow_mut().remove(&self.place.get());
+            self.state.set(State::Begun(Instant::now()));
+            self.changed.notify_one();
+        }
     }
 
     fn work(&self) {
+        self.heard();
         self.requests.set(self.requests.get() + 1);
-        self.resting.order.borrow_mut().remove(&self.place.get());
+        self.state.set(State::Open);
+    }
+
+    /// When must the connection end if nothing more comes? `stop` is when the program was told to end.
+    fn due(&self, came: Instant, crowded: bool, stop: Option<Instant>) -> Option<Instant> {
+        let first = self.requests.get() == 0;
+        let usual = match self.state.get() {
+            State::Open | State::Answers => return self.stuck.get().map(|since| since + STUCK_TIME),
+            State::Begun(since) if first => (since + HEAD_TIME).min(came + FIRST_TIME),
+            State::Begun(since) => since + HEAD_TIME,
+            State::Rests(_) if first => came + FIRST_TIME,
+            State::Rests(since) => since + REST_TIME,
+        };
+        let crowd = if crowded { came + CROWDED_TIME } else { usual };
+        let stopped = match (self.state.get(), stop) {
+            (State::Rests(since), Some(stop)) if first => since.max(stop) + STOP_FIRST,
+            (State::Rests(since), Some(stop)) => since.max(stop) + STOP_REST,
+            _ => usual,
+        };
+        Some(usual.min(crowd).min(stopped))
     }
 }
 
-impl Drop for Visit<'_> {
+impl Drop for Visit {
     fn drop(&mut self) {
         self.resting.order.borrow_mut().remove(&self.place.get());
     }
 }
 
+/// A client's stream that says when something comes.
+struct Heard {
+    stream: TcpStream,
+    visit: Rc<Visit>,
+}
+
+impl AsyncRead for Heard {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buf.filled().len();
+        let read = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > before {
+            self.visit.heard();
+        }
+        read
+    }
+}
+
+impl AsyncWrite for Heard {
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.visit.wrote(written.is_ready());
+        written
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        // It is called when nothing is left to write.
+        self.visit.flushed();
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
 impl Front {
-    /// Serves clients until `stop` resolves, then finishes what is taken.
-    pub async fn serve(self: Rc<Self>, listener: TcpListener, stop: impl Future<Output = ()>) {
-        let (closing, closed) = watch::channel(false);
+    /// Serves clients until `stop` resolves, then finishes what is taken. With a `successor`, which has the same
+    /// listener, no connection is accepted from then on: what waits there is the successor's.
+    pub async fn serve(
+        self: Rc<Self>,
+        listener: TcpListener,
+        successor: bool,
+        stop: impl Future<Output = ()>,
+    ) {
+        let (closing, closed) = watch::channel(None);
         let places = Arc::new(Semaphore::new(self.most + self.beyond));
         let mut stop = pin!(stop);
         let mut end: Option<Instant> = None;
@@ -138,8 +271,11 @@
                     // From now on each answer closes its connection, and idle ones close at once, while new
                     // ones are still taken: clients move over before the listener goes.
                     end = Some(Instant::now() + STOP_ACCEPT);
-                    let _ = closing.send(true);
+                    let _ = closing.send(Some(Instant::now()));
                     self.driver.take_clients(false);
+                    if successor {
+                        break;
+                    }
                 }
                 (accepted, place) = accept => match accepted {
                     Ok((stream, _)) => {
@@ -158,21 +294,9 @@
             }
         }
         drop(listener);
-        // All places are free once the last connection has ended. One with half a request on it does
-        // not end by itself, and must not hold the stop up until the kill.
-        let quiet = async {
-            let mut since = Instant::now();
-            while since.elapsed() < QUIET {
-                tokio::time::sleep(QUIET / 10).await;
-                if self.driver.open_calls() > 0 {
-                    since = Instant::now();
-                }
-            }
-        };
-        tokio::select! {
-            _ = places.acquire_many((self.most + self.beyond) as u32) => {}
-            () = quiet => {}
-        }
+        // All places are free once the last connection has ended. Each ends by itself: with its answer, or with
+        // the time that it has for a request.
+        let _ = places.acquire_many((self.most + self.beyond) as u32).await;
     }
 
     /// Running out of descriptors must not end the program: idle connections go first.
@@ -186,7 +310,7 @@
     fn accepted(
         self: &Rc<Self>,
         stream: TcpStream,
-        closing: watch::Receiver<bool>,
+        closing: watch::Receiver<Option<Instant>>,
         crowded: bool,
         place: Option<OwnedSemaphorePermit>,
     ) {
@@ -202,43 +326,56 @@
     async fn connection(
         self: Rc<Self>,
         stream: TcpStream,
-        mut closing: watch::Receiver<bool>,
+        mut closing: watch::Receiver<Option<Instant>>,
         crowded: bool,
         _held: (Option<OwnedSemaphorePermit>, Option<Descriptor>),
     ) {
         let _ = stream.set_nodelay(true);
-        let visit = Visit::new(&self.resting);
+        let (came, visit) = (Instant::now(), Visit::new(Rc::clone(&self.resting)));
+        let (stopping, stream) = (closing.clone(), Heard { stream, visit: Rc::clone(&visit) });
         let service = service_fn(|request| {
-            let (front, visit) = (&self, &visit);
+            let (front, visit, stopping) = (&self, &visit, &stopping);
             async move {
                 visit.work();
-                let answer = if crowded { front.turn_back(&request) } else { front.request(request).await };
-                visit.rest();
+                let mut answer =
+                    if crowded { front.turn_back(&request) } else { front.request(request).await };
+                if stopping.borrow().is_some() {
+                    answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
+                }
+                visit.answer();
                 Ok::<_, Infallible>(answer)
             }
         });
         let connection = http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(if crowded { CROWDED_TIME } else { HEAD_TIME })
             .max_buf_size(HEAD_MOST)
-            .keep_alive(!crowded && !*closing.borrow())
+            .keep_alive(!crowded)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = pin!(connection);
-        let mut told = *closing.borrow();
         loop {
+            let stop = *closing.borrow_and_update();
+            let due = visit.due(came, crowded, stop);
+            let late = async move {
+                match due {
+                    Some(due) => tokio::time::sleep_until(due).await,
+                    None => std::future::pending().await,
+                }
+            };
             tokio::select! {
+                // What has come is read before the time is looked at.
+                biased;
                 // How a client's connection ends concerns nobody: its calls are dropped with it.
                 _ = connection.as_mut() => return,
-                _ = closing.changed(), if !told => {
-                    told = true;
-                    connection.as_mut().graceful_shutdown();
+                () = late => {
+                    if visit.due(came, crowded, stop).is_some_and(|due| due <= Instant::now()) {
+                        return;
+                    }
                 }
+                () = visit.changed.notified() => {}
+                Ok(()) = closing.changed() => {}
                 () = visit.leave.notified() => {
-                    if visit.requests.get() == 0 {
-                        // Nothing is taken; half a head would keep it from ending by itself.
+                    if let State::Rests(_) = visit.state.get() {
                         return;
                     }
-                    connection.as_mut().graceful_shutdown();
                 }
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -7,6 +7,7 @@
 pub mod front;
 pub mod hosts;
 pub mod operator;
+pub mod upgrade;
 
 use std::cell::Cell;
 use std::rc::Rc;
@@ -14,7 +15,7 @@
 /// Counts the sockets that are open, so that the process stays under its limit instead of finding it.
 #[derive(Debug)]
 pub struct Descriptors {
-    limit: usize,
+    limit: Cell<usize>,
     open: Cell<usize>,
 }
 
@@ -25,12 +26,22 @@
 impl Descriptors {
     /// Room for `limit` sockets.
     pub fn new(limit: usize) -> Rc<Self> {
-        Rc::new(Descriptors { limit, open: Cell::new(0) })
+        Rc::new(Descriptors { limit: Cell::new(limit), open: Cell::new(0) })
+    }
+
+    /// Another limit from now on; what is open beyond it stays.
+    pub fn allow(&self, limit: usize) {
+        self.limit.set(limit);
+    }
+
+    /// Is there more than the limit allows?
+    pub fn over(&self) -> bool {
+        self.open.get() > self.limit.get()
     }
 
     /// Counts one more in, if there is room.
     pub fn take(self: &Rc<Self>) -> Option<Descriptor> {
-        (self.open.get() < self.limit).then(|| {
+        (self.open.get() < self.limit.get()).then(|| {
             self.open.set(self.open.get() + 1);
             Descriptor(Rc::clone(self))
         })
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,6 +3,8 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::Path;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -269,15 +271,46 @@
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).expect("a temporary file");
     let limit = descriptors.map(|most| format!("ulimit -n {most}; ")).unwrap_or_default();
-    let child = Command::new("sh")
-        .arg("-c")
-        .arg(format!("{limit}exec \"$0\""))
-        .arg(env!("CARGO_BIN_EXE_badgerramp"))
-        .env("RELAY_CONFIG", &path)
-        .stderr(Stdio::piped())
-        .spawn()
-        .expect("the program starts");
-    (child, path)
+    (launch(&path, &format!("{limit}exec \"$0\""), |c| c), path)
+}
+
+fn launch(config: &Path, script: &str, more: impl Fn(&mut Command) -> &mut Command) -> Child {
+    let mut command = Command::new("sh");
+    command.arg("-c").arg(script).arg(env!("CARGO_BIN_EXE_badgerramp"));
+    command.env("RELAY_CONFIG", config).stderr(Stdio::piped());
+    more(&mut command).spawn().expect("the program starts")
+}
+
+/// What the platform holds for the processes of one proxy: the clients' listener and a folder.
+pub struct Platform {
+    pub listener: TcpListener,
+    pub folder: std::path::PathBuf,
+}
+
+impl Platform {
+    pub fn new() -> Platform {
+        let name = format!("badgerramp-{}-{}.d", std::process::id(), RUNS.fetch_add(1, Ordering::SeqCst));
+        let folder = std::env::temp_dir().join(name);
+        std::fs::create_dir_all(&folder).expect("a temporary folder");
+        Platform { listener: TcpListener::bind("127.0.0.1:0").expect("a port"), folder }
+    }
+
+    /// Starts a process that inherits the listener as descriptor 7.
+    pub fn start(&self, text: &str) -> Proxy {
+        let config = self.folder.join(format!("config-{}", RUNS.fetch_add(1, Ordering::SeqCst)));
+        std::fs::write(&config, text).expect("a temporary file");
+        let child = launch(&config, "exec 7<&0 0</dev/null; exec \"$0\"", |command| {
+            let listener = self.listener.try_clone().expect("a descriptor");
+            command.env("TMPDIR", &self.folder).env("RELAY_ACCEPT_FD", "7").stdin(OwnedFd::from(listener))
+        });
+        Proxy::listening(child, config)
+    }
+}
+
+impl Drop for Platform {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
 }
 
 pub const SETTINGS: &str = r#"{"balancers":1,"tick_us":1000,"discovery":"ask","locality":"a",
@@ -306,9 +339,13 @@
         Proxy::within(text, None)
     }
 
-    /// Waits for the line that tells where it listens.
     pub fn within(text: &str, descriptors: Option<u32>) -> Proxy {
-        let (mut child, config) = spawn(text, descriptors);
+        let (child, config) = spawn(text, descriptors);
+        Proxy::listening(child, config)
+    }
+
+    /// Waits for the line that tells where it listens.
+    fn listening(mut child: Child, config: std::path::PathBuf) -> Proxy {
         let mut log = BufReader::new(child.stderr.take().expect("piped"));
         loop {
             let mut line = String::new();
