Pass large bodies piece by piece both ways and measure slow peers by their progress

The old test that an unframed answer never serves now holds for one that does not say that it closes.

--- a/src/api.rs
+++ b/src/api.rs
@@ -385,6 +385,13 @@
         /// The server's report.
         load: Load,
     },
+    /// The last byte of a call that was passed on while it still came: its time counts from now.
+    Whole {
+        /// Which call.
+        call: CallId,
+        /// How long the client still waits.
+        time_left: Micros,
+    },
     /// The answer of an attempt has begun to flow; the call is bound to it.
     Streaming {
         /// Which call.
--- a/src/balance.rs
+++ b/src/balance.rs
@@ -236,17 +236,28 @@
                 self.report(call, attempt, load);
                 if let Some((mut tried, class_id)) = self.outcome(call, attempt, outcome) {
                     tried.sent = tried.sent.min(now.saturating_sub(elapsed));
-                    self.learn(now, tried, class_id, outcome, actions);
+                    if tried.flows {
+                        self.flowed(tried.server, outcome);
+                    } else {
+                        self.learn(now, tried, class_id, outcome, actions);
+                    }
                     self.proceed(now, call, outcome, closed, actions);
                 }
             }
             Event::Streaming { call, attempt } => {
                 if let Some(c) = self.calls.get_mut(&call).filter(|c| !c.ended) {
                     c.streaming = true;
+                    let flows = c.attempts.get_mut(attempt as usize).filter(|a| a.effect == Effect::Out);
+                    let flows = flows.map(|a| (*a, std::mem::replace(&mut a.flows, true)));
+                    let class_id = c.class_id;
                     self.cancel_others(call, Some(attempt), actions);
                     self.wakes.set(call, None);
+                    if let Some((tried, false)) = flows {
+                        self.learn(now, tried, class_id, Outcome::Served, actions);
+                    }
                 }
             }
+            Event::Whole { call, time_left } => self.whole(now, call, time_left),
             Event::Gone { call } => {
                 self.end(call);
                 self.cancel_others(call, None, actions);
@@ -352,6 +363,27 @@
         }
     }
 
+    /// All of a call is there at last: what it was sent with before counts from now, for it and its server.
+    fn whole(&mut self, now: Micros, id: CallId, time_left: Micros) {
+        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.ended) else { return };
+        call.asked += now.saturating_sub(call.arrived);
+        (call.arrived, call.deadline) = (now, now.saturating_add(time_left));
+        call.attempts.iter_mut().filter(|a| a.effect == Effect::Out).for_each(|a| a.sent = now);
+        if !call.held {
+            // It cannot go twice: no second copy.
+            self.wakes.set(id, None);
+        }
+    }
+
+    /// An answer that had begun to flow has ended: its server was done with it, but may have cut it.
+    fn flowed(&mut self, id: ServerId, outcome: Outcome) {
+        let cut = matches!(outcome, Outcome::Reset | Outcome::TimedOut);
+        if let Some(place) = self.place(id).filter(|_| cut) {
+            let failing = &mut self.servers[place].failing;
+            *failing += (1.0 - *failing) * FAIL_WEIGHT;
+        }
+    }
+
     /// How long ago did the client first ask? One that waits less for this try than others do has used up the
     /// rest. Only as many are taken to have tried before as were turned back: patience may be unequal.
     fn spent(&mut self, class_id: usize, class: &Class, left: Micros) -> Micros {
@@ -622,7 +654,8 @@
 
     fn cancel_others(&mut self, id: CallId, but: Option<u32>, actions: &mut Actions) {
         let Some(call) = self.calls.get(&id).filter(|_| self.settings.limits.cancel) else { return };
-        let out = (0..).zip(&call.attempts).filter(|(n, a)| a.effect == Effect::Out && Some(*n) != but);
+        let stays = |n: u32, a: &Attempt| a.effect != Effect::Out || a.flows || Some(n) == but;
+        let out = (0..).zip(&call.attempts).filter(|(n, a)| !stays(*n, a));
         actions.extend(out.map(|(attempt, _)| Action::Cancel { call: id, attempt }));
     }
 
@@ -853,8 +886,9 @@
         server.in_hand += 1.0;
         server.budget.trial_out |= trial;
         let Some(call) = self.calls.get_mut(&id) else { return };
-        let (server, zone, cell, effect) = (server.id, server.zone, server.cell, Effect::Out);
-        call.attempts.push(Attempt { server, zone, cell, sent: now, trial, crowd, effect });
+        let (server, zone, cell) = (server.id, server.zone, server.cell);
+        let (flows, effect) = (false, Effect::Out);
+        call.attempts.push(Attempt { server, zone, cell, sent: now, trial, crowd, flows, effect });
         let (copies, class_id) = (call.attempts.len(), call.class_id);
         // An answer after the aim is worth little: its server is better used by others.
         let (aim, arrived) = (call.aim_at(), call.arrived);
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,6 +4,7 @@
 mod net;
 
 use badgerramp::ListKind;
+use net::bodies::Memory;
 use net::config::Config;
 use net::driver::{Clock, Driver};
 use net::figures::Figures;
@@ -57,7 +58,9 @@
     let figures = Rc::<Figures>::default();
     let facts = config.facts.clone();
     let (transport, balancers) = (facts.transport, facts.settings.balancers);
-    let hosts = Hosts::new(transport, balancers, Rc::clone(&descriptors), clock, Rc::clone(&figures));
+    let memory = Memory::new(config.limits.memory_mb);
+    let (places, counts) = (Rc::clone(&descriptors), Rc::clone(&figures));
+    let hosts = Hosts::new(transport, balancers, places, clock, counts, Rc::clone(&memory));
     let driver = Driver::new(config.seed, facts, clock, Rc::clone(&hosts), Rc::clone(&figures));
     driver.start();
     let index = known.as_ref().map(|k| k.index);
@@ -113,6 +116,7 @@
         most: room / 2,
         beyond: room / 8,
         resting: Rc::<Resting>::default(),
+        memory,
     });
     let stop = async {
         term.recv().await;
--- a/src/net/config.rs
+++ b/src/net/config.rs
@@ -16,6 +16,13 @@
 #[derive(Clone, Copy, Debug, Deserialize)]
 pub struct Limits {
     pub sockets: usize,
+    #[serde(default = "memory_least")]
+    pub memory_mb: usize,
+}
+
+/// What a proxy has at the least.
+fn memory_least() -> usize {
+    32
 }
 
 #[derive(Deserialize)]
--- a/src/net/driver.rs
+++ b/src/net/driver.rs
@@ -1,8 +1,9 @@
 //! The one owner of the [`Balancer`]: turns what happens into events, carries the actions out, and owns the
 //! timers, the calls and the maps between names and numbers. It never picks, retries or sheds by itself.
 
+use super::bodies::Upload;
 use super::figures::{End, Figures, Report};
-use super::hosts::{self, Ended, Hosts, Target};
+use super::hosts::{self, Begun, Ended, Hosts, Target};
 use badgerramp::settings::{self, Facts};
 use badgerramp::{
     Action, Balancer, CallId, CellId, Class, ClassId, Entry, Event, ListKind, Load, Micros, Outcome,
@@ -45,12 +46,17 @@
 }
 
 /// A request as the client sent it, kept while it may still go to a host.
-#[derive(Debug)]
 pub struct Request {
     pub method: Method,
     pub uri: Uri,
     pub headers: HeaderMap,
+    /// The body, or the beginning of one that is too large to be held.
     pub body: Bytes,
+    pub rest: Option<Rc<Upload>>,
+    /// The length of the whole body, where its head tells it.
+    pub length: Option<u64>,
+    /// How long the client waits for the answer once all is there.
+    pub time: Micros,
 }
 
 /// What the module is told of a request.
@@ -58,7 +64,6 @@
 pub struct Intake {
     pub class: ClassId,
     pub tenant: Option<String>,
-    pub deadline: Micros,
     pub resent: bool,
 }
 
@@ -69,6 +74,8 @@
         body: Bytes,
         content_type: Option<HeaderValue>,
     },
+    /// A large one that begins.
+    Begun(Begun),
     Refused {
         retry_after: Micros,
     },
@@ -128,12 +135,14 @@
     /// None once its outcome is in.
     task: Option<AbortHandle>,
     out: bool,
+    /// Its answer is being passed on.
+    begun: bool,
 }
 
-#[derive(Debug)]
 struct Call {
     class: ClassId,
     request: Rc<Request>,
+    /// Never, until the last byte of its body has come.
     deadline: Micros,
     /// Taken when the final answer is given.
     answer: Option<oneshot::Sender<Answer>>,
@@ -203,10 +212,6 @@
         Driver { core: Rc::new(RefCell::new(core)), clock, sockets, timer_moved, subscribe }
     }
 
-    pub fn clock(&self) -> Clock {
-        self.clock
-    }
-
     /// Waits until the module asks for the list.
     pub async fn subscribed(&self) {
         self.subscribe.notified().await;
@@ -281,16 +286,20 @@
         let call = CallId(core.next_call);
         core.next_call += 1;
         core.open += 1;
-        let Intake { class, deadline, .. } = intake;
+        let (class, now) = (intake.class, self.clock.now());
+        let (time, whole) = (request.time, request.rest.is_none());
+        let deadline = if whole { now + time } else { Micros::MAX };
         let (request, attempts) = (Rc::new(request), Vec::new());
         let entry = Call { class, request, deadline, answer: Some(sender), attempts };
         core.calls.insert(call, entry);
-        core.timers.insert((deadline, Due::Backstop(call)));
+        if whole {
+            core.timers.insert((deadline, Due::Backstop(call)));
+        }
         let event = Event::Request {
             call,
             class,
             tenant: intake.tenant.and_then(|t| place(&core.tenants, &t)).map(TenantId),
-            time_left: deadline.saturating_sub(self.clock.now()),
+            time_left: time,
             resent: intake.resent,
         };
         drop(core);
@@ -298,6 +307,40 @@
         Some((call, receiver))
     }
 
+    /// The last byte of a large request has come: its time counts from now.
+    pub fn whole(&self, call: CallId) {
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        let now = self.clock.now();
+        let Some(open) = core.calls.get_mut(&call).filter(|c| c.answer.is_some()) else { return };
+        let time_left = open.request.time;
+        open.deadline = now + time_left;
+        core.timers.insert((open.deadline, Due::Backstop(call)));
+        for (number, attempt) in (0..).zip(&mut open.attempts).filter(|(_, a)| a.out) {
+            (attempt.sent, attempt.until) = (now, open.deadline);
+            core.timers.insert((attempt.until, Due::Attempt(call, number)));
+        }
+        core.events.push_back(Event::Whole { call, time_left });
+        self.run_with(core);
+    }
+
+    /// A large answer begins. False if the call has ended meanwhile: then nobody wants it.
+    fn begin(&self, id: CallId, number: u32, begun: Begun) -> bool {
+        let mut core = self.core.borrow_mut();
+        let core = &mut *core;
+        let Some(call) = core.calls.get_mut(&id) else { return false };
+        let Some(attempt) = call.attempts.get_mut(number as usize).filter(|a| a.out) else { return false };
+        let Some(sender) = call.answer.take() else { return false };
+        // From here on the client has it, and no time of ours ends it.
+        attempt.begun = true;
+        core.timers.remove(&(attempt.until, Due::Attempt(id, number)));
+        core.timers.remove(&(call.deadline, Due::Backstop(id)));
+        let _ = sender.send(Answer::Begun(begun));
+        core.events.push_back(Event::Streaming { call: id, attempt: number });
+        self.run_with(core);
+        true
+    }
+
     /// The client of this call has gone. Its attempts are dropped whatever the module says.
     pub fn gone(&self, call: CallId) {
         let open = self.core.borrow().calls.get(&call).is_some_and(|c| c.answer.is_some());
@@ -461,8 +504,11 @@
     fn send(&self, core: &mut Core, now: Micros, (id, server, until): (CallId, ServerId, Option<Micros>)) {
         let Some(call) = core.calls.get_mut(&id) else { return };
         let number = call.attempts.len() as u32;
-        let until = until.filter(|&u| u > 0).unwrap_or(Micros::MAX).min(call.deadline);
-        call.attempts.push(Attempt { server, sent: now, until, started: false, task: None, out: true });
+        // While a large request is still coming, no time runs.
+        let counts = call.deadline < Micros::MAX;
+        let until = until.filter(|&u| u > 0 && counts).unwrap_or(Micros::MAX).min(call.deadline);
+        let (started, begun) = (false, false);
+        call.attempts.push(Attempt { server, sent: now, until, started, task: None, out: true, begun });
         let host = core.hosts.get(server.0 as usize);
         let target = host
             .filter(|h| h.state == State::Ready)
@@ -471,15 +517,18 @@
             core.outcome(now, id, number, Outcome::NotSent.into());
             return;
         };
-        core.timers.insert((until, Due::Attempt(id, number)));
+        if counts {
+            core.timers.insert((until, Due::Attempt(id, number)));
+        }
         let (driver, request) = (self.clone(), Rc::clone(&call.request));
         let task = tokio::task::spawn_local(async move {
             // An attempt whose task dies may have run; without this its call would wait for its deadline.
             let mut guard = Guard { driver, call: id, attempt: number, ended: Some(Outcome::Unknown.into()) };
             let driver = &guard.driver;
-            let left = || until.saturating_sub(driver.clock.now());
+            let left = || if counts { until.saturating_sub(driver.clock.now()) } else { request.time };
+            let begin = |begun| driver.begin(id, number, begun);
             let may_start = || driver.may_start(id, number, target.generation);
-            let ended = hosts::attempt(&driver.sockets, target, &request, left, may_start).await;
+            let ended = hosts::attempt(&driver.sockets, target, &request, left, may_start, begin).await;
             guard.ended = Some(ended);
         });
         call.attempts[number as usize].task = Some(task.abort_handle());
@@ -606,6 +655,15 @@
                 let _ = sender.send(Answer::Served { body, content_type });
             }
         }
+        if attempt.begun {
+            self.open -= 1;
+            match outcome {
+                Outcome::Served => self.figures.ended(call.class, End::Served),
+                // The client left.
+                Outcome::CalledOff => {}
+                _ => self.figures.ended(call.class, End::Failed),
+            }
+        }
         let closed = call.answer.is_none();
         self.events.push_back(Event::Outcome { call: id, attempt: number, outcome, elapsed, closed, load });
         true
@@ -622,6 +680,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::net::bodies::Memory;
     use crate::net::Descriptors;
     use badgerramp::settings::Transport;
 
@@ -629,14 +688,16 @@
         let clock = Clock::start();
         let transport = Transport { max_open: 9, conn_idle: 60_000_000, connect_timeout: 9_000_000 };
         let figures = Rc::<Figures>::default();
-        let sockets = Hosts::new(transport, 1, Descriptors::new(9), clock, Rc::clone(&figures));
+        let sockets =
+            Hosts::new(transport, 1, Descriptors::new(9), clock, Rc::clone(&figures), Memory::new(64));
         let facts = Facts { settings: Settings::default(), classes: vec![], tenants: vec![], transport };
         Driver::new(7, facts, clock, sockets, figures)
     }
 
     fn request() -> Request {
         let (uri, headers) = (Uri::from_static("/a"), HeaderMap::new());
-        Request { method: Method::GET, uri, headers, body: Bytes::new() }
+        let (body, time) = (Bytes::new(), 60_000_000);
+        Request { method: Method::GET, uri, headers, body, rest: None, length: Some(0), time }
     }
 
     /// The module ends each call by itself; should it ever forget one, the client still gets its answer.
@@ -679,12 +740,7 @@
     #[tokio::test(flavor = "current_thread")]
     async fn calls_are_bounded_and_a_client_that_leaves_makes_room() {
         let driver = driver();
-        let intake = || Intake {
-            class: ClassId(0),
-            tenant: None,
-            deadline: driver.clock.now() + 60_000_000,
-            resent: false,
-        };
+        let intake = || Intake { class: ClassId(0), tenant: None, resent: false };
         let held: Vec<_> = (0..9).map(|_| driver.request(intake(), request()).expect("room")).collect();
         assert!(driver.request(intake(), request()).is_none());
         driver.gone(held[3].0);
--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -1,12 +1,12 @@
 //! The client side: reads requests, hands them to the driver and writes the one final answer.
 
+use super::bodies::{Fault, Memory, Part, Passing, Reader, Upload, WHOLE_MOST};
 use super::driver::{Answer, Driver, Intake, Request};
-use super::hosts::{Hosts, BODY_MOST};
+use super::hosts::{Begun, Hosts};
 use super::{Descriptor, Descriptors};
 use badgerramp::{CallId, ClassId, Micros};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::Incoming;
+use hyper::body::{Body, Frame, Incoming, SizeHint};
 use hyper::header::{self, HeaderMap, HeaderValue};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -38,7 +38,10 @@
 const REST_TIME: Duration = Duration::from_millis(2_100);
 const HEAD_TIME: Duration = Duration::from_millis(2_300);
 const FIRST_TIME: Duration = Duration::from_millis(2_400);
-const BODY_TIME: Duration = Duration::from_millis(500);
+const WHOLE_TIME: Duration = Duration::from_millis(2_850);
+/// What a body may lose in all beyond what its size explains: of a first request, what its head has left of that.
+const BODY_TIME: Duration = Duration::from_secs(2);
+const BODY_LEAST: Duration = Duration::from_millis(300);
 /// ... and one whose request will be refused, as its place is wanted.
 const CROWDED_TIME: Duration = Duration::from_secs(1);
 /// How long a client may take nothing of its answer.
@@ -66,6 +69,7 @@
     /// Further ones that are taken to be refused and closed.
     pub beyond: usize,
     pub resting: Rc<Resting>,
+    pub memory: Rc<Memory>,
 }
 
 /// Clients' connections without an open request, the one that has rested longest first. When no place is left
@@ -91,6 +95,7 @@
     leave: Rc<Notify>,
     place: Cell<u64>,
     requests: Cell<u64>,
+    came: Instant,
     state: Cell<State>,
     /// Since when the client has taken nothing of what is to be written.
     stuck: Cell<Option<Instant>>,
@@ -117,6 +122,7 @@
             leave: Rc::default(),
             place: Cell::new(0),
             requests: Cell::new(0),
+            came: Instant::now(),
             state: Cell::new(State::Open),
             stuck: Cell::default(),
             changed: Notify::new(),
@@ -136,6 +142,8 @@
     /// The answer is there.
     fn answer(&self) {
         self.state.set(State::Answers);
+        // The connection is looked at once more, as its last byte may be written already.
+        self.changed.notify_one();
     }
 
     /// All that there was to write has been written.
@@ -166,6 +174,14 @@
         }
     }
 
+    /// How long the body of the request that has just begun may come to no more.
+    fn body_time(&self) -> Duration {
+        match self.requests.get() {
+            0 | 1 => WHOLE_TIME.saturating_sub(self.came.elapsed()).clamp(BODY_LEAST, BODY_TIME),
+            _ => BODY_TIME,
+        }
+    }
+
     fn work(&self) {
         self.heard();
         self.requests.set(self.requests.get() + 1);
@@ -173,16 +189,16 @@
     }
 
     /// When must the connection end if nothing more comes? `stop` is when the program was told to end.
-    fn due(&self, came: Instant, crowded: bool, stop: Option<Instant>) -> Option<Instant> {
+    fn due(&self, crowded: bool, stop: Option<Instant>) -> Option<Instant> {
         let first = self.requests.get() == 0;
         let usual = match self.state.get() {
             State::Open | State::Answers => return self.stuck.get().map(|since| since + STUCK_TIME),
-            State::Begun(since) if first => (since + HEAD_TIME).min(came + FIRST_TIME),
+            State::Begun(since) if first => (since + HEAD_TIME).min(self.came + FIRST_TIME),
             State::Begun(since) => since + HEAD_TIME,
-            State::Rests(_) if first => came + FIRST_TIME,
+            State::Rests(_) if first => self.came + FIRST_TIME,
             State::Rests(since) => since + REST_TIME,
         };
-        let crowd = if crowded { came + CROWDED_TIME } else { usual };
+        let crowd = if crowded { self.came + CROWDED_TIME } else { usual };
         let stopped = match (self.state.get(), stop) {
             (State::Rests(since), Some(stop)) if first => since.max(stop) + STOP_FIRST,
             (State::Rests(since), Some(stop)) => since.max(stop) + STOP_REST,
@@ -198,6 +214,41 @@
     }
 }
 
+/// Keeps a request open until its answer is there whole and nothing of it is read any more.
+struct Open(Rc<Visit>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.answer();
+    }
+}
+
+/// An answer's body with its open request.
+struct Ending {
+    body: Passing,
+    _open: Rc<Open>,
+}
+
+impl Body for Ending {
+    type Data = Bytes;
+    type Error = Fault;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Fault>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// A client's stream that says when something comes.
 struct Heard {
     stream: TcpStream,
@@ -331,19 +382,19 @@
         _held: (Option<OwnedSemaphorePermit>, Option<Descriptor>),
     ) {
         let _ = stream.set_nodelay(true);
-        let (came, visit) = (Instant::now(), Visit::new(Rc::clone(&self.resting)));
+        let visit = Visit::new(Rc::clone(&self.resting));
         let (stopping, stream) = (closing.clone(), Heard { stream, visit: Rc::clone(&visit) });
         let service = service_fn(|request| {
             let (front, visit, stopping) = (&self, &visit, &stopping);
             async move {
                 visit.work();
+                let open = Rc::new(Open(Rc::clone(visit)));
                 let mut answer =
-                    if crowded { front.turn_back(&request) } else { front.request(request).await };
+                    if crowded { front.turn_back(&request) } else { front.request(request, &open).await };
                 if stopping.borrow().is_some() {
                     answer.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
                 }
-                visit.answer();
-                Ok::<_, Infallible>(answer)
+                Ok::<_, Infallible>(answer.map(|body| Ending { body, _open: open }))
             }
         });
         let connection = http1::Builder::new()
@@ -353,7 +404,7 @@
         let mut connection = pin!(connection);
         loop {
             let stop = *closing.borrow_and_update();
-            let due = visit.due(came, crowded, stop);
+            let due = visit.due(crowded, stop);
             let late = async move {
                 match due {
                     Some(due) => tokio::time::sleep_until(due).await,
@@ -366,7 +417,7 @@
                 // How a client's connection ends concerns nobody: its calls are dropped with it.
                 _ = connection.as_mut() => return,
                 () = late => {
-                    if visit.due(came, crowded, stop).is_some_and(|due| due <= Instant::now()) {
+                    if visit.due(crowded, stop).is_some_and(|due| due <= Instant::now()) {
                         return;
                     }
                 }
@@ -387,7 +438,7 @@
     }
 
     /// The answer to whoever finds no place.
-    fn turn_back(&self, request: &hyper::Request<Incoming>) -> Response<Full<Bytes>> {
+    fn turn_back(&self, request: &hyper::Request<Incoming>) -> Response<Passing> {
         let proper = request.headers().contains_key("x-request-id");
         if let Some(class) = self.class(request.uri().path()).filter(|_| proper) {
             self.driver.turned_back(class);
@@ -395,15 +446,14 @@
         refused(COME_BACK)
     }
 
-    async fn request(&self, request: hyper::Request<Incoming>) -> Response<Full<Bytes>> {
-        let arrived = self.driver.clock().now();
+    async fn request(&self, request: hyper::Request<Incoming>, open: &Rc<Open>) -> Response<Passing> {
         let (parts, body) = request.into_parts();
         let path = parts.uri.path();
         if path == "/_health" && matches!(parts.method, Method::GET | Method::HEAD) {
             return plain(StatusCode::OK, "ok");
         }
         let time = match parts.headers.get("x-timeout").map(|v| v.to_str().ok().and_then(timeout)) {
-            Some(Some(time)) => time,
+            Some(Some(time)) => time.saturating_sub(MARGIN).max(1),
             _ => return improper(StatusCode::BAD_REQUEST, "X-Timeout missing or odd"),
         };
         if !parts.headers.contains_key("x-request-id") {
@@ -413,34 +463,60 @@
         let Some(class) = self.class(path) else {
             return improper(StatusCode::NOT_FOUND, "no such class of request");
         };
-        let deadline = arrived + time.saturating_sub(MARGIN).max(1);
-        let body = Limited::new(body, BODY_MOST).collect();
-        let body = match tokio::time::timeout(BODY_TIME.min(Duration::from_micros(time)), body).await {
-            Ok(Ok(body)) => body.to_bytes(),
-            Ok(Err(fault)) if fault.is::<LengthLimitError>() => {
-                return improper(StatusCode::PAYLOAD_TOO_LARGE, "body over 64 KiB");
+        let mut part = Part::default();
+        let mut reader = Reader::new(body, open.0.body_time());
+        let length = reader.length();
+        let (body, whole) = match reader.begin(&mut part, &self.memory).await {
+            Ok(begun) => begun,
+            Err(fault) => return not_whole(fault),
+        };
+        let rest = if whole {
+            None
+        } else {
+            // Without memory for it none of it is passed on.
+            let room = self.memory.try_grow(&mut part, WHOLE_MOST + 1);
+            let rest = Upload::new(reader, std::mem::take(&mut part), length);
+            if !room {
+                self.driver.turned_back(class);
+                discard(rest, open);
+                return refused(COME_BACK);
             }
-            Ok(Err(_)) => return improper(StatusCode::BAD_REQUEST, "broken body"),
-            Err(_) => return improper(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+            Some(rest)
         };
         let intake = Intake {
             class,
             tenant: text(&parts.headers, "x-tenant-id"),
-            deadline,
             resent: { parts.headers.get("x-retried").is_some_and(|v| v.as_bytes() == b"1") },
         };
         let (method, uri, headers) = (parts.method, parts.uri, parts.headers);
-        let Some((call, answer)) = self.driver.request(intake, Request { method, uri, headers, body }) else {
+        let request = Request { method, uri, headers, body, rest: rest.clone(), length, time };
+        let Some((call, answer)) = self.driver.request(intake, request) else {
+            rest.into_iter().for_each(|rest| discard(rest, open));
             return refused(COME_BACK);
         };
         let _gone = Gone { driver: &self.driver, call };
-        match answer.await {
-            Ok(Answer::Served { body, content_type }) => {
-                let mut response = Response::new(Full::new(body));
-                if let Some(content_type) = content_type {
-                    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+        let mut answer = pin!(answer);
+        let answer = match &rest {
+            None => answer.await,
+            Some(upload) => tokio::select! {
+                biased;
+                answer = answer.as_mut() => answer,
+                end = upload.ended() => match end {
+                    Ok(()) => {
+                        self.driver.whole(call);
+                        answer.await
+                    }
+                    Err(fault) => return not_whole(fault),
                 }
-                response
+            },
+        };
+        // A host that has begun its answer may be reading still.
+        let begun = matches!(answer, Ok(Answer::Begun(_)));
+        rest.into_iter().filter(|_| !begun).for_each(|rest| discard(rest, open));
+        match answer {
+            Ok(Answer::Served { body, content_type }) => served(body.into(), content_type),
+            Ok(Answer::Begun(Begun { first, rest, length, content_type })) => {
+                served(Passing::stream(first, rest, length), content_type)
             }
             Ok(Answer::Refused { retry_after }) => refused(retry_after),
             Ok(Answer::Failed) => plain(StatusCode::BAD_GATEWAY, "failed"),
@@ -449,6 +525,31 @@
     }
 }
 
+/// Reads on what a client still sends after its answer is there: it may look for that only then.
+fn discard(rest: Rc<Upload>, open: &Rc<Open>) {
+    let open = Rc::clone(open);
+    tokio::task::spawn_local(async move {
+        rest.discard().await;
+        drop(open);
+    });
+}
+
+fn not_whole(fault: Fault) -> Response<Passing> {
+    match fault {
+        Fault::Broken => improper(StatusCode::BAD_REQUEST, "broken body"),
+        Fault::TooLarge => improper(StatusCode::PAYLOAD_TOO_LARGE, "body over 40 MiB"),
+        Fault::Halted => improper(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
+    }
+}
+
+fn served(body: Passing, content_type: Option<HeaderValue>) -> Response<Passing> {
+    let mut response = Response::new(body);
+    if let Some(content_type) = content_type {
+        response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    }
+    response
+}
+
 /// Tells the driver when the client goes before its answer: hyper drops the request's future then.
 struct Gone<'a> {
     driver: &'a Driver,
@@ -481,21 +582,21 @@
     (time > 0).then_some(time.min(TIME_MOST))
 }
 
-fn plain(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::from(text));
+fn plain(status: StatusCode, text: &'static str) -> Response<Passing> {
+    let mut response = Response::new(Passing::from(Bytes::from_static(text.as_bytes())));
     *response.status_mut() = status;
     response
 }
 
 /// The answer to what is no request of a client's. Its connection ends with it and frees its place.
-fn improper(status: StatusCode, text: &'static str) -> Response<Full<Bytes>> {
+fn improper(status: StatusCode, text: &'static str) -> Response<Passing> {
     let mut response = plain(status, text);
     response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
     response
 }
 
 /// A refusal tells the client when to come back, in seconds.
-fn refused(retry_after: Micros) -> Response<Full<Bytes>> {
+fn refused(retry_after: Micros) -> Response<Passing> {
     let mut response = plain(StatusCode::SERVICE_UNAVAILABLE, "refused");
     let seconds = format!("{}.{:03}", retry_after / 1_000_000, retry_after / 1_000 % 1_000);
     if let Ok(value) = HeaderValue::from_str(&seconds) {
--- a/src/net/hosts.rs
+++ b/src/net/hosts.rs
@@ -1,17 +1,19 @@
 //! Attempts at hosts and the connections they go over. A connection is driven by the attempt that uses it:
 //! there is no task behind it, so dropping the attempt closes it, and nothing is ever sent twice.
 
+use super::bodies::{Handover, Memory, Part, Piece, Sending, BUFFER_MOST, WHOLE_MOST};
 use super::driver::{Clock, Request};
 use super::figures::Figures;
 use super::{Descriptor, Descriptors};
 use badgerramp::settings::Transport;
 use badgerramp::{Load, Micros, Outcome, ServerId};
-use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, Connection, SendRequest};
-use hyper::header::{self, HeaderMap, HeaderName, HeaderValue};
-use hyper::{Response, StatusCode};
+use hyper::header::{self, HeaderName, HeaderValue};
+use hyper::http::response::Parts;
+use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -24,9 +26,14 @@
 use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
-
-/// Most bytes of a body, either way.
-pub const BODY_MOST: usize = 64 * 1024;
+use tokio::sync::mpsc;
+
+/// An answer whose length is not told is passed on this long after its first bytes, whole or not.
+const WHOLE_TIME: Duration = Duration::from_millis(100);
+/// A host that gives nothing more of an answer, or takes nothing more of a request, for this long has stopped.
+const HALT_TIME: Duration = Duration::from_secs(10);
+/// ... and the least that a host is given for some of a large request.
+const PATIENCE_LEAST: Duration = Duration::from_secs(1);
 /// Connections that all client proxies may keep idle at a host between them, and the bounds of a part.
 /// A host holds 76 in all; those in use come on top.
 const SPARES_OF_ALL: usize = 60;
@@ -49,10 +56,19 @@
 pub struct Ended {
     pub outcome: Outcome,
     pub load: Load,
-    /// The whole body of a served answer, and its type.
+    /// The whole body of a served answer, and its type. None also for one that was passed on by pieces.
     pub served: Option<(Bytes, Option<HeaderValue>)>,
 }
 
+/// A large answer that begins.
+#[derive(Debug)]
+pub struct Begun {
+    pub first: Bytes,
+    pub rest: mpsc::Receiver<Piece>,
+    pub length: Option<u64>,
+    pub content_type: Option<HeaderValue>,
+}
+
 impl From<Outcome> for Ended {
     fn from(outcome: Outcome) -> Self {
         Ended { outcome, load: Load::default(), served: None }
@@ -62,7 +78,7 @@
 /// A stream that notes whether all that was to be written has been handed to the socket.
 struct Watched {
     stream: TcpStream,
-    handed_over: Rc<Cell<bool>>,
+    handover: Rc<Handover>,
 }
 
 impl AsyncRead for Watched {
@@ -80,8 +96,9 @@
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = written {
-            self.handed_over.set(count == buf.len());
+            self.handover.emptied.set(count == buf.len());
         }
+        self.handover.wrote(written.is_ready());
         written
     }
 
@@ -95,61 +112,95 @@
 }
 
 struct Link {
-    sender: SendRequest<Full<Bytes>>,
-    connection: Connection<TokioIo<Watched>, Full<Bytes>>,
-    handed_over: Rc<Cell<bool>>,
+    sender: SendRequest<Sending>,
+    connection: Connection<TokioIo<Watched>, Sending>,
+    /// The connection has ended, and is not to be polled again.
+    ended: bool,
+    handover: Rc<Handover>,
     idle_since: Micros,
     generation: u64,
     _descriptor: Descriptor,
 }
 
+/// An answer as far as it is here before anything of it is passed on.
+enum Came {
+    Whole(Bytes),
+    /// Its first bytes, when the rest is not to be waited for.
+    Part(Bytes, Incoming),
+}
+
 impl Link {
     /// Is it open and ready for a request? A connection that its host has closed shows it here.
     async fn alive(&mut self) -> bool {
-        let ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready())).await;
-        !ended && self.sender.is_ready()
+        if !self.ended {
+            self.ended = poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready())).await;
+        }
+        !self.ended && self.sender.is_ready()
     }
 
-    /// One exchange, driven from here. None: the connection broke before the answer was whole.
-    async fn exchange(
-        &mut self,
-        request: hyper::Request<Full<Bytes>>,
-        figures: &Figures,
-    ) -> Option<(Response<()>, Bytes)> {
-        self.handed_over.set(false);
-        let mut exchange = pin!(async {
-            let answer = self.sender.send_request(request).await.ok()?;
-            let (parts, body) = answer.into_parts();
-            let body = whole(&parts.headers, parts.status, body).await?;
-            Some((Response::from_parts(parts, ()), body))
-        });
-        let (connection, handed_over, mut counted) = (&mut self.connection, &self.handed_over, false);
+    /// Drives the connection until `work` on it is done. None: the connection ended first, and `work` needs it.
+    async fn drive<T>(&mut self, figures: &Figures, needs: bool, work: impl Future<Output = T>) -> Option<T> {
+        let mut work = pin!(work);
         poll_fn(|cx| {
             // The first poll hands the request over, the second writes it, the third takes an answer that
             // has come with the end of the connection.
-            if let Poll::Ready(answer) = exchange.as_mut().poll(cx) {
-                return Poll::Ready(answer);
+            if let Poll::Ready(done) = work.as_mut().poll(cx) {
+                return Poll::Ready(Some(done));
             }
-            let ended = Pin::new(&mut *connection).poll(cx).is_ready();
-            if handed_over.get() && !std::mem::replace(&mut counted, true) {
-                figures.attempt();
+            if !self.ended {
+                let whole = self.handover.whole();
+                self.ended = Pin::new(&mut self.connection).poll(cx).is_ready();
+                if self.handover.whole() && !whole {
+                    figures.attempt();
+                }
             }
-            match exchange.as_mut().poll(cx) {
-                Poll::Pending if ended => Poll::Ready(None),
-                other => other,
+            match work.as_mut().poll(cx) {
+                Poll::Ready(done) => Poll::Ready(Some(done)),
+                Poll::Pending if needs && self.ended => Poll::Ready(None),
+                Poll::Pending => Poll::Pending,
             }
         })
         .await
     }
 }
 
-/// The body of an answer, only if it is provably whole: one that ends with its connection may have been cut.
-async fn whole(headers: &HeaderMap, status: StatusCode, body: Incoming) -> Option<Bytes> {
-    let framed = headers.contains_key(header::CONTENT_LENGTH)
-        || headers.contains_key(header::TRANSFER_ENCODING)
-        || status == StatusCode::NO_CONTENT;
-    let body = Limited::new(body, BODY_MOST).collect().await.ok()?;
-    framed.then(|| body.to_bytes())
+/// Reads an answer until it is whole or is to be passed on. An answer in pieces is only passed on if it is one
+/// that serves; of any other that is large no more is needed than that it is there.
+async fn come(head: &Parts, mut body: Incoming, part: &mut Part, memory: &Memory) -> Option<Came> {
+    let length = body.size_hint().exact();
+    // A body may end with its connection, where its head says that this closes. Else that may be a cut.
+    let closes = |value: &HeaderValue| value.as_bytes().eq_ignore_ascii_case(b"close");
+    let framed = head.headers.contains_key(header::CONTENT_LENGTH)
+        || head.headers.contains_key(header::TRANSFER_ENCODING)
+        || head.headers.get_all(header::CONNECTION).iter().any(closes)
+        || head.status == StatusCode::NO_CONTENT;
+    let large = length.is_some_and(|length| length > WHOLE_MOST as u64);
+    let mut first = BytesMut::new();
+    let mut since: Option<tokio::time::Instant> = None;
+    loop {
+        let until = since.filter(|_| framed && length.is_none()).map(|since| since + WHOLE_TIME);
+        let frame = match until {
+            Some(until) => tokio::time::timeout_at(until, body.frame()).await,
+            None => Ok(body.frame().await),
+        };
+        match frame {
+            Ok(Some(frame)) => {
+                if let Ok(piece) = frame.ok()?.into_data() {
+                    since = since.or(Some(tokio::time::Instant::now()));
+                    memory.grow(part, first.len() + piece.len()).await;
+                    first.extend_from_slice(&piece);
+                }
+            }
+            Ok(None) => return framed.then(|| Came::Whole(first.freeze())),
+            Err(_) => return Some(Came::Part(first.freeze(), body)),
+        }
+        if framed && (large || first.len() > WHOLE_MOST) && !first.is_empty() {
+            return Some(Came::Part(first.freeze(), body));
+        }
+        if first.len() > WHOLE_MOST {
+            return None;
+        }
+    }
 }
 
 /// The connections to all hosts.
@@ -159,6 +210,7 @@
     descriptors: Rc<Descriptors>,
     clock: Clock,
     figures: Rc<Figures>,
+    memory: Rc<Memory>,
     limits: Cell<Limits>,
 }
 
@@ -188,6 +240,7 @@
         descriptors: Rc<Descriptors>,
         clock: Clock,
         figures: Rc<Figures>,
+        memory: Rc<Memory>,
     ) -> Rc<Self> {
         Rc::new(Hosts {
             idle: RefCell::new(HashMap::new()),
@@ -195,6 +248,7 @@
             descriptors,
             clock,
             figures,
+            memory,
             limits: Cell::new(Limits::new(transport, balancers)),
         })
     }
@@ -262,12 +316,13 @@
             _ => return Err(Outcome::NoConnection),
         };
         let _ = stream.set_nodelay(true);
-        let handed_over = Rc::new(Cell::new(false));
-        let io = TokioIo::new(Watched { stream, handed_over: Rc::clone(&handed_over) });
-        let (sender, connection) = http1::handshake(io).await.map_err(|_| Outcome::NoConnection)?;
-        let (idle_since, generation) = (0, target.generation);
+        let handover = Rc::<Handover>::default();
+        let io = TokioIo::new(Watched { stream, handover: Rc::clone(&handover) });
+        let made = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(io).await;
+        let (sender, connection) = made.map_err(|_| Outcome::NoConnection)?;
+        let (idle_since, generation, ended) = (0, target.generation, false);
         let mut link =
-            Link { sender, connection, handed_over, idle_since, generation, _descriptor: descriptor };
+            Link { sender, connection, ended, handover, idle_since, generation, _descriptor: descriptor };
         if link.alive().await {
             Ok(link)
         } else {
@@ -291,14 +346,19 @@
 }
 
 /// Makes one attempt and tells how it ended. `left` is the time it still has; `may_start` is asked right
-/// before the first byte.
+/// before the first byte; `begin` takes a large answer, unless nobody wants it any more.
 pub async fn attempt(
     hosts: &Hosts,
     target: Target,
     request: &Request,
     left: impl Fn() -> Micros,
     may_start: impl Fn() -> bool,
+    begin: impl FnOnce(Begun) -> bool,
 ) -> Ended {
+    if request.rest.as_ref().is_some_and(|rest| !rest.untouched()) {
+        // What has gone to one host is not here any more for another.
+        return Outcome::NotSent.into();
+    }
     let mut link = match hosts.checkout(&target).await {
         Some(link) => link,
         None => match hosts.connect(&target).await {
@@ -310,26 +370,111 @@
         hosts.keep(target.server, link).await;
         return Outcome::NotSent.into();
     }
-    let Some(message) = message(request, left()) else { return Outcome::NotSent.into() };
-    let Some((answer, body)) = link.exchange(message, &hosts.figures).await else {
+    let claimed = request.rest.as_ref().is_none_or(|rest| rest.claim());
+    let message = message(request, left(), &link.handover).filter(|_| claimed);
+    let Some(message) = message else { return Outcome::NotSent.into() };
+    let mut part = Part::default();
+    let sent = link.sender.send_request(message);
+    let stuck = stuck(Rc::clone(&link.handover), request);
+    let came = link.drive(&hosts.figures, true, async {
+        let (head, body) = sent.await.ok()?.into_parts();
+        let came = come(&head, body, &mut part, &hosts.memory).await?;
+        Some((head, came))
+    });
+    let came = tokio::select! {
+        came = came => came.flatten(),
+        () = stuck => None,
+    };
+    let Some((head, came)) = came else {
+        if request.rest.as_ref().is_some_and(|rest| rest.failed()) {
+            // The client's fault, and its request's end: the front sees to that.
+            drop(link);
+            return std::future::pending().await;
+        }
         // Never ran only if the last byte was not handed to the socket; all else may have run.
-        let whole = link.handed_over.get();
-        return if whole { Outcome::Reset } else { Outcome::NoConnection }.into();
+        return if link.handover.whole() { Outcome::Reset } else { Outcome::NoConnection }.into();
+    };
+    let load = head.headers.get("x-server-load").map(load).unwrap_or_default();
+    let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
+    let turned_away = head.headers.get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
+    let outcome = match head.status {
+        StatusCode::OK => Outcome::Served,
+        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => Outcome::TurnedAway,
+        StatusCode::TOO_MANY_REQUESTS => Outcome::Error,
+        status if status.is_client_error() => Outcome::Rejected,
+        _ => Outcome::Error,
+    };
+    let served = match came {
+        Came::Whole(body) => {
+            hosts.keep(target.server, link).await;
+            (outcome == Outcome::Served).then_some((body, content_type))
+        }
+        Came::Part(first, body) if outcome == Outcome::Served => {
+            hosts.memory.grow(&mut part, WHOLE_MOST + 1).await;
+            let (pieces, rest) = mpsc::channel(1);
+            let length = body.size_hint().exact().map(|left| left + first.len() as u64);
+            if !begin(Begun { first, rest, length, content_type }) {
+                return Outcome::CalledOff.into();
+            }
+            let ended = pass_on(&mut link, &hosts.figures, body, pieces).await;
+            if ended == Outcome::Served {
+                hosts.keep(target.server, link).await;
+            }
+            return Ended { outcome: ended, load, served: None };
+        }
+        // The rest of an answer that serves nobody goes with its connection.
+        Came::Part(..) => None,
     };
-    hosts.keep(target.server, link).await;
-    let load = answer.headers().get("x-server-load").map(load).unwrap_or_default();
-    let turned_away = answer.headers().get("x-not-processed").is_some_and(|v| v.as_bytes() == b"1");
-    match answer.status() {
-        StatusCode::OK => {
-            let content_type = answer.headers().get(header::CONTENT_TYPE).cloned();
-            Ended { outcome: Outcome::Served, load, served: Some((body, content_type)) }
+    Ended { outcome, load, served }
+}
+
+/// Waits until a host has taken nothing of a large request for as long as the client would wait for an answer.
+async fn stuck(handover: Rc<Handover>, request: &Request) {
+    let patience = Duration::from_micros(request.time).clamp(PATIENCE_LEAST, HALT_TIME);
+    while request.rest.is_some() && handover.stuck_for() < patience {
+        tokio::time::sleep(PATIENCE_LEAST / 10).await;
+    }
+    if request.rest.is_none() {
+        std::future::pending::<()>().await;
+    }
+}
+
+/// Passes the rest of an answer on, each piece once the one before has been taken. What the host still gives
+/// is never cut; if it comes to a halt, or the client leaves, it ends.
+async fn pass_on(
+    link: &mut Link,
+    figures: &Figures,
+    mut body: Incoming,
+    pieces: mpsc::Sender<Piece>,
+) -> Outcome {
+    loop {
+        // After the last byte nobody need be there to take more.
+        let whole = body.is_end_stream();
+        let next = tokio::time::timeout(HALT_TIME, body.frame());
+        let frame = tokio::select! {
+            biased;
+            frame = link.drive(figures, true, next) => frame,
+            () = pieces.closed(), if !whole => return Outcome::CalledOff,
+        };
+        let piece = match frame {
+            Some(Ok(Some(Ok(frame)))) => match frame.into_data() {
+                Ok(piece) => Piece::Data(piece),
+                Err(_) => continue,
+            },
+            Some(Ok(None)) => Piece::End,
+            Some(Ok(Some(Err(_)))) | None => return Outcome::Reset,
+            Some(Err(_)) => return Outcome::TimedOut,
+        };
+        // The connection is driven on: some of the request may still be on its way out.
+        let end = matches!(piece, Piece::End);
+        match link.drive(figures, false, pieces.reserve()).await {
+            Some(Ok(place)) => place.send(piece),
+            _ if !end => return Outcome::CalledOff,
+            _ => {}
         }
-        StatusCode::SERVICE_UNAVAILABLE | StatusCode::GATEWAY_TIMEOUT if turned_away => {
-            Ended { outcome: Outcome::TurnedAway, load, served: None }
+        if end {
+            return Outcome::Served;
         }
-        StatusCode::TOO_MANY_REQUESTS => Ended { outcome: Outcome::Error, load, served: None },
-        status if status.is_client_error() => Ended { outcome: Outcome::Rejected, load, served: None },
-        _ => Ended { outcome: Outcome::Error, load, served: None },
     }
 }
 
@@ -350,8 +495,9 @@
     !own.contains(&name.as_str())
 }
 
-fn message(request: &Request, left: Micros) -> Option<hyper::Request<Full<Bytes>>> {
-    let mut message = hyper::Request::new(Full::new(request.body.clone()));
+fn message(request: &Request, left: Micros, handover: &Rc<Handover>) -> Option<hyper::Request<Sending>> {
+    let rest = request.rest.as_ref().map(|rest| (Rc::clone(rest), request.length));
+    let mut message = hyper::Request::new(Sending::new(request.body.clone(), rest, Rc::clone(handover)));
     *message.method_mut() = request.method.clone();
     *message.uri_mut() = request.uri.clone();
     let headers = message.headers_mut();
@@ -384,6 +530,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use hyper::header::HeaderMap;
     use hyper::http::{Method, Uri};
     use std::io::{Read, Write};
     use std::net::TcpListener;
@@ -403,16 +550,20 @@
             conn_idle: 60_000_000,
             connect_timeout: Duration::from_secs(9).as_micros() as Micros,
         };
-        let hosts = Hosts::new(transport, 1, Descriptors::new(9), Clock::start(), Rc::default());
+        let hosts =
+            Hosts::new(transport, 1, Descriptors::new(9), Clock::start(), Rc::default(), Memory::new(64));
         let target = Target { server: ServerId(0), address, generation: 0 };
         let request = Request {
             method: Method::GET,
             uri: Uri::from_static("/a"),
             headers: HeaderMap::new(),
             body: Bytes::new(),
+            rest: None,
+            length: Some(0),
+            time: 1_000,
         };
         let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().expect("a runtime");
-        runtime.block_on(attempt(&hosts, target, &request, || 1_000, || may_start))
+        runtime.block_on(attempt(&hosts, target, &request, || 1_000, || may_start, |_| false))
     }
 
     #[test]
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The program round the decisions: sockets, clock and timers. It decides nothing.
 
+pub mod bodies;
 pub mod config;
 pub mod discovery;
 pub mod driver;
--- a/src/state.rs
+++ b/src/state.rs
@@ -83,6 +83,8 @@
     pub(crate) trial: bool,
     /// What its server held for its size, where it had told.
     pub(crate) crowd: f64,
+    /// Its answer has begun to flow: the server has done its work.
+    pub(crate) flows: bool,
     pub(crate) effect: Effect,
 }
 
