Test what the module hears of flowing answers, slow requests and new settings

Each was seen to fail without its part: a flowing answer called off with its copy, answer times that count the coming of a request, attempts and aims of settings that are no longer in force.

--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -137,6 +137,75 @@
     assert!(sent(&actions).is_empty());
 }
 
+#[test]
+fn a_copy_that_ends_does_not_take_the_flowing_answer_along() {
+    let mut settings = settings(Repeat::Free);
+    settings.limits.second_copies = true;
+    let mut proxy = Proxy::new(settings, 3);
+    for _ in 0..20 {
+        proxy.serve(40 * MS);
+    }
+    let (call, _) = proxy.call();
+    assert_eq!(sent(&proxy.wait(430 * MS)).len(), 1, "a second copy");
+    let actions = proxy.event(Event::Streaming { call, attempt: 1 });
+    assert_eq!(actions, [Action::Cancel { call, attempt: 0 }]);
+    let (outcome, load) = (Outcome::CalledOff, Load::default());
+    let event = Event::Outcome { call, attempt: 0, outcome, elapsed: 430 * MS, closed: true, load };
+    assert!(proxy.event(event).iter().all(|a| !matches!(a, Action::Cancel { .. })));
+}
+
+#[test]
+fn a_long_answer_teaches_by_its_first_bytes_and_frees_its_place_then() {
+    let mut proxy = Proxy::new(settings(Repeat::Free), 1);
+    for _ in 0..20 {
+        proxy.serve(40 * MS);
+    }
+    // More long answers than any budget holds calls, all still flowing.
+    for _ in 0..200 {
+        let (call, actions) = proxy.call();
+        assert_eq!(sent(&actions).len(), 1);
+        proxy.now += 40 * MS;
+        proxy.event(Event::Streaming { call, attempt: 0 });
+    }
+}
+
+#[test]
+fn a_request_that_comes_slowly_has_its_time_from_its_last_byte() {
+    let mut proxy = Proxy::new(settings(Repeat::SingleShot), 3);
+    for _ in 0..60 {
+        let (call, actions) = proxy.call();
+        assert_eq!(sent(&actions).len(), 1);
+        assert!(sent(&proxy.wait(10_000 * MS)).is_empty());
+        proxy.event(Event::Whole { call, time_left: 1_200 * MS });
+        proxy.now += 40 * MS;
+        assert!(!failed(&proxy.end(call, 0, Outcome::Served, 40 * MS), call));
+    }
+    // Answers are known to take 40 ms, not 10 s: there is time for another attempt.
+    let (call, _) = proxy.call();
+    assert_eq!(sent(&proxy.end(call, 0, Outcome::NoConnection, 5 * MS)).len(), 1);
+}
+
+// New settings.
+
+#[test]
+fn fewer_attempts_hold_at_once_and_a_class_that_vanished_counts_for_nothing() {
+    let old = settings(Repeat::Free);
+    let mut proxy = Proxy::new(old.clone(), 4);
+    let (call, actions) = proxy.call();
+    assert_eq!(sent(&actions).len(), 1);
+    // One attempt only; what was safe to repeat has vanished, and a patient class has come.
+    let gone = Class { live: false, ..old.classes[0] };
+    let patient = Class { aim: 60_000 * MS, deadline: 90_000 * MS, ..old.classes[0] };
+    let mut new = Settings { classes: vec![gone, patient], ..old };
+    new.limits.max_attempts = 1;
+    proxy.event(Event::Settings(Box::new(new)));
+    let actions = proxy.end(call, 0, Outcome::Error, 5 * MS);
+    assert!(sent(&actions).is_empty() && refused(&actions, call), "{actions:?}");
+    let (call, actions) = proxy.call_of(1);
+    assert_eq!(sent(&actions).len(), 1);
+    assert!(sent(&proxy.end(call, 0, Outcome::Error, 5 * MS)).is_empty());
+}
+
 // Safe drain.
 
 #[test]
