Do not let what is left of one request end the next one on its connection

Found by reading: a client that still sends a large body when its answer is there is read on beside its next request; the end of that reading marked the connection as resting, and the open request was dropped 2.1 s later (front.rs, Open). The new test in tests/bodies.rs sees the second answer cut without this. A client may now take nothing for 30 s, not 8: at 64 kB a second a full system buffer of 4 MB lets more in only after some 20 s (inferred from the system's limits; no such cut was seen in the plays).

--- a/src/net/front.rs
+++ b/src/net/front.rs
@@ -44,8 +44,9 @@
 const BODY_LEAST: Duration = Duration::from_millis(300);
 /// ... and one whose request will be refused, as its place is wanted.
 const CROWDED_TIME: Duration = Duration::from_secs(1);
-/// How long a client may take nothing of its answer.
-const STUCK_TIME: Duration = Duration::from_secs(8);
+/// How long a client may take nothing of its answer. A slow one empties the system's buffer, which may hold
+/// megabytes, by a third before more is taken from here.
+const STUCK_TIME: Duration = Duration::from_secs(30);
 /// A connection that has rested for less is not made to leave: a new one's request may be on its way.
 const REST_LEAST: Duration = Duration::from_millis(250);
 /// Advice to a client that finds no place here: by then some connection has rested for long enough.
@@ -215,11 +216,17 @@
 }
 
 /// Keeps a request open until its answer is there whole and nothing of it is read any more.
-struct Open(Rc<Visit>);
+struct Open {
+    visit: Rc<Visit>,
+    /// Which request of its connection, from 1: what is left of an earlier one must not end a later one.
+    number: u64,
+}
 
 impl Drop for Open {
     fn drop(&mut self) {
-        self.0.answer();
+        if self.visit.requests.get() == self.number {
+            self.visit.answer();
+        }
     }
 }
 
@@ -388,7 +395,7 @@
             let (front, visit, stopping) = (&self, &visit, &stopping);
             async move {
                 visit.work();
-                let open = Rc::new(Open(Rc::clone(visit)));
+                let open = Rc::new(Open { visit: Rc::clone(visit), number: visit.requests.get() });
                 let mut answer =
                     if crowded { front.turn_back(&request) } else { front.request(request, &open).await };
                 if stopping.borrow().is_some() {
@@ -464,7 +471,7 @@
             return improper(StatusCode::NOT_FOUND, "no such class of request");
         };
         let mut part = Part::default();
-        let mut reader = Reader::new(body, open.0.body_time());
+        let mut reader = Reader::new(body, open.visit.body_time());
         let length = reader.length();
         let (body, whole) = match reader.begin(&mut part, &self.memory).await {
             Ok(begun) => begun,
--- a/tests/bodies.rs
+++ b/tests/bodies.rs
@@ -174,6 +174,32 @@
     }
 }
 
+#[test]
+fn an_answer_before_the_end_of_its_request_does_not_end_the_next_one() {
+    // The first is turned down before its body is there; the next takes longer than a connection may rest.
+    let host = host(|head, stream| {
+        if head.contains("/unsafe") {
+            say(stream, b"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n");
+            let _ = body(head, stream);
+            let _ = stream.get_mut().shutdown(std::net::Shutdown::Both);
+        } else {
+            say(stream, b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n");
+            say(stream, &pattern(50_000));
+            thread::sleep(Duration::from_millis(2_600));
+            say(stream, &pattern(50_000));
+        }
+    });
+    let discovery = Discovery::start();
+    let proxy = start(&discovery, &[host]);
+    let mut client = proxy.client();
+    client.write(&request("unsafe", "9000m", "Content-Length: 400000\r\n"));
+    assert!(say(&mut client.stream, &pattern(200_000)));
+    assert_eq!(client.answer().expect("an answer").status(), 502, "at once");
+    assert!(say(&mut client.stream, &pattern(200_000)));
+    client.write(&request("safe", "9000m", "Content-Length: 0\r\n"));
+    assert_eq!(client.answer().expect("a whole answer").status(), 200);
+}
+
 /// A host that tells what bodies came to it, after the first bytes of each.
 fn recorder() -> (SocketAddr, Receiver<Option<Vec<u8>>>) {
     let (sender, came) = channel();
