Let many balancers ask a full discovery again later, so that failed calls do not keep it full

At fault: balance.rs members(), whose waits end at ask_every / 4 however many share discovery. They now grow with the balancers, up to ask_every; for fewer than 12 nothing changes.

--- a/src/balance.rs
+++ b/src/balance.rs
@@ -61,6 +61,11 @@
 /// Share of its aim that a call may be expected to take where it goes: more in hand there is a full budget.
 const CROWD_AIM: f64 = 0.3;
 
+/// Balancers that may ask for the list again at short intervals without filling discovery, and the doublings of
+/// those intervals: up to a quarter of the longest that a balancer may go without asking, or all of it for many.
+const ASK_TOGETHER: u32 = 6;
+const ASK_DOUBLINGS: u32 = 5;
+
 /// Longest aims after which a server's own times count less than those of its kind.
 const GROUP_AFTER: f64 = 8.0;
 
@@ -295,7 +300,11 @@
     fn members(&mut self, now: Micros, kind: ListKind, entries: &[Entry]) {
         if kind == ListKind::Failed {
             // Jitter keeps balancers that lost the list together from asking together again.
-            let wait = (self.settings.rules.ask_every / 32) << self.ask_failures.min(3);
+            // One service answers all balancers: those that ask on while it is full keep it full.
+            let many = Micros::from(self.settings.balancers / ASK_TOGETHER);
+            let (first, last) = (many.clamp(1, 8), 8 * many.clamp(1, 4));
+            let step = self.settings.rules.ask_every / 32;
+            let wait = step * (first << self.ask_failures.min(ASK_DOUBLINGS)).min(last);
             self.ask_failures += 1;
             if self.settings.ask {
                 self.ask_at = now + wait / 2 + (self.unit() * wait as f64) as Micros;
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -185,6 +185,29 @@
     assert_eq!(sent(&proxy.end(call, 0, Outcome::NoConnection, 5 * MS)).len(), 1);
 }
 
+// The list.
+
+#[test]
+fn many_balancers_leave_a_full_discovery_room() {
+    // The waits before it is asked again, one failure after the other.
+    let waits = |balancers: u32| {
+        let mut settings = settings(Repeat::Free);
+        (settings.ask, settings.balancers) = (true, balancers);
+        let mut proxy = Proxy::new(settings, 2);
+        let ask = |proxy: &mut Proxy| {
+            let failed = proxy.now;
+            proxy.list(ListKind::Failed, Vec::new());
+            while !proxy.wait(50 * MS).contains(&Action::Subscribe) {}
+            (proxy.now - failed) / MS
+        };
+        (0..6).map(|_| ask(&mut proxy)).collect::<Vec<_>>()
+    };
+    let (few, many) = (waits(4), waits(48));
+    assert!(few[0] <= 500 && few.iter().all(|&w| w <= 3_800), "{few:?}");
+    assert!(many[0] >= 1_250 && many[1] >= 2_500 && many[2..].iter().all(|&w| w >= 5_000), "{many:?}");
+    assert!(many.iter().all(|&w| w <= 15_100), "{many:?}");
+}
+
 // New settings.
 
 #[test]
