--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -179,7 +179,8 @@
     let mut proxy = start(&discovery, &dead);
     let operator = proxy.operator();
     for _ in 0..6 {
-        assert_eq!(proxy.call("unsafe", "900m").status(), 503);
+        let answer = proxy.call("unsafe", "900m");
+        assert_eq!(answer.status(), 503, "{}", answer.head);
     }
     let figures = figures(operator);
     assert_eq!(figures["calls"]["unsafe"], serde_json::json!({"success": 0, "busy": 6, "failure": 0}));
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -156,9 +156,13 @@
     let _ = sender.send(Seen::Closed(number));
 }
 
-/// An address at which nothing listens.
+/// An address at which nothing listens. It stays taken: a port that is given back may be another test's next.
 pub fn nobody() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).expect("a port")
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket.bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+    let address = socket.local_addr().expect("its address");
+    std::mem::forget(socket);
+    address
 }
 
 /// A host at which connections hang: its queue is full and it takes nobody.
