--- a/src/balance.rs
+++ b/src/balance.rs
@@ -61,8 +61,8 @@
 /// Share of its aim that a call may be expected to take where it goes: more in hand there is a full budget.
 const CROWD_AIM: f64 = 0.3;
 
-/// Balancers that may ask for the list again at short intervals without filling discovery, and the doublings of
-/// those intervals: up to a quarter of the longest that a balancer may go without asking, or all of it for many.
+/// Balancers that may ask for the list again at short intervals without filling discovery, and the doublings
+/// of those intervals: up to a quarter of the longest that one may go without asking, or all of it for many.
 const ASK_TOGETHER: u32 = 6;
 const ASK_DOUBLINGS: u32 = 5;
 
