--- /dev/null
+++ b/examples/recorded.rs
@@ -0,0 +1,259 @@
+//! Plays a fixed stream of events to the module and prints each event with the actions that it brought. Two versions
+//! of the module that decide alike print the same bytes; `cmp` tells.
+//!
+//! Each world is drawn from a seed of its own: calls of four classes, servers that are quick, slow, failing, cold or
+//! silent, lists and settings that change, probes, large bodies, clients that leave.
+
+use badgerramp::*;
+use rand_core::{RngCore, SeedableRng};
+use rand_pcg::Pcg32;
+use std::collections::{BTreeMap, BTreeSet};
+
+const MS: Micros = 1_000;
+/// Steps of each world; a step is an event of the world, whatever timers come beside it.
+const STEPS: usize = 3_000;
+
+struct Random(Pcg32);
+
+impl Random {
+    fn below(&mut self, n: u64) -> u64 {
+        u64::from(self.0.next_u32()) % n.max(1)
+    }
+
+    fn one_in(&mut self, n: u64) -> bool {
+        self.below(n) == 0
+    }
+}
+
+struct World {
+    balancer: Balancer,
+    random: Random,
+    now: Micros,
+    wakes: BTreeSet<Micros>,
+    /// Attempts that are out, by when they end.
+    ends: BTreeMap<(Micros, u64), Event>,
+    attempts: BTreeMap<CallId, u32>,
+    entries: Vec<Entry>,
+    serial: u64,
+}
+
+fn settings(world: u64) -> Settings {
+    let class =
+        |aim, deadline, worth, repeat| Class { aim, deadline, worth, late_value: 0.0, repeat, live: true };
+    let window = 400 * MS;
+    Settings {
+        balancers: [1, 4, 300, 20, 1_000, 2][world as usize % 6],
+        zone: ZoneId(1),
+        ask: true,
+        classes: vec![
+            class(200 * MS, 600 * MS, 1.0, Repeat::Free),
+            class(500 * MS, 1_200 * MS, 3.0, Repeat::SingleShot),
+            class(400 * MS, 900 * MS, 0.5, Repeat::Guarded { scope: Scope::Cell, window }),
+            class(900 * MS, 2_000 * MS, 2.0, Repeat::Guarded { scope: Scope::All, window }),
+        ],
+        limits: Limits {
+            probes: world.is_multiple_of(2),
+            second_copies: !world.is_multiple_of(3),
+            max_attempts: 3,
+            ..Settings::default().limits
+        },
+        charges: Charges { cross_zone: 0.02, probe: 0.005, ..Charges::default() },
+        reports: Reports {
+            how: if world.is_multiple_of(2) { Reporting::OnProbe } else { Reporting::Inline },
+            in_hand: true,
+        },
+        weights: if world.is_multiple_of(3) { WeightSource::Rough } else { WeightSource::Off },
+        ..Settings::default()
+    }
+}
+
+impl World {
+    fn new(world: u64) -> Self {
+        let random = Random(Pcg32::seed_from_u64(world));
+        let balancer = Balancer::new(world, settings(world));
+        let (wakes, ends, attempts) = (BTreeSet::new(), BTreeMap::new(), BTreeMap::new());
+        let now = 1_000_000_000;
+        let mut made = World { balancer, random, now, wakes, ends, attempts, entries: Vec::new(), serial: 0 };
+        let servers = [6, 12, 40, 9, 25, 3][world as usize % 6];
+        made.entries = (0..servers).map(|n| made.entry(n)).collect();
+        made
+    }
+
+    fn entry(&mut self, server: u32) -> Entry {
+        let cold = self.random.one_in(6);
+        Entry {
+            server: ServerId(server),
+            state: State::Ready,
+            zone: ZoneId(server % 3),
+            cell: CellId(server % 2),
+            kind: KindId(server % 4),
+            weight: 1.0 + f64::from(server % 5),
+            started: if cold { self.now - self.random.below(9_000_000) } else { 0 },
+        }
+    }
+
+    fn event(&mut self, event: Event) {
+        println!("{} {event:?}", self.now);
+        let mut actions = Vec::new();
+        self.balancer.handle(self.now, event, &mut actions);
+        for action in actions {
+            match &action {
+                Action::Log { text } => println!("  log {text}"),
+                other => println!("  {other:?}"),
+            }
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Send { call, server, until } => {
+                let attempt = self.attempts.entry(call).or_default();
+                let number = *attempt;
+                *attempt += 1;
+                let (outcome, mut took) = self.fate(server);
+                let patience = until.map_or(1_500 * MS, |u| u.saturating_sub(self.now));
+                let outcome = if took > patience { Outcome::TimedOut } else { outcome };
+                took = took.min(patience);
+                let load = match outcome {
+                    Outcome::Served if self.random.one_in(2) => self.load(),
+                    _ => Load::default(),
+                };
+                if outcome == Outcome::Served && self.random.one_in(20) {
+                    self.later(took / 2, Event::Streaming { call, attempt: number });
+                }
+                let (elapsed, closed) = (took, outcome == Outcome::Served);
+                self.later(took, Event::Outcome { call, attempt: number, outcome, elapsed, closed, load });
+            }
+            Action::Cancel { call, attempt } => {
+                let out = |e: &Event| matches!(e, Event::Outcome { call: c, attempt: a, .. } if (*c, *a) == (call, attempt));
+                let found = self.ends.iter().find(|(_, e)| out(e)).map(|(k, _)| *k);
+                if let Some(Event::Outcome { call, attempt, load, .. }) =
+                    found.and_then(|k| self.ends.remove(&k))
+                {
+                    let (outcome, elapsed) = (Outcome::CalledOff, 5 * MS);
+                    self.later(0, Event::Outcome { call, attempt, outcome, elapsed, closed: true, load });
+                }
+            }
+            Action::Probe { server } => {
+                let outcome = if self.random.one_in(9) { Outcome::TimedOut } else { Outcome::Served };
+                let (elapsed, load) = (2 * MS, self.load());
+                self.later(elapsed, Event::Probed { server, outcome, elapsed, load });
+            }
+            Action::Wake { after } => {
+                self.wakes.insert(self.now + after);
+            }
+            Action::Subscribe => {
+                let kind = if self.random.one_in(4) { ListKind::Failed } else { ListKind::Full };
+                let entries = if kind == ListKind::Full { self.entries.clone() } else { Vec::new() };
+                self.later(7 * MS, Event::Members { kind, entries });
+            }
+            Action::Refuse { .. } | Action::Fail { .. } | Action::Log { .. } => {}
+        }
+    }
+
+    /// How a server does with an attempt: by its number and the time of the world, so that trouble lasts.
+    fn fate(&mut self, server: ServerId) -> (Outcome, Micros) {
+        let spell = self.now / 3_000_000 + u64::from(server.0) * 7;
+        let usual = 10 * MS + self.random.below(60 * MS);
+        match spell % 11 {
+            0 if !self.random.one_in(3) => (Outcome::Error, 2 * MS),
+            1 if !self.random.one_in(3) => (Outcome::TurnedAway, MS),
+            2 if !self.random.one_in(4) => (Outcome::NoConnection, 3 * MS),
+            3 if self.random.one_in(2) => (Outcome::Reset, 9 * MS),
+            4 => (Outcome::Served, usual * 9),
+            5 if self.random.one_in(2) => (Outcome::Served, 9_000 * MS),
+            _ if self.random.one_in(200) => (Outcome::Rejected, MS),
+            _ if self.random.one_in(300) => (Outcome::NotSent, 0),
+            _ => (Outcome::Served, usual),
+        }
+    }
+
+    fn load(&mut self) -> Load {
+        let in_hand = self.random.below(12) as f64;
+        Load {
+            in_hand: Some(in_hand),
+            waiting: Some((in_hand - 5.0).max(0.0)),
+            busy: Some(0.5),
+            error_rate: None,
+        }
+    }
+
+    fn later(&mut self, after: Micros, event: Event) {
+        self.serial += 1;
+        self.ends.insert((self.now + after, self.serial), event);
+    }
+
+    /// The next thing that happens by itself before `until`.
+    fn run_until(&mut self, until: Micros) {
+        loop {
+            let (end, wake) = (self.ends.first_key_value().map(|(k, _)| *k), self.wakes.first().copied());
+            let next = end.map(|k| k.0).into_iter().chain(wake).min().filter(|&at| at <= until);
+            let Some(at) = next else { break };
+            self.now = self.now.max(at);
+            match end.filter(|k| k.0 == at).and_then(|k| self.ends.remove(&k)) {
+                Some(event) => self.event(event),
+                None => {
+                    self.wakes.remove(&at);
+                    self.event(Event::Timer);
+                }
+            }
+        }
+        self.now = until;
+    }
+
+    fn step(&mut self, step: usize, spec: &Settings) {
+        let crowd = if (step / 400) % 3 == 2 { 2 * MS } else { 12 * MS };
+        let pause = self.random.below(crowd);
+        self.run_until(self.now + pause);
+        match self.random.below(100) {
+            0 => {
+                let place = self.random.below(self.entries.len() as u64) as usize;
+                let entry = &mut self.entries[place];
+                (entry.state, entry.started) = match entry.state {
+                    State::Ready => (State::Draining, entry.started),
+                    _ => (State::Ready, self.now),
+                };
+                let entries = vec![*entry];
+                self.event(Event::Members { kind: ListKind::Delta, entries });
+            }
+            1 if step.is_multiple_of(7) => {
+                let mut other = spec.clone();
+                other.limits.max_attempts = 1 + self.random.below(4) as u32;
+                self.event(Event::Settings(Box::new(other)));
+            }
+            2 if self.serial > 0 => {
+                let call = CallId(step as u64 - self.random.below(9).min(step as u64));
+                self.event(Event::Gone { call });
+            }
+            3 => {
+                let call = CallId(step as u64 - self.random.below(3).min(step as u64));
+                self.event(Event::Whole { call, time_left: 500 * MS });
+            }
+            _ => {
+                let class = ClassId(self.random.below(4) as usize);
+                let deadline = spec.classes[class.0].deadline;
+                let resent = self.random.one_in(8);
+                let time_left = if resent { deadline / 2 } else { deadline };
+                self.event(Event::Request {
+                    call: CallId(step as u64),
+                    class,
+                    tenant: None,
+                    time_left,
+                    resent,
+                });
+            }
+        }
+    }
+}
+
+fn main() {
+    for number in 0..6 {
+        let (mut world, spec) = (World::new(number), settings(number));
+        world.event(Event::Start);
+        for step in 0..STEPS {
+            world.step(step, &spec);
+        }
+        world.run_until(world.now + 10_000_000);
+    }
+}
