--- /dev/null
+++ b/crates/cli/tests/command_line.rs
@@ -0,0 +1,267 @@
+//! The program as people meet it: its command line, its messages, its log.
+
+mod peers;
+
+use peers::*;
+use std::io::{BufRead, Read};
+use std::net::TcpListener;
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::time::Instant;
+
+const GOOD: &str = r#"listen = "127.0.0.1:5000"
+discovery = "127.0.0.1:8500"
+
+[[settings.classes]]
+name = "fare-charge"
+objective_us = "600ms"
+deadline_us = "2s"
+
+[[settings.classes]]
+name = "journey-lookup"
+objective_us = "400ms"
+deadline_us = "1s"
+idempotency = "free"
+"#;
+
+fn oakport(folder: &Path, arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_oakport"));
+    command.current_dir(folder).args(arguments).env_remove("RELAY_CONFIG").env_remove("OAKPORT_LOG");
+    command.output().expect("the program starts")
+}
+
+fn text(bytes: &[u8]) -> String {
+    String::from_utf8_lossy(bytes).into_owned()
+}
+
+/// A folder of the test's own, which goes with it.
+struct Folder(PathBuf);
+
+impl Folder {
+    fn new(name: &str) -> Folder {
+        let folder = std::env::temp_dir().join(format!("oakport-{}-{name}", std::process::id()));
+        std::fs::create_dir_all(&folder).expect("a temporary folder");
+        Folder(folder)
+    }
+
+    fn with(&self, file: &str, text: &str) {
+        std::fs::write(self.0.join(file), text).expect("a temporary file");
+    }
+}
+
+impl Drop for Folder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+/// A process that does not outlive its test.
+struct Ends(std::process::Child);
+
+impl Drop for Ends {
+    fn drop(&mut self) {
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
+/// Ten bad files; each message names file, line, column and key, what was expected, and what to do.
+#[test]
+fn check_tells_all_that_is_wrong_with_a_file() {
+    let folder = Folder::new("check");
+    let here = "127.0.0.1:1".parse().expect("an address");
+    let json = config(here, here, 1_024, &[]).replace(r#""index":41"#, r#""index":"x""#);
+    let bad = [
+        ("empty.toml", String::new()),
+        ("cut.toml", GOOD[..GOOD.len() - 3].to_owned()),
+        ("unclosed.toml", GOOD.replace("\"600ms\"", "\"600ms")),
+        ("mistyped.toml", format!("opperator = \"127.0.0.1:1\"\nport = 5\n{GOOD}limits.max_attemps = 2\n")),
+        ("units.toml", GOOD.replace("600ms", "600 parsecs").replace("2s", "1ns").replace("1s", "soon")),
+        (
+            "kinds.toml",
+            GOOD.replace("\"2s\"", "true").replace("\"fare-charge\"", "7").replace("400ms", "-4s"),
+        ),
+        (
+            "bounds.toml",
+            GOOD.replace("\"2s\"", "0").replace("free", "sometimes").replace("127.0.0.1:8500", "here"),
+        ),
+        ("missing.toml", GOOD.replace("name = \"fare-charge\"\n", "").replace("discovery", "#")),
+        ("twice.toml", GOOD.replace("journey-lookup", "fare-charge")),
+        (
+            "platform.json",
+            json.replace("8c1f30d27a5be964", "seed")
+                .replace("\"max_attempts\":3", "\"max_attempts\":0")
+                .replace("\"cold_from\":0.3,", ""),
+        ),
+    ];
+    for (file, content) in &bad {
+        folder.with(file, content);
+        let output = oakport(&folder.0, &["check", file]);
+        assert_eq!((output.status.code(), text(&output.stdout)), (Some(1), String::new()), "{file}");
+        insta::assert_snapshot!(*file, text(&output.stderr));
+    }
+    // One call may look at many files; the good ones among them are told as good.
+    folder.with("good.toml", GOOD);
+    let output = oakport(&folder.0, &["check", "twice.toml", "good.toml", "nowhere.toml"]);
+    assert_eq!(output.status.code(), Some(1));
+    assert!(text(&output.stdout).starts_with("good.toml: good\n"), "{}", text(&output.stdout));
+    assert!(text(&output.stderr).contains("nowhere.toml: cannot be read: No such file"));
+    for misuse in [&["check"][..], &["chek", "good.toml"], &[], &["serve", "--log-level", "loud"]] {
+        assert_eq!(oakport(&folder.0, misuse).status.code(), Some(2), "{misuse:?}");
+    }
+}
+
+#[test]
+fn check_tells_what_a_good_file_does() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let output = oakport(&root, &["check", "deploy/example.toml"]);
+    assert!(output.status.success(), "{}", text(&output.stderr));
+    insta::assert_snapshot!("example", text(&output.stdout));
+    let folder = Folder::new("good");
+    let here = "127.0.0.1:1".parse().expect("an address");
+    folder.with("platform.json", &config(here, here, 384, &[]).replacen('{', r#"{"novel":1,"#, 1));
+    let output = oakport(&folder.0, &["check", "platform.json"]);
+    insta::assert_snapshot!("platform", text(&output.stdout));
+}
+
+#[test]
+fn a_file_for_people_serves_and_is_read_again() {
+    let (discovery, other, host) = (Discovery::start(), Discovery::start(), Host::serving("done"));
+    let folder = Folder::new("serve");
+    let file = |at: &Discovery, worth: &str| {
+        let good = GOOD.replace("127.0.0.1:5000", "127.0.0.1:0");
+        good.replace("127.0.0.1:8500", &at.address.to_string()).replace("\nname", &format!("\n{worth}name"))
+    };
+    folder.with("proxy.toml", &file(&discovery, ""));
+    let path = folder.0.join("proxy.toml");
+    let arguments = ["serve", "--log-format", "json", "--config", &path.display().to_string()];
+    let mut command = Command::new(env!("CARGO_BIN_EXE_oakport"));
+    command.args(arguments).stderr(std::process::Stdio::piped());
+    let mut child = Ends(command.spawn().expect("the program starts"));
+    let mut log = std::io::BufReader::new(child.0.stderr.take().expect("piped"));
+    let mut next = |message: &str| loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).expect("text") > 0, "it ended before it told: {message}");
+        let line: serde_json::Value = serde_json::from_str(&line).expect("a JSON object a line");
+        if line["message"] == message {
+            return line;
+        }
+    };
+    let address: std::net::SocketAddr =
+        next("listening")["address"].as_str().and_then(|a| a.parse().ok()).expect("an address");
+    discovery.asked();
+    discovery.tell(&list(1, true, &[entry("s-1", host.address, "up", 0)]));
+    assert_eq!(next("list taken")["up"], 1);
+    let stream = std::net::TcpStream::connect(address).expect("it listens");
+    let mut client = Client { stream: std::io::BufReader::new(stream) };
+    assert_eq!(client.call("fare-charge", "1500m").status(), 200);
+    // A file that lacks a key is turned down whole, though it would do at a start; one with more is taken.
+    for (content, message) in [
+        (file(&other, "").replace("idempotency = \"free\"\n", ""), "reloaded"),
+        (
+            file(&other, "").replace("[[settings", "[limits]\nsockets = \"many\"\n[[settings"),
+            "not reloaded, nothing changed",
+        ),
+        (file(&other, "").replacen("objective_us = \"600ms\"\n", "", 1), "not reloaded, nothing changed"),
+        (file(&other, "worth = 2.5\n"), "reloaded"),
+    ] {
+        std::fs::write(&path, content).expect("a temporary file");
+        let killed = Command::new("kill").arg("-HUP").arg(child.0.id().to_string()).status();
+        assert!(killed.expect("kill").success());
+        let line = next(message);
+        if message == "reloaded" {
+            assert_eq!(line["discovery"], other.address.to_string());
+        } else {
+            assert!(line["reason"].as_str().is_some_and(|r| r.contains("proxy.toml:")), "{line}");
+        }
+    }
+}
+
+#[test]
+fn ctl_asks_a_process_that_serves() {
+    let discovery = Discovery::start();
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let with_operator = config(listen, discovery.address, 1_024, &[]);
+    let mut proxy = Proxy::with(&with_operator.replacen('{', r#"{"operator":"127.0.0.1:0","#, 1));
+    let address = proxy.operator().to_string();
+    proxy.call("safe", "200m");
+    let here = std::env::temp_dir();
+    let ask = |arguments: &[&str]| {
+        let output = oakport(&here, &[&["ctl", address.as_str()], arguments].concat());
+        assert!(output.status.success(), "{arguments:?}: {}", text(&output.stderr));
+        text(&output.stdout)
+    };
+    assert_eq!(ask(&["health"]), "YES\n");
+    insta::assert_snapshot!("dump", ask(&["dump"]));
+    let figures: serde_json::Value = serde_json::from_str(&ask(&["dump", "--json"])).expect("JSON");
+    assert_eq!(figures["calls"]["safe"]["busy"], 1, "{figures}");
+    let watched = ask(&["watch", "--every", "50ms", "--count", "3"]);
+    assert_eq!(watched.matches("every 50ms").count(), 3, "{watched}");
+    assert_eq!(watched.matches("(0.0/s)").count(), 2 * 7, "two looks with rates: {watched}");
+    // A process that is told to end says so while it still answers.
+    let mut kept = proxy.client();
+    kept.write(
+        "POST /safe HTTP/1.1\r\nHost: x\r\nX-Request-ID: 1\r\nX-Timeout: 2000m\r\nContent-Length: 9\r\n\r\n",
+    );
+    proxy.terminate();
+    let asked = Instant::now();
+    let told = loop {
+        let output = oakport(&here, &["ctl", &address, "health"]);
+        if output.status.code() == Some(1) || asked.elapsed() > LONG {
+            break text(&output.stderr);
+        }
+    };
+    assert!(told.contains("takes no clients"), "{told}");
+}
+
+#[test]
+fn ctl_says_what_is_wrong_when_nobody_answers_as_it_should() {
+    let here = std::env::temp_dir();
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let other = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = other.local_addr().expect("its address");
+    std::thread::spawn(move || {
+        for mut stream in other.incoming().flatten() {
+            let _ = stream.read(&mut [0; 64]);
+            let _ = std::io::Write::write_all(&mut stream, b"220 mail\r\n");
+        }
+    });
+    let silent_at = silent.local_addr().expect("its address");
+    for (address, call, wanted) in [
+        (nobody(), "health", "nobody answers at"),
+        (silent_at, "health", "no answer from"),
+        (at, "dump", "gave no figures but: 220 mail"),
+        (at, "health", "takes no clients"),
+    ] {
+        let output = oakport(&here, &["ctl", &address.to_string(), call]);
+        assert_eq!(output.status.code(), Some(1), "{wanted}");
+        let told = text(&output.stderr);
+        assert!(
+            told.starts_with("oakport: ") && told.contains(wanted) && told.lines().count() == 1,
+            "{told}"
+        );
+    }
+}
+
+#[test]
+fn what_other_programs_read_can_be_read() {
+    let here = std::env::temp_dir();
+    let schema = oakport(&here, &["schema"]);
+    let schema: serde_json::Value = serde_json::from_slice(&schema.stdout).expect("JSON");
+    let classes = &schema["properties"]["settings"]["properties"]["classes"]["items"]["properties"];
+    assert_eq!(classes["deadline_us"]["minimum"], 1);
+    assert!(classes["name"]["description"].is_string());
+    for shell in ["bash", "zsh", "fish"] {
+        let completions = oakport(&here, &["completions", shell]);
+        assert!(completions.status.success() && text(&completions.stdout).contains("log-format"), "{shell}");
+    }
+    let version = text(&oakport(&here, &["--version"]).stdout);
+    assert!(version.starts_with(&format!("oakport {} (", env!("CARGO_PKG_VERSION"))), "{version}");
+    let output = Command::new(env!("CARGO_BIN_EXE_oakport"))
+        .args(["serve", "--config", "deploy/example.toml"])
+        .env("OAKPORT_LOG", "oakport_proxy=loud")
+        .current_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../.."))
+        .output();
+    let told = text(&output.expect("the program starts").stderr);
+    assert!(told.contains("OAKPORT_LOG=oakport_proxy=loud") && told.contains("write a level"), "{told}");
+}
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -275,7 +275,7 @@
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).expect("a temporary file");
     let limit = descriptors.map(|most| format!("ulimit -n {most}; ")).unwrap_or_default();
-    (launch(&path, &format!("{limit}exec \"$0\""), |c| c), path)
+    (launch(&path, &format!("{limit}exec \"$0\" serve"), |c| c), path)
 }
 
 fn launch(config: &Path, script: &str, more: impl Fn(&mut Command) -> &mut Command) -> Child {
@@ -303,7 +303,7 @@
     pub fn start(&self, text: &str) -> Proxy {
         let config = self.folder.join(format!("config-{}", RUNS.fetch_add(1, Ordering::SeqCst)));
         std::fs::write(&config, text).expect("a temporary file");
-        let child = launch(&config, "exec 7<&0 0</dev/null; exec \"$0\"", |command| {
+        let child = launch(&config, "exec 7<&0 0</dev/null; exec \"$0\" serve", |command| {
             let listener = self.listener.try_clone().expect("a descriptor");
             command.env("TMPDIR", &self.folder).env("RELAY_ACCEPT_FD", "7").stdin(OwnedFd::from(listener))
         });
@@ -353,7 +353,7 @@
         let file = format!("oakport-{}-{}.json", std::process::id(), RUNS.fetch_add(1, Ordering::SeqCst));
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, text).expect("a temporary file");
-        Proxy::listening(launch(&path, "exec \"$0\"", |c| c.env(name, value)), path)
+        Proxy::listening(launch(&path, "exec \"$0\" serve", |c| c.env(name, value)), path)
     }
 
     /// Waits for the line that tells where it listens.
@@ -362,7 +362,7 @@
         loop {
             let mut line = String::new();
             assert!(log.read_line(&mut line).expect("text") > 0, "it ended before it listened");
-            if let Some((_, address)) = line.split_once("listening on ") {
+            if let Some((_, address)) = line.split_once("listening address=") {
                 let address = address.trim().parse().expect("an address");
                 return Proxy { address, child, log, config };
             }
@@ -374,7 +374,7 @@
         loop {
             let mut line = String::new();
             assert!(self.log.read_line(&mut line).expect("text") > 0, "it ended before it told");
-            if let Some((_, address)) = line.split_once("operators call ") {
+            if let Some((_, address)) = line.split_once("operators may call address=") {
                 return address.trim().parse().expect("an address");
             }
         }
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -1,7 +1,8 @@
-//! All decisions of the balancer, one file a concern. Its interface (settings, events, actions) is `src/api.rs`.
+//! All decisions of the balancer, one file a concern; `src/api.rs` is the interface.
 //!
-//! A call goes to the less loaded of two random servers under budget (`route`), waits when all are full (`hold`),
-//! may pass one as the trial that can raise it (`budget`), goes again (`retry`), and is refused when none is up.
+//! A call goes to the less loaded of two random servers under budget (`route`), waits when all are full
+//! (`hold`), may pass one as the trial that can raise it (`budget`), goes again (`retry`), and is refused
+//! when none is up.
 
 mod ask;
 mod budget;
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -1,89 +1,144 @@
 //! The reader of the settings object, shared by the adapter (its first message) and the program (its
 //! configuration). Unknown keys are ignored, absent ones get harmless values.
+//!
+//! The types are its one description: the schema that `oakport schema` prints and `oakport check` goes by is drawn
+//! from them, their comments included. Names and units are those of WIRE, "Settings".
 
 use crate::api::*;
-use serde::Deserialize;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-#[derive(Deserialize)]
-struct Raw {
+/// What the site has settled: classes of requests, limits, rules, prices.
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
+pub struct SettingsFile {
+    /// How many client proxies send to these servers, this one included.
     balancers: u32,
+    /// The classes of requests; the first part of a request's path names its class.
+    #[schemars(length(min = 1))]
     classes: Vec<ClassFacts>,
+    /// Tenants, if there are any.
     #[serde(default)]
     tenants: Vec<TenantFacts>,
+    /// "push" or "ask"; on sockets the list always comes by a watch.
     #[serde(default)]
     discovery: String,
+    /// What the site allows.
     limits: LimitFacts,
+    /// Figures of the rules that must hold.
     invariants: RuleFacts,
+    /// Weights of the parts of the result.
     #[serde(default)]
     result_mix: GoalFacts,
+    /// Smallest step of the clock, in microseconds.
     #[serde(default)]
     tick_us: u64,
+    /// The zone of this client proxy, as the list names it.
     #[serde(default)]
     locality: String,
+    /// What costs points.
     #[serde(default)]
     charges: ChargeFacts,
+    /// What servers report of their load.
     #[serde(default)]
     report: ReportFacts,
+    /// What the list's weights mean.
     #[serde(default)]
+    #[schemars(extend("enum" = ["", "off", "nominal", "rough", "live"]))]
     weight_source: String,
+    /// What a request is worth beyond its tenant's share, against one within.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
     over_share_worth: Option<f64>,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Debug, Deserialize, Serialize, JsonSchema, Default)]
 #[serde(default)]
 struct ChargeFacts {
+    /// Price of an attempt that crosses zones.
     cross_zone: f64,
+    /// Price of a probe.
     probe: f64,
+    /// Price of a new connection.
     handshake: f64,
+    /// Price of server work that gave no answer.
     waste: f64,
+    /// Price of worth that failed only after its aim.
     late_fail: f64,
 }
 
-#[derive(Deserialize, Default)]
+#[derive(Debug, Deserialize, Serialize, JsonSchema, Default)]
 #[serde(default)]
 struct ReportFacts {
+    /// Where servers report their load.
+    #[schemars(extend("enum" = ["", "off", "inline", "on_probe"]))]
     how: String,
+    /// Names of the figures that they report.
     columns: Vec<String>,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
 struct ClassFacts {
+    /// The class, as the first part of the path has it.
+    #[schemars(length(min = 1))]
     name: String,
+    /// The aim: an answer within this time earns the full worth, in microseconds.
     objective_us: u64,
+    /// How long a client waits in all, in microseconds.
+    #[schemars(range(min = 1))]
     deadline_us: u64,
+    /// Worth of an answer in time.
     #[serde(default)]
     worth: f64,
+    /// Share of the worth for an answer between aim and deadline, 0 to 1.
     #[serde(default)]
     late_value: f64,
+    /// Whether a request may run again: "free", "guarded" (where servers drop repeats) or "single_shot" (never).
+    #[schemars(extend("enum" = ["free", "guarded", "single_shot"]))]
     idempotency: String,
+    /// Which servers drop repeats of a guarded request.
     #[serde(default)]
+    #[schemars(extend("enum" = ["", "all", "zone", "cell"]))]
     dedup_scope: String,
+    /// For how long they do, in microseconds.
     #[serde(default)]
     repeat_window_us: u64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
 struct TenantFacts {
+    /// The tenant, as `X-Tenant-Id` has it.
     name: String,
+    /// Its share of the service, 0 to 1.
     #[serde(default)]
     portion: f64,
+    /// Requests a second over all client proxies that are within its share; 0: not told.
     #[serde(default)]
     quota_per_s: f64,
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(default)]
 struct LimitFacts {
+    /// Whether an attempt may be called off.
     cancel: bool,
+    /// Whether servers may be probed.
     probes: bool,
+    /// Whether a request may have two attempts out at once.
     second_copies: bool,
+    /// Most attempts for a request.
+    #[schemars(range(min = 1))]
     max_attempts: u32,
+    /// Whether clients heed `Retry-After`.
     retry_after: bool,
+    /// The longest that they heed, in microseconds.
     max_retry_after_us: u64,
+    /// Attempts that one connection carries at a time; 0: not told.
     max_streams: u32,
+    /// Requests that may be open at once; more are turned away.
     max_open: usize,
+    /// Servers close a connection that has been idle for this long, in microseconds.
     conn_idle_us: u64,
+    /// A connection that is not up by then has failed, in microseconds.
     connect_timeout_us: u64,
 }
 
@@ -105,13 +160,21 @@
     }
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
 struct RuleFacts {
+    /// A server starts at this share of its capacity or more, 0 to 1.
     cold_from: f64,
+    /// And is warm after this at the latest, in microseconds.
     cold_us: u64,
+    /// A cold server that is sent too much for this long falls over, in microseconds.
     tip_after_us: u64,
+    /// Too much is this multiple of what it can then do.
+    #[serde(skip_serializing_if = "Option::is_none")]
     fall_multiple: Option<f64>,
+    /// Latest that requests may still go to a server after word that it drains or is gone, in microseconds.
+    #[serde(skip_serializing_if = "Option::is_none")]
     drain_grace_us: Option<u64>,
+    /// Longest that a client proxy may go without asking for the list, in microseconds.
     #[serde(default = "ask_every")]
     ask_every_us: u64,
 }
@@ -120,12 +183,16 @@
     Settings::default().rules.ask_every
 }
 
-#[derive(Deserialize)]
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
 #[serde(default)]
 struct GoalFacts {
+    /// Weight of all requests together.
     whole: f64,
+    /// Weight of the worst-served class.
     worst_class: f64,
+    /// Weight of the worst-served tenant, within its share.
     worst_tenant: f64,
+    /// Weight of the worst stretch of time.
     worst_window: f64,
 }
 
@@ -174,11 +241,42 @@
     KindId(number(name))
 }
 
-/// Reads the settings object; the error says which part is missing or odd.
-pub fn read(facts: &Value) -> Result<Facts, String> {
-    let facts = Raw::deserialize(facts).map_err(|e| e.to_string())?;
+/// What makes settings useless although each key holds a value of its kind.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Odd {
+    /// Where, as a JSON pointer into the settings (`/classes/0/deadline_us`); empty: the settings as a whole.
+    pub pointer: String,
+    /// What is odd there.
+    pub problem: String,
+}
+
+impl Odd {
+    fn new(pointer: impl Into<String>, problem: impl Into<String>) -> Self {
+        Odd { pointer: pointer.into(), problem: problem.into() }
+    }
+}
+
+impl std::fmt::Display for Odd {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{}: {}", self.pointer.trim_start_matches('/').replace('/', "."), self.problem)
+    }
+}
+
+/// Reads the settings object.
+///
+/// # Errors
+/// Says which part is missing or odd.
+pub fn read(facts: &Value) -> Result<Facts, Odd> {
+    take(SettingsFile::deserialize(facts).map_err(|e| Odd::new("", e.to_string()))?)
+}
+
+/// Takes settings that have been read.
+///
+/// # Errors
+/// A deadline or number of attempts of 0, and a class that is named twice.
+pub fn take(facts: SettingsFile) -> Result<Facts, Odd> {
     let mut classes = Vec::new();
-    for class in &facts.classes {
+    for (place, class) in facts.classes.iter().enumerate() {
         let scope = match class.dedup_scope.as_str() {
             "all" => Some(Scope::All),
             "zone" => Some(Scope::Zone),
@@ -193,17 +291,18 @@
         };
         let (aim, deadline) = (class.objective_us, class.deadline_us);
         if deadline == 0 {
-            return Err(format!("class {}: a deadline of 0", class.name));
+            return Err(Odd::new(format!("/classes/{place}/deadline_us"), "a deadline of 0"));
         }
-        if facts.classes.iter().filter(|c| c.name == class.name).count() > 1 {
-            return Err(format!("class {} is named twice", class.name));
+        if facts.classes[..place].iter().any(|c| c.name == class.name) {
+            let problem = format!("class {} is named twice", class.name);
+            return Err(Odd::new(format!("/classes/{place}/name"), problem));
         }
         let (worth, late_value) = (class.worth, class.late_value);
         classes.push(Class { aim, deadline, worth, late_value, repeat, live: true });
     }
     let limits = &facts.limits;
     if limits.max_attempts == 0 {
-        return Err("limits: 0 attempts".to_owned());
+        return Err(Odd::new("/limits/max_attempts", "0 attempts"));
     }
     let rules = &facts.invariants;
     let (mix, charges, harmless) = (&facts.result_mix, &facts.charges, Settings::default());
--- /dev/null
+++ b/crates/proxy/src/config/document.rs
@@ -0,0 +1,57 @@
+//! The configuration file as its keys stand (DEPLOY, "What a client proxy is told"). These types are its one
+//! description: the schema and the faults that `oakport check` finds are drawn from them.
+
+use crate::list::List;
+use oakport_core::settings::SettingsFile;
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What the process may use.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize, JsonSchema)]
+pub struct Limits {
+    /// Its share of a core.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cores: Option<f64>,
+    /// Descriptors that it may hold.
+    #[schemars(range(min = 1))]
+    pub sockets: usize,
+    /// Its memory, in MiB.
+    #[serde(default = "memory_least")]
+    #[schemars(range(min = 1))]
+    pub memory_mb: usize,
+}
+
+/// What a proxy has at the least.
+fn memory_least() -> usize {
+    32
+}
+
+/// The configuration of one client proxy.
+#[derive(Debug, Deserialize, Serialize, JsonSchema)]
+#[schemars(title = "oakport configuration")]
+pub struct Document {
+    /// The name of this client proxy, for people.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub name: Option<String>,
+    /// Where clients connect, as ADDRESS:PORT.
+    #[schemars(with = "String", extend("format" = "socket-address"))]
+    pub listen: SocketAddr,
+    /// Where the list of servers is asked for, as ADDRESS:PORT.
+    #[schemars(with = "String", extend("format" = "socket-address"))]
+    pub discovery: SocketAddr,
+    /// Where operators call, as ADDRESS:PORT; without it nothing is opened.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Option<String>", extend("format" = "socket-address"))]
+    pub operator: Option<SocketAddr>,
+    /// For random numbers: up to 16 hexadecimal digits, new with each start.
+    #[schemars(regex(pattern = r"^\+?[0-9a-fA-F]+$"), length(max = 16))]
+    pub seed: String,
+    /// What the process may use.
+    pub limits: Limits,
+    /// The list of servers as this client proxy last had it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub known: Option<List>,
+    /// What the site has settled.
+    pub settings: SettingsFile,
+}
--- a/crates/proxy/src/discovery.rs
+++ b/crates/proxy/src/discovery.rs
@@ -18,6 +18,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tracing::warn;
 
 /// How long a watch waits for news. A service that has fallen silent shows only after that, so it is short;
 /// but each call costs the service work.
@@ -78,11 +79,11 @@
                     index = Some(list.index);
                 }
                 Ok(Err(fault)) => {
-                    eprintln!("oakport: discovery: {fault}");
+                    warn!(address = %at, reason = fault, "discovery failed");
                     break;
                 }
                 Err(_) => {
-                    eprintln!("oakport: discovery: no answer");
+                    warn!(address = %at, reason = "no answer", "discovery failed");
                     break;
                 }
             }
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -18,6 +18,7 @@
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tokio::sync::{oneshot, Notify};
+use tracing::{info, warn};
 
 struct Core {
     balancer: Balancer,
@@ -177,7 +178,7 @@
         }
         let count = |state| entries.iter().filter(|e| e.state == state).count();
         let (up, draining, gone) = (count(State::Ready), count(State::Draining), count(State::Gone));
-        eprintln!("oakport: list, {kind:?}: {up} up, {draining} draining, {gone} gone");
+        info!(?kind, up, draining, gone, "list taken");
         self.event(Event::Members { kind, entries });
     }
 
@@ -324,13 +325,13 @@
     fn tell(&self, note: Note) {
         let name = |server| self.hosts.name(server);
         match note {
-            Note::NoneUp => eprintln!("oakport: {note}"),
+            Note::NoneUp => warn!(reason = "no server is up", "refusing"),
             Note::SetAside { server, outcome } => {
-                eprintln!("oakport: server {} set aside: {outcome:?}", name(server));
+                warn!(server = name(server), ?outcome, "set aside");
             }
-            Note::TakenBack { server } => eprintln!("oakport: server {} taken back", name(server)),
+            Note::TakenBack { server } => info!(server = name(server), "taken back"),
             Note::FailsClass { server, class } => {
-                eprintln!("oakport: server {} fails class {}", name(server), self.classes.name(class));
+                warn!(server = name(server), class = self.classes.name(class), "fails a class");
             }
         }
     }
--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -1,7 +1,7 @@
 //! The figures that operators read. Each fact is counted once, where it becomes final.
 
 use oakport_core::ClassId;
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 
@@ -14,10 +14,13 @@
 }
 
 /// Requests of one class by their ends.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Ends {
+    /// Served.
     pub success: u64,
+    /// Refused: trying again is harmless.
     pub busy: u64,
+    /// Failed.
     pub failure: u64,
 }
 
@@ -30,14 +33,21 @@
 }
 
 /// All figures as they are now, in the form that is told.
-#[derive(Debug, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 pub struct Report {
+    /// Requests answered, by class.
     pub calls: BTreeMap<String, Ends>,
+    /// Requests taken whole and not yet answered whole.
     pub inflight: usize,
+    /// Attempts whose last byte was written to a host.
     pub backend_calls: u64,
+    /// Hosts in the list.
     pub hosts_listed: usize,
+    /// Listed hosts that are sent nothing now.
     pub hosts_down: usize,
+    /// Files taken at SIGHUP.
     pub reconfig_ok: u64,
+    /// Files turned down at SIGHUP.
     pub reconfig_failed: u64,
 }
 
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -26,6 +26,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
+use tracing::warn;
 pub use visit::Resting;
 use visit::{Heard, Open, Visit};
 
@@ -102,7 +103,7 @@
                         if crowded != std::mem::replace(&mut was_crowded, crowded) {
                             let (most, open) = (self.most, self.driver.open_calls());
                             let state = if crowded { "all taken" } else { "free again" };
-                            eprintln!("badgerramp: clients' {most} places {state}, {open} calls open");
+                            warn!(places = most, state, calls = open, "places of clients");
                         }
                         self.accepted(stream, closed.clone(), crowded, place);
                     }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -23,6 +23,7 @@
 mod upgrade;
 mod upstream;
 
-pub use config::Config;
-pub use server::Server;
+pub use config::{Checked, Config, Faults, Limits};
+pub use figures::{Ends, Report};
+pub use server::{places, Server};
 pub use upgrade::inherited;
--- a/crates/proxy/src/list.rs
+++ b/crates/proxy/src/list.rs
@@ -1,21 +1,29 @@
 //! The list of hosts in discovery's form (PROTOCOL, "Discovery").
 
+use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
 /// An entry of the list.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 pub struct Endpoint {
+    /// The same at every client proxy.
     pub name: String,
+    /// ADDRESS:PORT, as this client proxy reaches it.
     #[serde(default)]
     pub address: String,
+    /// The zone it is in.
     #[serde(default)]
     pub zone: String,
+    /// Its kind of machine.
     #[serde(default, rename = "type")]
     pub kind: String,
+    /// Its cell: servers that drop each other's repeats.
     #[serde(default)]
     pub group: u32,
+    /// "up", "draining" or "removed".
     #[serde(default)]
     pub status: String,
+    /// What the settings' `weight_source` says.
     #[serde(default)]
     pub weight: f64,
     /// Unix time in milliseconds at which the host last started; 0: long ago.
@@ -24,10 +32,13 @@
 }
 
 /// The list, or what changed of it.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
 pub struct List {
+    /// Its version.
     pub index: u64,
+    /// Whether it is whole, or holds what changed.
     #[serde(default)]
     pub snapshot: bool,
+    /// The hosts.
     pub endpoints: Vec<Endpoint>,
 }
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -7,6 +7,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::task::{AbortHandle, JoinSet};
+use tracing::{info, warn};
 
 /// Callers at a time. When one more comes, the one that has been there longest goes: who holds a connection
 /// without a call must not keep others from theirs.
@@ -27,7 +28,7 @@
 pub async fn run(driver: Driver, address: SocketAddr) {
     let listener = listen(address).await;
     if let Ok(address) = listener.local_addr() {
-        eprintln!("oakport: operators call {address}");
+        info!(%address, "operators may call");
     }
     let mut callers = JoinSet::new();
     let mut longest: VecDeque<AbortHandle> = VecDeque::new();
@@ -61,7 +62,7 @@
         match listener {
             Ok(listener) => return listener,
             Err(fault) if !std::mem::replace(&mut told, true) => {
-                eprintln!("oakport: operators' address {address}: {fault}; trying on");
+                warn!(%address, reason = %fault, "operators' address not to be had, trying on");
             }
             Err(_) => {}
         }
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -21,6 +21,7 @@
 use tokio::signal::unix::{signal, Signal, SignalKind};
 use tokio::sync::watch;
 use tokio::task::JoinHandle;
+use tracing::{error, info};
 
 /// Descriptors kept out of the count: standard streams, the runtime's own, the listeners, discovery, operators'
 /// callers, and a client's connection that is closed as soon as it is accepted.
@@ -43,7 +44,7 @@
 impl Room {
     fn new(sockets: usize, shared: Option<Rc<RefCell<Shared>>>) -> Self {
         let alone = shared.as_ref().is_none_or(|shared| shared.borrow_mut().alone());
-        let all = sockets.saturating_sub(RESERVE).max(8);
+        let all = counted(sockets);
         let part = (all * 3 / 5).max(8);
         let descriptors = Descriptors::new(if alone { all } else { part });
         Room { descriptors, all, part, shared, alone: Cell::new(alone) }
@@ -140,14 +141,14 @@
             tokio::task::spawn_local(operator::run(driver.clone(), address));
         }
         if let Ok(address) = listener.local_addr() {
-            eprintln!("oakport: listening on {address}");
+            info!(%address, "listening");
         }
         let front = Rc::new(Front {
             driver: driver.clone(),
             pool: Rc::clone(&pool),
             descriptors: Rc::clone(&room.descriptors),
-            most: room.all / 2,
-            beyond: room.all / 8,
+            most: most_clients(room.all),
+            beyond: beyond_clients(room.all),
             resting: Rc::<Resting>::default(),
             memory,
         });
@@ -170,6 +171,27 @@
     }
 }
 
+/// Descriptors for clients and hosts among `sockets` in all.
+fn counted(sockets: usize) -> usize {
+    sockets.saturating_sub(RESERVE).max(8)
+}
+
+/// Connections of clients that are served: the way to the hosts must have as many.
+fn most_clients(counted: usize) -> usize {
+    counted / 2
+}
+
+/// Further ones that are taken to be refused and closed.
+fn beyond_clients(counted: usize) -> usize {
+    counted / 8
+}
+
+/// How many connections of clients are served at a time by a process that may hold so many descriptors, and how many
+/// more are taken to be refused.
+pub fn places(sockets: usize) -> (usize, usize) {
+    (most_clients(counted(sockets)), beyond_clients(counted(sockets)))
+}
+
 fn listen(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
     socket.set_reuseaddr(true)?;
@@ -200,11 +222,12 @@
         match next {
             Ok(next) => {
                 config = next;
-                eprintln!("oakport: reloaded: {}", config.summary());
+                let (discovery, attempts) = (config.discovery, config.facts.settings.limits.max_attempts);
+                info!(%discovery, classes = %config.facts.classes.join(" "), attempts, "reloaded");
                 driver.retune(config.facts.clone());
                 moved.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
             }
-            Err(fault) => eprintln!("oakport: not reloaded, nothing changed: {fault}"),
+            Err(reason) => error!(%reason, "not reloaded, nothing changed"),
         }
     }
 }
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -6,6 +6,7 @@
 use std::net::{SocketAddr, TcpListener};
 use std::os::fd::{BorrowedFd, FromRawFd, RawFd};
 use std::path::{Path, PathBuf};
+use tracing::warn;
 
 /// Standard streams are not for clients.
 const FIRST: RawFd = 3;
@@ -82,7 +83,7 @@
             .and_then(|text| std::fs::write(&beside, text))
             .and_then(|()| std::fs::rename(&beside, &place));
         if let Err(fault) = written {
-            eprintln!("oakport: list not left in {}: {fault}", self.folder.display());
+            warn!(folder = %self.folder.display(), reason = %fault, "list not left to the next process");
             let _ = std::fs::remove_file(&beside);
         }
     }
