--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,17 @@
+//! A fleet in virtual time: servers, network, discovery, clients and client proxies, from one seed.
+//!
+//! [`Scenario`] is a day as it is written, [`play`] plays it with one policy and judges it. One seed gives one result,
+//! whatever the machine: `docs/model.md` says how, and what the model leaves out.
+
+mod chance;
+mod judge;
+mod policy;
+mod queue;
+mod scenario;
+mod server;
+mod world;
+
+pub use judge::{Verdict, Violation, Window};
+pub use policy::{Kind, Policy, Sight, Truth, KINDS};
+pub use scenario::{BadScenario, Scenario};
+pub use world::{play, play_with, Make};
--- /dev/null
+++ b/crates/model/src/policy.rs
@@ -0,0 +1,264 @@
+//! Who decides: oakport's own module, and the plain policies that it is held against.
+
+use crate::chance;
+use oakport_core::{
+    Action, Balancer, CallId, ClassId, Event, ListKind, Micros, Outcome, Repeat, ServerId, Settings, State,
+    ZoneId,
+};
+use rand::seq::SliceRandom;
+use rand::Rng;
+use rand_pcg::Pcg64;
+use std::collections::{BTreeMap, HashMap};
+
+/// What a server truly is at a moment: only the ceiling's policies see it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Truth {
+    /// Work in hand, in microseconds of one core.
+    pub backlog: f64,
+    /// Cores' worth of work that it can do.
+    pub capacity: f64,
+    /// It can be reached, takes work and has room for one more connection.
+    pub serves: bool,
+    /// Its zone.
+    pub zone: ZoneId,
+}
+
+/// Decides for one client proxy.
+pub trait Policy {
+    /// Takes one event and appends what is to be done.
+    fn handle(&mut self, now: Micros, event: Event, truth: &[Truth], actions: &mut Vec<Action>);
+}
+
+/// How much of the truth a policy is shown.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sight {
+    /// Nothing: as in service.
+    None,
+    /// The state of a second ago at the oldest.
+    Late,
+    /// The state as it is.
+    Now,
+}
+
+/// The policies by name.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// The module that serves.
+    Oakport,
+    /// Any server.
+    Random,
+    /// One after the other.
+    RoundRobin,
+    /// The one with the fewest own calls in flight.
+    Least,
+    /// The less loaded of two random ones by own calls in flight; nothing is held back.
+    TwoChoices,
+    /// The least loaded by the true state, at once: none can do that.
+    Ceiling,
+    /// The less loaded of two by own calls in flight, for what each could do a second ago.
+    CeilingLate,
+}
+
+/// All of them, in the order of reports.
+pub const KINDS: [Kind; 7] = [
+    Kind::Oakport,
+    Kind::Random,
+    Kind::RoundRobin,
+    Kind::Least,
+    Kind::TwoChoices,
+    Kind::CeilingLate,
+    Kind::Ceiling,
+];
+
+impl Kind {
+    /// As the command line has it.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Oakport => "oakport",
+            Kind::Random => "random",
+            Kind::RoundRobin => "round-robin",
+            Kind::Least => "least",
+            Kind::TwoChoices => "two-choices",
+            Kind::Ceiling => "ceiling",
+            Kind::CeilingLate => "ceiling-late",
+        }
+    }
+
+    /// What it is shown.
+    pub fn sight(self) -> Sight {
+        match self {
+            Kind::Ceiling => Sight::Now,
+            Kind::CeilingLate => Sight::Late,
+            _ => Sight::None,
+        }
+    }
+
+    /// One for a client proxy.
+    pub fn make(self, seed: u64, settings: &Settings) -> Box<dyn Policy> {
+        match self {
+            Kind::Oakport => Box::new(Module(Balancer::new(seed, settings.clone()))),
+            kind => Box::new(Plain::new(kind, seed, settings.clone())),
+        }
+    }
+}
+
+struct Module(Balancer);
+
+impl Policy for Module {
+    fn handle(&mut self, now: Micros, event: Event, _: &[Truth], actions: &mut Vec<Action>) {
+        self.0.handle(now, event, actions);
+    }
+}
+
+#[derive(Clone, Copy)]
+struct Known {
+    id: ServerId,
+    in_flight: u32,
+    ready: bool,
+}
+
+struct Call {
+    class: ClassId,
+    deadline: Micros,
+    /// Each attempt's server, its outcome once it is in.
+    attempts: Vec<(ServerId, Option<Outcome>)>,
+}
+
+/// A policy that picks and goes again where that is allowed, and does nothing else.
+struct Plain {
+    kind: Kind,
+    settings: Settings,
+    random: Pcg64,
+    servers: BTreeMap<ServerId, Known>,
+    calls: HashMap<CallId, Call>,
+    next: usize,
+}
+
+impl Plain {
+    fn new(kind: Kind, seed: u64, settings: Settings) -> Self {
+        let (servers, calls) = (BTreeMap::new(), HashMap::new());
+        Plain { kind, settings, random: chance::policy(seed), servers, calls, next: 0 }
+    }
+
+    /// Where a call goes. None: nowhere.
+    fn pick(&mut self, call: CallId, truth: &[Truth]) -> Option<ServerId> {
+        /// Work for which the ceiling goes to another zone, in microseconds.
+        const AWAY: f64 = 15_000.0;
+        let tried = |id| self.calls[&call].attempts.iter().any(|(server, _)| *server == id);
+        let ready: Vec<Known> = self.servers.values().copied().filter(|s| s.ready).collect();
+        let fresh: Vec<Known> = ready.iter().copied().filter(|s| !tried(s.id)).collect();
+        let among = if fresh.is_empty() { ready } else { fresh };
+        let any = |random: &mut Pcg64| among.get(random.gen_range(0..among.len().max(1))).copied();
+        let found = match self.kind {
+            Kind::RoundRobin => {
+                self.next += 1;
+                among.get(self.next % among.len().max(1)).copied()
+            }
+            Kind::Least => {
+                let least = among.iter().map(|s| s.in_flight).min()?;
+                let least: Vec<&Known> = among.iter().filter(|s| s.in_flight == least).collect();
+                Some(*least[self.random.gen_range(0..least.len())])
+            }
+            Kind::TwoChoices => {
+                let (one, two) = (any(&mut self.random)?, any(&mut self.random)?);
+                Some(if two.in_flight < one.in_flight { two } else { one })
+            }
+            Kind::Ceiling | Kind::CeilingLate => {
+                // By the time to an answer, and where that is alike, in the own zone.
+                let load = |s: &Known| {
+                    let server = truth.get(s.id.0 as usize).filter(|t| t.serves && t.capacity > 0.0)?;
+                    let away = if server.zone == self.settings.zone { 0.0 } else { AWAY };
+                    // Of what is a second old only the lasting part is of use.
+                    let now = self.kind == Kind::Ceiling;
+                    let load = if now { server.backlog } else { (f64::from(s.in_flight) + 1.0) * AWAY };
+                    Some((load + away) / server.capacity)
+                };
+                let mut loads: Vec<(f64, &Known)> =
+                    among.iter().filter_map(|s| Some((load(s)?, s))).collect();
+                if self.kind == Kind::CeilingLate {
+                    // All proxies see the same state: the best of all would be everybody's. Of two it is not.
+                    loads.shuffle(&mut self.random);
+                    loads.truncate(2);
+                }
+                // What would be late everywhere is refused: its place is worth more to others.
+                let aim =
+                    self.settings.classes.get(self.calls[&call].class.0).map_or(f64::MAX, |c| c.aim as f64);
+                let best = loads.into_iter().reduce(|a, b| if b.0 < a.0 { b } else { a });
+                best.filter(|(load, _)| *load < aim).map(|(_, s)| *s)
+            }
+            _ => any(&mut self.random),
+        };
+        found.map(|s| s.id)
+    }
+
+    fn send(&mut self, now: Micros, id: CallId, truth: &[Truth], actions: &mut Vec<Action>) {
+        let Some(server) = self.pick(id, truth) else { return self.give_up(id, actions) };
+        if let Some(known) = self.servers.get_mut(&server) {
+            known.in_flight += 1;
+        }
+        let Some(call) = self.calls.get_mut(&id).filter(|c| c.deadline > now) else { return };
+        call.attempts.push((server, None));
+        actions.push(Action::Send { call: id, server, until: None });
+    }
+
+    fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
+        const COME_BACK: Micros = 200_000;
+        let Some(call) = self.calls.remove(&id) else { return };
+        let ran = call.attempts.iter().any(|(_, o)| o.is_none_or(|o| !o.never_ran()));
+        actions.push(match self.repeat(call.class) {
+            Repeat::SingleShot if ran => Action::Fail { call: id },
+            _ => Action::Refuse { call: id, retry_after: COME_BACK },
+        });
+    }
+
+    fn repeat(&self, class: ClassId) -> Repeat {
+        self.settings.classes.get(class.0).map_or(Repeat::SingleShot, |c| c.repeat)
+    }
+}
+
+impl Policy for Plain {
+    fn handle(&mut self, now: Micros, event: Event, truth: &[Truth], actions: &mut Vec<Action>) {
+        match event {
+            Event::Members { kind, entries } => {
+                if kind == ListKind::Full || kind == ListKind::Cached {
+                    self.servers.values_mut().for_each(|s| s.ready = false);
+                }
+                for entry in entries {
+                    let known = Known { id: entry.server, in_flight: 0, ready: false };
+                    self.servers.entry(entry.server).or_insert(known).ready = entry.state == State::Ready;
+                }
+                self.servers.retain(|_, s| s.ready || s.in_flight > 0);
+            }
+            Event::Request { call, class, time_left, .. } => {
+                let deadline = now + time_left;
+                self.calls.insert(call, Call { class, deadline, attempts: Vec::new() });
+                self.send(now, call, truth, actions);
+            }
+            Event::Outcome { call: id, attempt, outcome, closed, .. } => {
+                let Some(call) = self.calls.get_mut(&id) else { return };
+                let Some((server, ended)) = call.attempts.get_mut(attempt as usize) else { return };
+                *ended = Some(outcome);
+                if let Some(server) = self.servers.get_mut(server) {
+                    server.in_flight = server.in_flight.saturating_sub(1);
+                }
+                if closed || outcome == Outcome::Served {
+                    self.calls.remove(&id);
+                    return;
+                }
+                let class = call.class;
+                let ran = call.attempts.iter().any(|(_, o)| o.is_none_or(|o| !o.never_ran()));
+                let more = (call.attempts.len() as u32) < self.settings.limits.max_attempts;
+                let in_time = call.deadline > now;
+                if more && in_time && (!ran || self.repeat(class) == Repeat::Free) {
+                    self.send(now, id, truth, actions);
+                } else {
+                    self.give_up(id, actions);
+                }
+            }
+            Event::Gone { call } => {
+                self.calls.remove(&call);
+            }
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/crates/model/src/queue.rs
@@ -0,0 +1,81 @@
+//! What will happen, in the order of its time; things of one time in the order in which they were put in.
+
+use oakport_core::Micros;
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+/// Things that are to happen at a moment.
+#[derive(Debug)]
+pub struct Queue<E> {
+    heap: BinaryHeap<Reverse<Item<E>>>,
+    serial: u64,
+    now: Micros,
+}
+
+#[derive(Debug)]
+struct Item<E> {
+    at: Micros,
+    serial: u64,
+    what: E,
+}
+
+impl<E> Item<E> {
+    fn key(&self) -> (Micros, u64) {
+        (self.at, self.serial)
+    }
+}
+
+impl<E> PartialEq for Item<E> {
+    fn eq(&self, other: &Self) -> bool {
+        self.key() == other.key()
+    }
+}
+
+impl<E> Eq for Item<E> {}
+
+impl<E> PartialOrd for Item<E> {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl<E> Ord for Item<E> {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.key().cmp(&other.key())
+    }
+}
+
+impl<E> Queue<E> {
+    /// Empty, at this moment.
+    pub fn new(now: Micros) -> Self {
+        Queue { heap: BinaryHeap::new(), serial: 0, now }
+    }
+
+    /// The moment of what was taken last.
+    pub fn now(&self) -> Micros {
+        self.now
+    }
+
+    /// Puts in what happens at `at`, or now if that has passed.
+    pub fn at(&mut self, at: Micros, what: E) {
+        self.serial += 1;
+        self.heap.push(Reverse(Item { at: at.max(self.now), serial: self.serial, what }));
+    }
+
+    /// The same, so long from now.
+    pub fn after(&mut self, after: Micros, what: E) {
+        self.at(self.now.saturating_add(after), what);
+    }
+
+    /// Takes the next thing, and moves on to its moment.
+    pub fn next(&mut self) -> Option<E> {
+        let Reverse(item) = self.heap.pop()?;
+        self.now = item.at;
+        Some(item.what)
+    }
+
+    /// How many things have been put in so far.
+    pub fn count(&self) -> u64 {
+        self.serial
+    }
+}
--- /dev/null
+++ b/crates/model/src/scenario.rs
@@ -0,0 +1,386 @@
+//! A day as it is written: TOML, times with their units, and a time line of what goes wrong.
+
+use crate::chance::Spread;
+use oakport_core::Micros;
+use serde::{Deserialize, Deserializer};
+
+/// A day of a fleet.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// What the day is for, for people.
+    pub purpose: String,
+    /// How long requests come.
+    #[serde(deserialize_with = "span")]
+    pub length: Micros,
+    /// Client proxies.
+    pub balancers: usize,
+    /// Servers at the start.
+    pub servers: usize,
+    /// Requests a second over all client proxies, retries not counted.
+    pub rate: f64,
+    /// How unequal the client proxies' parts of them are: 0 alike, 1 the largest has several times the mean.
+    #[serde(default)]
+    pub uneven: f64,
+    /// Zones over which servers and client proxies are spread.
+    #[serde(default = "one_zone")]
+    pub zones: Vec<String>,
+    /// What a server can do.
+    #[serde(default)]
+    pub server: ServerSpec,
+    /// The way between them.
+    #[serde(default)]
+    pub network: NetworkSpec,
+    /// How the list comes.
+    #[serde(default)]
+    pub discovery: DiscoverySpec,
+    /// What clients do.
+    #[serde(default)]
+    pub clients: ClientSpec,
+    /// Classes of requests.
+    #[serde(rename = "class")]
+    pub classes: Vec<ClassSpec>,
+    /// What the day is judged by.
+    #[serde(default)]
+    pub goal: GoalSpec,
+    /// What goes wrong, and when.
+    #[serde(default, rename = "event")]
+    pub events: Vec<Trouble>,
+}
+
+fn one_zone() -> Vec<String> {
+    vec!["a".to_owned()]
+}
+
+/// What a server can do.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServerSpec {
+    /// Cores, shared by the requests in its slots.
+    pub cores: f64,
+    /// Requests in work at a time.
+    pub slots: usize,
+    /// Requests that may wait for a slot; beyond them it turns away.
+    pub room: usize,
+    /// Share of its capacity that a fresh server has.
+    pub cold_share: f64,
+    /// And is warm after this.
+    #[serde(deserialize_with = "span")]
+    pub cold_time: Micros,
+    /// Sent more than this multiple of what it can then do ...
+    pub fall_multiple: f64,
+    /// ... over this span, a cold server falls over.
+    #[serde(deserialize_with = "span")]
+    pub fall_time: Micros,
+    /// Connections that it holds at the most.
+    pub connections: usize,
+    /// It closes a connection that has been idle for this long.
+    #[serde(deserialize_with = "span")]
+    pub idle_close: Micros,
+    /// Work that a new connection costs it.
+    #[serde(deserialize_with = "span")]
+    pub handshake: Micros,
+}
+
+impl Default for ServerSpec {
+    fn default() -> Self {
+        ServerSpec {
+            cores: 3.0,
+            slots: 12,
+            room: 24,
+            cold_share: 0.13,
+            cold_time: 24_000_000,
+            fall_multiple: 3.0,
+            fall_time: 3_000_000,
+            connections: 80,
+            idle_close: 5_000_000,
+            handshake: 1_000,
+        }
+    }
+}
+
+/// The way between client proxies and servers.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct NetworkSpec {
+    /// One way within a zone.
+    #[serde(deserialize_with = "span")]
+    pub within: Micros,
+    /// One way between zones.
+    #[serde(deserialize_with = "span")]
+    pub across: Micros,
+    /// Share by which each delay differs, up or down.
+    pub jitter: f64,
+    /// A connection that is not up by then has failed.
+    #[serde(deserialize_with = "span")]
+    pub connect_timeout: Micros,
+}
+
+impl Default for NetworkSpec {
+    fn default() -> Self {
+        NetworkSpec { within: 300, across: 2_000, jitter: 0.2, connect_timeout: 200_000 }
+    }
+}
+
+/// How the list of servers comes.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct DiscoverySpec {
+    /// News reach each client proxy so long after they are true, give or take half of it.
+    #[serde(deserialize_with = "span")]
+    pub delay: Micros,
+    /// Latest that requests may go to a server after word that it drains or is gone.
+    #[serde(deserialize_with = "span")]
+    pub drain_grace: Micros,
+}
+
+impl Default for DiscoverySpec {
+    fn default() -> Self {
+        DiscoverySpec { delay: 1_500_000, drain_grace: 1_000_000 }
+    }
+}
+
+/// What clients do.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ClientSpec {
+    /// Further tries after the first.
+    pub retries: u32,
+    /// How long they wait before, give or take half of it.
+    #[serde(deserialize_with = "span")]
+    pub wait: Micros,
+    /// Whether they wait at least as long as they are told.
+    pub heed_retry_after: bool,
+    /// The longest advice that they heed.
+    #[serde(deserialize_with = "span")]
+    pub retry_after_most: Micros,
+    /// Least share of the deadline after which a try is given up.
+    pub patience: f64,
+}
+
+impl Default for ClientSpec {
+    fn default() -> Self {
+        ClientSpec {
+            retries: 2,
+            wait: 200_000,
+            heed_retry_after: true,
+            retry_after_most: 2_000_000,
+            patience: 1.0,
+        }
+    }
+}
+
+/// Whether a request may run again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Again {
+    /// It may.
+    Free,
+    /// Never.
+    #[default]
+    SingleShot,
+}
+
+/// A class of requests.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ClassSpec {
+    /// Its name.
+    pub name: String,
+    /// Its share of the requests, against the other classes'.
+    pub share: f64,
+    /// Mean work on one core.
+    #[serde(deserialize_with = "span")]
+    pub work: Micros,
+    /// How work is spread about the mean.
+    #[serde(default)]
+    pub spread: Spread,
+    /// An answer by then earns its worth.
+    #[serde(deserialize_with = "span")]
+    pub aim: Micros,
+    /// How long a client waits over all its tries.
+    #[serde(deserialize_with = "span")]
+    pub deadline: Micros,
+    /// What an answer in time is worth.
+    #[serde(default = "one")]
+    pub worth: f64,
+    /// Whether it may run again.
+    #[serde(default)]
+    pub idempotency: Again,
+}
+
+fn one() -> f64 {
+    1.0
+}
+
+/// What the day is judged by: weights of the parts of G, and prices.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct GoalSpec {
+    /// The whole day.
+    pub whole: f64,
+    /// The worst 10 s.
+    pub worst_window: f64,
+    /// The worst-served class.
+    pub worst_class: f64,
+    /// Price of each request crossing zones once.
+    pub cross_zone: f64,
+    /// Price of as much work wasted as was asked for.
+    pub waste: f64,
+    /// Price of all failing only after its aim.
+    pub late_fail: f64,
+    /// Price of a new connection for each request.
+    pub handshake: f64,
+}
+
+impl Default for GoalSpec {
+    /// BRIEF's weights and deductions; its share for the worst tenant goes to the whole.
+    fn default() -> Self {
+        GoalSpec {
+            whole: 0.55,
+            worst_window: 0.15,
+            worst_class: 0.30,
+            cross_zone: 0.022,
+            waste: 0.082,
+            late_fail: 0.15,
+            handshake: 0.0,
+        }
+    }
+}
+
+/// Something that goes wrong for a while.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Trouble {
+    /// When it begins.
+    #[serde(deserialize_with = "span")]
+    pub at: Micros,
+    /// How long it lasts.
+    #[serde(rename = "for", deserialize_with = "span")]
+    pub lasts: Micros,
+    /// What.
+    pub what: What,
+    /// Share of the servers that it meets; of a zone, all.
+    #[serde(default = "tenth")]
+    pub part: f64,
+    /// The zone that it meets, by its name; else servers of all zones.
+    #[serde(default)]
+    pub zone: Option<String>,
+    /// How many times slower, or how many times the rate.
+    #[serde(default = "three")]
+    pub factor: f64,
+}
+
+fn tenth() -> f64 {
+    0.1
+}
+
+fn three() -> f64 {
+    3.0
+}
+
+/// Kinds of trouble (BENCH, "Troubles", and the days of the full fleet).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum What {
+    /// Processes die and come back cold.
+    Crash,
+    /// They run `factor` times slower.
+    Slow,
+    /// They take work and answer nothing.
+    Hang,
+    /// They answer every second request with an error, fast.
+    Error,
+    /// They reset every third connection under its request.
+    Reset,
+    /// They are cut off: what is sent there is lost in silence.
+    Silent,
+    /// They drain and are replaced by cold ones, evenly over the time.
+    Release,
+    /// `factor` times the requests.
+    Surge,
+    /// A share of the client proxies die at once and start again from nothing.
+    Herd,
+}
+
+/// Why a scenario cannot be played.
+#[derive(Clone, Debug, PartialEq)]
+pub struct BadScenario(pub String);
+
+impl std::fmt::Display for BadScenario {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(self.0.trim_end())
+    }
+}
+
+impl std::error::Error for BadScenario {}
+
+impl Scenario {
+    /// Reads a day.
+    ///
+    /// # Errors
+    /// What is wrong, with its place in the text, or which figure makes no sense.
+    pub fn parse(text: &str) -> Result<Self, BadScenario> {
+        let scenario: Scenario = toml::from_str(text).map_err(|e| BadScenario(e.to_string()))?;
+        match scenario.odd() {
+            Some(odd) => Err(BadScenario(odd)),
+            None => Ok(scenario),
+        }
+    }
+
+    /// What makes no sense although it can be read.
+    fn odd(&self) -> Option<String> {
+        let share = |value: f64| (0.0..=1.0).contains(&value);
+        let positive = |value: f64| value.is_finite() && value > 0.0;
+        let whole = [
+            (self.balancers > 0, "balancers: at least 1 is needed"),
+            (self.servers > 0, "servers: at least 1 is needed"),
+            (positive(self.rate), "rate: must be above 0 requests a second"),
+            (self.length >= 1_000_000, "length: at least 1s is needed"),
+            (!self.zones.is_empty(), "zones: at least one is needed; leave the key out for one zone"),
+            (!self.classes.is_empty(), "class: at least one [[class]] is needed"),
+            (share(self.uneven), "uneven: must be from 0 to 1"),
+            (positive(self.server.cores), "server.cores: must be above 0"),
+            (self.server.slots > 0, "server.slots: at least 1 is needed"),
+            (share(self.server.cold_share), "server.cold_share: must be from 0 to 1"),
+            (share(self.network.jitter), "network.jitter: must be from 0 to 1"),
+            (share(self.clients.patience), "clients.patience: must be from 0 to 1"),
+        ];
+        let odd = whole.into_iter().find(|(fine, _)| !fine).map(|(_, odd)| odd.to_owned());
+        let class = || {
+            let fine = |c: &&ClassSpec| c.deadline > 0 && positive(c.share) && c.work > 0 && c.worth >= 0.0;
+            let bad = self.classes.iter().find(|c| !fine(c))?;
+            Some(format!("class {}: share, work and deadline must be above 0, worth not below", bad.name))
+        };
+        let event = || {
+            let known = |t: &Trouble| t.zone.as_ref().is_none_or(|z| self.zones.contains(z));
+            let bad = self.events.iter().find(|t| !known(t) || !share(t.part) || !positive(t.factor))?;
+            Some(format!(
+                "event {:?}: its zone must be one of {}, part from 0 to 1, factor above 0",
+                bad.what,
+                self.zones.join(", ")
+            ))
+        };
+        odd.or_else(class).or_else(event)
+    }
+}
+
+/// A time such as "400ms", or a whole number of microseconds.
+fn span<'de, D: Deserializer<'de>>(reader: D) -> Result<Micros, D::Error> {
+    #[derive(Deserialize)]
+    #[serde(untagged)]
+    enum Form {
+        Number(u64),
+        Text(String),
+    }
+    match Form::deserialize(reader) {
+        Ok(Form::Number(number)) => Ok(number),
+        Ok(Form::Text(text)) => match humantime::parse_duration(&text) {
+            Ok(span) => Ok(span.as_micros() as Micros),
+            Err(odd) => {
+                Err(serde::de::Error::custom(format!("\"{text}\" is no time: {odd}; write \"400ms\"")))
+            }
+        },
+        Err(_) => Err(serde::de::Error::custom("expected a time such as \"400ms\"")),
+    }
+}
--- /dev/null
+++ b/crates/model/src/server.rs
@@ -0,0 +1,413 @@
+//! A server: cores shared by the requests in its slots, a waiting room, a cold start, and what may be wrong with it.
+
+use crate::scenario::ServerSpec;
+use oakport_core::Micros;
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashSet, VecDeque};
+
+/// What is wrong with a server.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Health {
+    /// Times slower than it should be.
+    pub slow: f64,
+    /// It takes work and answers nothing.
+    pub hangs: bool,
+    /// Every second answer is an error.
+    pub errors: bool,
+    /// Every third connection is reset under its request.
+    pub resets: bool,
+    /// What is sent there, and what it says, is lost.
+    pub silent: bool,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Health { slow: 1.0, hangs: false, errors: false, resets: false, silent: false }
+    }
+}
+
+/// What a server does with a request that arrives.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It is in work, or waits for a slot.
+    Yes,
+    /// No place: it never runs.
+    Full,
+}
+
+/// Work that shares the cores: all of it progresses alike.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Job {
+    /// The figure of work done at which it ends.
+    ends: f64,
+    attempt: usize,
+}
+
+impl Eq for Job {}
+
+impl PartialOrd for Job {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Job {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        self.ends.total_cmp(&other.ends).then(self.attempt.cmp(&other.attempt))
+    }
+}
+
+/// One server process.
+#[derive(Debug)]
+pub struct Server {
+    spec: ServerSpec,
+    /// Its zone, by its place in the scenario's list.
+    pub zone: usize,
+    /// What is wrong with it.
+    pub health: Health,
+    /// The process runs.
+    pub up: bool,
+    /// It takes nothing new.
+    pub draining: bool,
+    /// When it started; 0: long ago.
+    pub started: Micros,
+    work: BinaryHeap<Reverse<Job>>,
+    /// Attempts that were taken out of the slots without ending.
+    dropped: HashSet<usize>,
+    in_work: usize,
+    waiting: VecDeque<(usize, f64)>,
+    /// Work done so far for each request that was in work all the time.
+    done: f64,
+    at: Micros,
+    /// Counts changes, so that an end that was foreseen before one is passed over.
+    pub version: u64,
+    /// Work of handshakes still owed, which slows all.
+    owed: f64,
+    /// Open connections by client proxy: those in use and idle ones, by when they became idle.
+    links: BTreeMap<usize, (usize, VecDeque<Micros>)>,
+    links_open: usize,
+    /// Work that arrived while it was cold, of late.
+    flood: VecDeque<(Micros, f64)>,
+    /// It was sent too much while it was cold, and stays down.
+    pub fallen: bool,
+}
+
+impl Server {
+    /// A process that started at `started`.
+    pub fn new(spec: &ServerSpec, zone: usize, started: Micros) -> Self {
+        Server {
+            spec: spec.clone(),
+            zone,
+            health: Health::default(),
+            up: true,
+            draining: false,
+            started,
+            work: BinaryHeap::new(),
+            dropped: HashSet::new(),
+            in_work: 0,
+            waiting: VecDeque::new(),
+            done: 0.0,
+            at: started,
+            version: 0,
+            owed: 0.0,
+            links: BTreeMap::new(),
+            links_open: 0,
+            flood: VecDeque::new(),
+            fallen: false,
+        }
+    }
+
+    /// Share of its capacity that it has by its warmth.
+    pub fn warmth(&self, now: Micros) -> f64 {
+        let age = now.saturating_sub(self.started);
+        if self.started == 0 || age >= self.spec.cold_time {
+            return 1.0;
+        }
+        let rise = age as f64 / self.spec.cold_time as f64;
+        self.spec.cold_share + (1.0 - self.spec.cold_share) * rise
+    }
+
+    /// Cores' worth of work that it can do now.
+    pub fn capacity(&self, now: Micros) -> f64 {
+        self.spec.cores * self.warmth(now) / self.health.slow
+    }
+
+    /// Work in hand, in microseconds of one core.
+    pub fn backlog(&self) -> f64 {
+        let open = self.work.iter().filter(|Reverse(job)| !self.dropped.contains(&job.attempt));
+        let in_work: f64 = open.map(|Reverse(job)| (job.ends - self.done).max(0.0)).sum();
+        in_work + self.waiting.iter().map(|(_, work)| work).sum::<f64>()
+    }
+
+    /// Would it take one more connection?
+    pub fn holds_more(&self) -> bool {
+        self.links_open < self.spec.connections
+    }
+
+    /// Can it be reached, and does it take work?
+    pub fn serves(&self) -> bool {
+        self.up && !self.fallen && !self.health.silent
+    }
+
+    /// Work for each request that is done in a microsecond.
+    fn pace(&self, now: Micros) -> f64 {
+        if self.in_work == 0 || self.health.hangs {
+            return 0.0;
+        }
+        let capacity = self.capacity(now);
+        (capacity / self.in_work as f64).min(capacity / self.spec.cores)
+    }
+
+    /// Brings the work done up to now.
+    pub fn advance(&mut self, now: Micros) {
+        let mut span = now.saturating_sub(self.at) as f64;
+        // A cold server's pace is taken at the middle of the span.
+        let pace = self.pace(self.at + (now - self.at) / 2);
+        if self.owed > 0.0 && !self.health.hangs {
+            let capacity = self.capacity(now).max(f64::MIN_POSITIVE);
+            let spent = (self.owed / capacity).min(span);
+            self.owed -= spent * capacity;
+            span -= spent;
+        }
+        self.done += pace * span;
+        self.at = now;
+    }
+
+    /// A request with so much work arrives.
+    pub fn take(&mut self, now: Micros, attempt: usize, work: f64) -> Taken {
+        self.advance(now);
+        if self.in_work < self.spec.slots {
+            self.start(attempt, work);
+        } else if self.waiting.len() < self.spec.room {
+            self.waiting.push_back((attempt, work));
+        } else {
+            return Taken::Full;
+        }
+        Taken::Yes
+    }
+
+    fn start(&mut self, attempt: usize, work: f64) {
+        self.work.push(Reverse(Job { ends: self.done + work, attempt }));
+        self.in_work += 1;
+        self.version += 1;
+    }
+
+    /// Passes over what was dropped.
+    fn tidy(&mut self) {
+        while let Some(Reverse(job)) = self.work.peek() {
+            if !self.dropped.remove(&job.attempt) {
+                break;
+            }
+            self.work.pop();
+        }
+    }
+
+    /// When the next request ends, if nothing changes; the moment is looked at again if it is cold.
+    pub fn next_end(&mut self, now: Micros) -> Option<Micros> {
+        /// The longest for which a cold server's pace is taken to stay.
+        const COLD_STEP: f64 = 200_000.0;
+        self.tidy();
+        let Reverse(job) = self.work.peek()?;
+        let pace = self.pace(now);
+        if pace <= 0.0 {
+            return None;
+        }
+        let owed = self.owed / self.capacity(now).max(f64::MIN_POSITIVE);
+        let mut span = ((job.ends - self.done) / pace).max(0.0) + owed;
+        if self.warmth(now) < 1.0 {
+            span = span.min(COLD_STEP);
+        }
+        Some(now + span.ceil().max(1.0) as Micros)
+    }
+
+    /// Takes out a request that has ended by now, and starts one that waits.
+    pub fn ended(&mut self, now: Micros) -> Option<usize> {
+        /// Work that is too little to wait for: rounding, in microseconds.
+        const ROUNDING: f64 = 0.5;
+        self.advance(now);
+        self.tidy();
+        let attempt = self.work.peek().filter(|Reverse(job)| job.ends <= self.done + ROUNDING)?.0.attempt;
+        self.work.pop();
+        self.left();
+        Some(attempt)
+    }
+
+    /// One request less is in work.
+    fn left(&mut self) {
+        self.in_work -= 1;
+        self.version += 1;
+        if let Some((attempt, work)) = self.waiting.pop_front() {
+            self.start(attempt, work);
+        }
+    }
+
+    /// Takes out a request that nobody wants any more; tells how much work was still to do, if it was in hand.
+    pub fn drop_work(&mut self, now: Micros, attempt: usize) -> Option<f64> {
+        self.advance(now);
+        if let Some(place) = self.waiting.iter().position(|(waiting, _)| *waiting == attempt) {
+            return self.waiting.remove(place).map(|(_, work)| work);
+        }
+        let job = self.work.iter().find(|Reverse(job)| job.attempt == attempt)?.0;
+        if !self.dropped.insert(attempt) {
+            return None;
+        }
+        self.left();
+        Some((job.ends - self.done).max(0.0))
+    }
+
+    /// The process ends; what was in hand is lost.
+    pub fn stop(&mut self, now: Micros) -> Vec<usize> {
+        self.advance(now);
+        let dropped = std::mem::take(&mut self.dropped);
+        let in_work = std::mem::take(&mut self.work).into_sorted_vec().into_iter().rev();
+        let lost = in_work.map(|Reverse(job)| job.attempt).filter(|attempt| !dropped.contains(attempt));
+        let lost = lost.chain(self.waiting.drain(..).map(|(attempt, _)| attempt)).collect();
+        self.in_work = 0;
+        self.version += 1;
+        self.up = false;
+        self.owed = 0.0;
+        self.links.clear();
+        self.links_open = 0;
+        lost
+    }
+
+    /// The process starts, cold.
+    pub fn restart(&mut self, now: Micros) {
+        (self.up, self.draining, self.fallen, self.started) = (true, false, false, now);
+        (self.at, self.health) = (now, Health::default());
+        self.flood.clear();
+    }
+
+    /// Work arrives, wherever it goes from here. True if that pushes a cold server over.
+    pub fn flooded(&mut self, now: Micros, work: f64) -> bool {
+        if self.warmth(now) >= 1.0 || self.fallen {
+            return false;
+        }
+        self.flood.push_back((now, work));
+        let since = now.saturating_sub(self.spec.fall_time);
+        while self.flood.front().is_some_and(|(at, _)| *at < since) {
+            self.flood.pop_front();
+        }
+        let sent: f64 = self.flood.iter().map(|(_, work)| work).sum();
+        let can = self.spec.cores * self.warmth(now) * self.spec.fall_time as f64;
+        // Room for chance: one long request alone is no flood.
+        self.fallen = sent > self.spec.fall_multiple * can && self.flood.len() > self.spec.slots;
+        self.fallen
+    }
+
+    /// A connection of a client proxy: true if one that rests was there. None: the server holds no more.
+    pub fn link(&mut self, now: Micros, proxy: usize) -> Option<bool> {
+        let idle_close = self.spec.idle_close;
+        let (used, idle) = self.links.entry(proxy).or_default();
+        let before = idle.len();
+        idle.retain(|since| since + idle_close > now);
+        self.links_open -= before - idle.len();
+        *used += 1;
+        if idle.pop_back().is_some() {
+            return Some(true);
+        }
+        if self.links_open >= self.spec.connections {
+            *used -= 1;
+            return None;
+        }
+        self.links_open += 1;
+        self.owed += self.spec.handshake as f64;
+        Some(false)
+    }
+
+    /// A client proxy has died, and its connections with it.
+    pub fn forget(&mut self, proxy: usize) {
+        if let Some((used, idle)) = self.links.remove(&proxy) {
+            self.links_open -= used + idle.len();
+        }
+    }
+
+    /// A connection is not used any more; it rests, or is closed.
+    pub fn unlink(&mut self, now: Micros, proxy: usize, keep: bool) {
+        let Some((used, idle)) = self.links.get_mut(&proxy).filter(|(used, _)| *used > 0) else { return };
+        *used -= 1;
+        if keep {
+            idle.push_back(now);
+        } else {
+            self.links_open -= 1;
+        }
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn run(server: &mut Server, mut now: Micros) -> Vec<(usize, Micros)> {
+        let mut ends = Vec::new();
+        while let Some(at) = server.next_end(now) {
+            now = at;
+            while let Some(attempt) = server.ended(now) {
+                ends.push((attempt, now));
+            }
+        }
+        ends
+    }
+
+    #[test]
+    fn requests_share_the_cores_and_wait_for_slots() {
+        let spec = ServerSpec { cores: 2.0, slots: 4, room: 1, ..ServerSpec::default() };
+        let mut server = Server::new(&spec, 0, 0);
+        let taken: Vec<Taken> = (0..6).map(|attempt| server.take(0, attempt, 10_000.0)).collect();
+        assert_eq!(taken, [Taken::Yes, Taken::Yes, Taken::Yes, Taken::Yes, Taken::Yes, Taken::Full]);
+        // Four share two cores: 20 ms. The fifth then has a core to itself.
+        assert_eq!(run(&mut server, 0), [(0, 20_000), (1, 20_000), (2, 20_000), (3, 20_000), (4, 30_000)]);
+    }
+
+    #[test]
+    fn what_is_dropped_leaves_its_core_to_the_others() {
+        let spec = ServerSpec { cores: 1.0, slots: 4, ..ServerSpec::default() };
+        let mut server = Server::new(&spec, 0, 0);
+        (0..2).for_each(|attempt| assert_eq!(server.take(0, attempt, 10_000.0), Taken::Yes));
+        assert_eq!(server.drop_work(10_000, 0), Some(5_000.0), "half of it is done");
+        assert_eq!((server.drop_work(10_000, 0), server.backlog()), (None, 5_000.0));
+        assert_eq!(run(&mut server, 10_000), [(1, 15_000)]);
+    }
+
+    #[test]
+    fn slow_cold_and_hanging_servers_take_their_time() {
+        let spec = ServerSpec { cores: 1.0, cold_share: 0.5, cold_time: 1_000_000, ..ServerSpec::default() };
+        let end = |started, health| {
+            let mut server = Server::new(&spec, 0, started);
+            server.health = health;
+            server.take(started.max(1), 0, 10_000.0);
+            run(&mut server, started.max(1)).first().map(|(_, at)| at - started.max(1))
+        };
+        assert_eq!(end(0, Health::default()), Some(10_000));
+        assert_eq!(end(0, Health { slow: 3.0, ..Health::default() }), Some(30_000));
+        assert_eq!(end(0, Health { hangs: true, ..Health::default() }), None);
+        let cold = end(5_000_000, Health::default()).expect("an end");
+        assert!((19_000..21_000).contains(&cold), "half the pace at first: {cold}");
+    }
+
+    #[test]
+    fn connections_are_kept_counted_and_closed_when_idle() {
+        let spec = ServerSpec { connections: 2, idle_close: 1_000, ..ServerSpec::default() };
+        let mut server = Server::new(&spec, 0, 0);
+        assert_eq!(
+            (server.link(0, 7), server.link(0, 8), server.link(0, 7)),
+            (Some(false), Some(false), None)
+        );
+        server.unlink(10, 7, true);
+        assert_eq!(server.link(500, 7), Some(true), "it rested for less");
+        server.unlink(600, 7, true);
+        assert_eq!(server.link(1_700, 7), Some(false), "closed meanwhile, and opened anew");
+        server.unlink(1_800, 8, false);
+        assert_eq!(server.link(1_900, 9), Some(false));
+    }
+
+    #[test]
+    fn a_cold_server_falls_over_when_it_is_sent_too_much_and_a_warm_one_does_not() {
+        let spec = ServerSpec { cores: 1.0, slots: 2, fall_time: 1_000_000, ..ServerSpec::default() };
+        for (started, falls) in [(0, false), (9_000_000, true)] {
+            let mut server = Server::new(&spec, 0, started);
+            let fell = (0..40).filter(|i| server.flooded(9_000_000 + i * 1_000, 50_000.0)).count();
+            assert_eq!((fell, server.fallen), (usize::from(falls), falls));
+        }
+    }
+}
