--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -125,6 +125,35 @@
     }
 }
 
+/// Work belongs to the request: a copy of a long one is as long anywhere, and both are wasted but for one.
+#[test]
+fn a_call_gets_no_second_copy_where_others_are_answered_meanwhile() {
+    for (others, copies) in [(false, 1), (true, 0)] {
+        let mut settings = settings(Repeat::Free);
+        (settings.limits.second_copies, settings.balancers) = (true, 1);
+        let mut proxy = Proxy::new(settings, 2);
+        for _ in 0..20 {
+            proxy.serve(40 * MS);
+        }
+        let (first, actions) = proxy.call();
+        let (home, since) = (sent(&actions)[0].1, proxy.now);
+        let mut met = false;
+        // Those that go elsewhere stay out, until one goes there.
+        while others && !met && proxy.now < since + 200 * MS {
+            let (call, actions) = proxy.call();
+            proxy.now += 5 * MS;
+            met = sent(&actions) == [(call, home)];
+            if met {
+                proxy.end(call, 0, Outcome::Served, 5 * MS);
+            }
+        }
+        assert_eq!(met, others, "one of the others goes there");
+        proxy.now = since;
+        let copied = sent(&proxy.wait(430 * MS)).iter().filter(|s| s.0 == first).count();
+        assert_eq!(copied, copies, "others answered: {others}");
+    }
+}
+
 #[test]
 fn a_stream_is_bound_to_its_attempt() {
     let mut settings = settings(Repeat::Free);
