--- a/crates/core/src/balance/retry.rs
+++ b/crates/core/src/balance/retry.rs
@@ -139,9 +139,8 @@
     pub(super) fn second_copy(&mut self, now: Micros, id: CallId, actions: &mut Actions) {
         let call = &self.calls[&id];
         // Where others were answered since, its server has not stalled: the call is long, and is so anywhere.
-        let out = call.attempts.iter().find(|a| a.effect == Effect::Out);
-        let server = out.and_then(|a| Some((a.sent, &self.servers[self.place(a.server)?])));
-        let long = server.is_some_and(|(sent, s)| s.answered > sent);
+        let answers = |a: &Attempt| self.place(a.server).is_some_and(|p| self.servers[p].answered > a.sent);
+        let long = call.attempts.iter().any(|a| a.effect == Effect::Out && answers(a));
         let more = self.more(call) && call.out() == 1 && !long;
         let spare = self.retries >= 1.0 && self.hold.is_empty() && !call.streaming;
         if !more || !spare {
