--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -1,8 +1,6 @@
 //! All decisions of the balancer, one file a concern; `src/api.rs` is the interface.
 //!
-//! A call goes to the less loaded of two random servers under budget (`route`), waits when all are full
-//! (`hold`), may pass one as the trial that can raise it (`budget`), goes again (`retry`), and is refused
-//! when none is up.
+//! `retry` has a call from its arrival to its end, `hold` its waiting, `route` the pick, `budget` who has room.
 
 mod ask;
 mod budget;
--- a/crates/core/src/balance/route.rs
+++ b/crates/core/src/balance/route.rs
@@ -20,8 +20,7 @@
 
 impl Balancer {
     pub(super) fn route(&mut self, now: Micros, id: CallId) -> Route {
-        let (rules, tick) = (self.settings.rules, self.settings.tick);
-        let rules = &rules;
+        let rules = &{ self.settings.rules };
         let longest = self.longest_usual();
         let ready = |s: &Server| {
             s.budget.trial_ready(now)
@@ -40,10 +39,14 @@
             return Route::Send { server, trial: false };
         }
         let call = &self.calls[&id];
-        // Cold ones only if there is no other.
+        // Cold ones if there is no other, or if none has room and even parts of all balancers are not too much.
         let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
+        let all = |s: &Server| (f64::from(s.in_flight) + 0.5) * f64::from(self.settings.balancers);
+        let even = |s: &Server| all(s) <= START_CONCURRENCY * s.warmth(now, rules);
         let some_warm = self.servers.iter().any(|s| s.usable(now) && warm(s));
-        let allowed = |s: &Server| s.usable(now) && (warm(s) || !some_warm) && call.may_go(now, s, tick);
+        let full = !self.servers.iter().any(|s| s.usable(now) && warm(s) && !s.full(now, rules));
+        let may = |s: &Server| warm(s) || !some_warm || (full && !self.sparse() && even(s));
+        let allowed = |s: &Server| s.usable(now) && may(s) && call.may_go(now, s, self.settings.tick);
         let mut up: Vec<usize> = (0..self.servers.len()).filter(|&i| allowed(&self.servers[i])).collect();
         if up.iter().any(|&i| call.untried(&self.servers[i])) {
             up.retain(|&i| call.untried(&self.servers[i]));
--- a/crates/core/tests/rules.rs
+++ b/crates/core/tests/rules.rs
@@ -154,6 +154,28 @@
     }
 }
 
+/// Else calls are refused beside servers that could take some, for as long as those are cold.
+#[test]
+fn a_cold_server_helps_out_when_no_warm_one_has_room_as_far_as_an_even_part_allows() {
+    for (balancers, age, helps) in [(1, 0.5, true), (7, 0.9, true), (7, 0.2, false)] {
+        let settings = Settings { balancers, ..settings(Repeat::Free) };
+        let cold_time = settings.rules.cold_time as f64;
+        let mut proxy = Proxy::new(settings, 1);
+        proxy.now += 100_000 * MS;
+        let started = proxy.now - (cold_time * age) as Micros;
+        proxy.list(ListKind::Delta, vec![Entry { started, ..ready(2) }]);
+        let mut servers = Vec::new();
+        for call in (0..40).map(|n| CallId(900 + n)) {
+            // A client's retry draws no lot: only the want of room brings it to a cold server.
+            let (class, time_left) = (ClassId(0), 1_200 * MS);
+            let event = Event::Request { call, class, tenant: None, time_left, resent: true };
+            servers.extend(sent(&proxy.event(event)).iter().map(|s| s.1 .0));
+        }
+        assert_eq!(servers[0], 1, "the warm one comes first");
+        assert_eq!(servers.contains(&2), helps, "{balancers} balancers, {age} of the way: {servers:?}");
+    }
+}
+
 #[test]
 fn a_stream_is_bound_to_its_attempt() {
     let mut settings = settings(Repeat::Free);
