--- a/crates/core/src/balance/route.rs
+++ b/crates/core/src/balance/route.rs
@@ -39,7 +39,7 @@
             return Route::Send { server, trial: false };
         }
         let call = &self.calls[&id];
-        // Cold ones if there is no other, or if none has room and even parts of all balancers are not too much.
+        // Cold ones if there is no other, or if none has room and even parts of all are not too much.
         let warm = |s: &Server| s.warmth(now, rules) >= 1.0;
         let all = |s: &Server| (f64::from(s.in_flight) + 0.5) * f64::from(self.settings.balancers);
         let even = |s: &Server| all(s) <= START_CONCURRENCY * s.warmth(now, rules);
