--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -1,6 +1,6 @@
 //! All decisions of the balancer, one file a concern; `src/api.rs` is the interface.
 //!
-//! `retry` has a call from its arrival to its end, `hold` its waiting, `route` the pick, `budget` who has room.
+//! `retry` has a call from arrival to end, `hold` its waiting, `route` the pick, `budget` who has room.
 
 mod ask;
 mod budget;
