--- /dev/null
+++ b/crates/model/src/world/proxies.rs
@@ -0,0 +1,241 @@
+//! The client proxies: what their policies are told, and what comes of what they say.
+
+use super::*;
+
+impl World<'_> {
+    pub(super) fn start(&mut self, proxy: usize, kind: ListKind) {
+        self.event(proxy, Event::Start);
+        let told = &self.proxies[proxy].told;
+        let known = told.iter().enumerate().filter_map(|(server, told)| {
+            let (state, started, _) = (*told)?;
+            (state != State::Gone).then(|| self.entry(server, state, started))
+        });
+        let entries = known.collect();
+        self.event(proxy, Event::Members { kind, entries });
+    }
+
+    pub(super) fn entry(&self, server: usize, state: State, started: Micros) -> Entry {
+        let zone = ZoneId(self.servers[server].zone as u32);
+        Entry { server: ServerId(server as u32), state, zone, started, weight: 1.0, ..Entry::default() }
+    }
+
+    /// Hands an event to a proxy's policy and carries out what it says.
+    pub(super) fn event(&mut self, proxy: usize, event: Event) {
+        self.proxies[proxy].events.push_back(event);
+        // What an action brings at once waits until the actions before it are carried out.
+        if std::mem::replace(&mut self.acting, true) {
+            return;
+        }
+        while let Some(event) = self.proxies[proxy].events.pop_front() {
+            if self.sight == Sight::Now {
+                self.look();
+            }
+            let mut actions = std::mem::take(&mut self.actions);
+            self.proxies[proxy].policy.handle(self.queue.now(), event, &self.truth, &mut actions);
+            for action in actions.drain(..) {
+                self.act(proxy, action);
+            }
+            self.actions = actions;
+        }
+        self.acting = false;
+    }
+
+    pub(super) fn act(&mut self, proxy: usize, action: Action) {
+        match action {
+            Action::Send { call, server, until } => self.send(proxy, call, server, until),
+            Action::Refuse { call, retry_after } => self.answer(proxy, call, Some(retry_after)),
+            Action::Fail { call } => self.answer(proxy, call, None),
+            Action::Cancel { call, attempt } => {
+                let attempts = self.calls.get(call.0 as usize).map(|c| &c.attempts);
+                let Some(&number) = attempts.and_then(|a| a.get(attempt as usize)) else { return };
+                self.abandon(number);
+                self.outcome(number, Outcome::CalledOff);
+            }
+            Action::Wake { after } => {
+                let life = self.proxies[proxy].life;
+                self.queue.after(after, Happening::Wake { proxy, life });
+            }
+            // A site without probes, and with a list that comes by itself.
+            Action::Probe { server } => self.proxies[proxy].events.push_back(Event::Probed {
+                server,
+                outcome: Outcome::NotSent,
+                elapsed: 0,
+                load: Load::default(),
+            }),
+            Action::Subscribe | Action::Log(_) => {}
+        }
+    }
+
+    /// The proxy's final answer that serves nobody.
+    pub(super) fn answer(&mut self, proxy: usize, id: CallId, refused: Option<Micros>) {
+        let at = self.now() - START;
+        let Some(call) = self.calls.get_mut(id.0 as usize).filter(|c| c.proxy == proxy) else { return };
+        if !std::mem::replace(&mut call.open, false) {
+            return self.judge.broke("a second final answer", at, proxy, Some(id), None);
+        }
+        let request = call.request;
+        let outcomes = call.attempts.iter().map(|&a| self.attempts[a].outcome);
+        let class = self.requests[request].class;
+        let harmless = self.judge.harmless(class, outcomes);
+        if refused.is_some() && !harmless {
+            self.judge.broke("refused though it may have run", at, proxy, Some(id), None);
+        }
+        match refused {
+            Some(told) => self.unserved(request, true, told, End::Refused),
+            None => {
+                let free = self.scenario.classes[class].idempotency == Again::Free;
+                self.unserved(request, free, 0, End::Failed);
+            }
+        }
+    }
+
+    /// The client's time is up and it has no answer: the rule on lost requests is broken.
+    pub(super) fn backstop(&mut self, number: usize) {
+        let at = self.now() - START;
+        let call = &mut self.calls[number];
+        if std::mem::replace(&mut call.open, false) {
+            let (proxy, request) = (call.proxy, call.request);
+            self.judge.broke("no answer in time", at, proxy, Some(CallId(number as u64)), None);
+            self.done(request, End::Failed);
+        }
+    }
+
+    pub(super) fn send(&mut self, proxy: usize, id: CallId, server: ServerId, until: Option<Micros>) {
+        let (now, place) = (self.now(), server.0 as usize);
+        let at = now - START;
+        let Some(call) = self.calls.get(id.0 as usize).filter(|c| c.proxy == proxy) else { return };
+        let (open, deadline) = (call.open, call.deadline);
+        let class = self.requests[call.request].class;
+        let mut outcomes = call.attempts.iter().map(|&a| self.attempts[a].outcome);
+        let harmless = self.judge.harmless(class, &mut outcomes);
+        let rule = match self.proxies[proxy].told.get(place).copied().flatten() {
+            None => Some("sent to a server that no list named"),
+            Some((state, _, since))
+                if state != State::Ready && now > since + self.scenario.discovery.drain_grace =>
+            {
+                Some("sent to a server past its drain window")
+            }
+            _ if !open => Some("sent after the final answer"),
+            _ if !harmless => Some("sent again though it may have run"),
+            _ => None,
+        };
+        if let Some(rule) = rule {
+            self.judge.broke(rule, at, proxy, Some(id), Some(server));
+        }
+        let until = until.unwrap_or(Micros::MAX).min(deadline);
+        let number = self.attempts.len();
+        let call = &mut self.calls[id.0 as usize];
+        let (sent, reached, linked) = (now, false, false);
+        let attempt = Attempt {
+            call: id.0 as usize,
+            number: call.attempts.len() as u32,
+            server: place,
+            sent,
+            until,
+            reached,
+            outcome: None,
+            linked,
+        };
+        call.attempts.push(number);
+        self.attempts.push(attempt);
+        if place >= self.servers.len() || !open || until <= now {
+            return self.outcome(number, Outcome::NotSent);
+        }
+        self.judge.attempts += 1;
+        self.judge.crossings += u64::from(self.servers[place].zone != self.proxies[proxy].zone);
+        self.queue.at(until, Happening::Timeout { attempt: number });
+        self.connect(number, proxy, place);
+    }
+
+    pub(super) fn connect(&mut self, number: usize, proxy: usize, place: usize) {
+        let (now, way) = (self.now(), self.way(proxy, place));
+        let server = &mut self.servers[place];
+        if server.health.silent {
+            // It never comes up.
+            let connect_timeout = self.scenario.network.connect_timeout;
+            let outcome = Outcome::NoConnection;
+            return self.queue.after(connect_timeout, Happening::AtProxy { attempt: number, outcome });
+        }
+        let link = if server.up && !server.fallen { server.link(now, proxy) } else { None };
+        let Some(kept) = link else {
+            let outcome = Outcome::NoConnection;
+            return self.queue.after(2 * way, Happening::AtProxy { attempt: number, outcome });
+        };
+        self.attempts[number].linked = true;
+        self.judge.handshakes += u64::from(!kept);
+        let way = if kept { way } else { 3 * way };
+        self.queue.after(way, Happening::AtServer { attempt: number });
+    }
+
+    /// One way between a proxy and a server, as it is this time.
+    pub(super) fn way(&mut self, proxy: usize, server: usize) -> Micros {
+        let network = &self.scenario.network;
+        let near = self.proxies[proxy].zone == self.servers[server].zone;
+        jitter(if near { network.within } else { network.across }, network.jitter, &mut self.luck)
+    }
+
+    /// An answer, or what stands for it, reaches the proxy.
+    pub(super) fn at_proxy(&mut self, number: usize, outcome: Outcome) {
+        let Attempt { server, call, .. } = self.attempts[number];
+        if self.servers[server].health.silent && outcome != Outcome::NoConnection {
+            // Lost on the way; the proxy's own time ends it.
+            return;
+        }
+        if self.attempts[number].outcome.is_some() {
+            if outcome == Outcome::Served {
+                let request = self.calls[call].request;
+                self.judge.wasted_work += self.requests[request].work;
+            }
+            return;
+        }
+        self.outcome(number, outcome);
+    }
+
+    pub(super) fn timeout(&mut self, number: usize) {
+        if self.attempts[number].outcome.is_none() {
+            let outcome =
+                if self.attempts[number].reached { Outcome::TimedOut } else { Outcome::NoConnection };
+            self.abandon(number);
+            self.outcome(number, outcome);
+        }
+    }
+
+    /// The proxy closes the connection of an attempt: its server hears of it.
+    pub(super) fn abandon(&mut self, number: usize) {
+        let Attempt { call, server, outcome, .. } = self.attempts[number];
+        if outcome.is_none() && server < self.servers.len() {
+            let way = self.way(self.calls[call].proxy, server);
+            self.queue.after(way, Happening::DropAt { attempt: number });
+        }
+    }
+
+    /// The first outcome of an attempt, which its proxy is told.
+    pub(super) fn outcome(&mut self, number: usize, outcome: Outcome) {
+        let now = self.now();
+        let attempt = &mut self.attempts[number];
+        if attempt.outcome.is_some() {
+            return;
+        }
+        attempt.outcome = Some(outcome);
+        let (id, elapsed, server) = (attempt.call, now - attempt.sent, attempt.server);
+        let (attempt_number, linked) = (attempt.number, attempt.linked);
+        let Call { proxy, request, open, .. } = self.calls[id];
+        if linked {
+            let keep = matches!(outcome, Outcome::Served | Outcome::Error | Outcome::TurnedAway);
+            self.servers[server].unlink(now, proxy, keep);
+        }
+        if outcome == Outcome::Served {
+            if open {
+                self.calls[id].open = false;
+                self.done(request, End::Served(now - self.requests[request].asked));
+            } else {
+                self.judge.wasted_work += self.requests[request].work;
+            }
+        }
+        let closed = !self.calls[id].open;
+        let call = CallId(id as u64);
+        let load = Load::default();
+        let event = Event::Outcome { call, attempt: attempt_number, outcome, elapsed, closed, load };
+        self.event(proxy, event);
+    }
+}
