File servers in sets as they change instead of filtering all at each use

Change: weighted sets (Fenwick tree), sets of servers with the moments at which time alone changes them, a roster with lasting places, a ledger of calls, the classes with their answer times, and the wiring of events stand beside the module, each with its properties tested against a plain reference. One function judges where a server stands. The time and the actions of the event in hand are the balancer's, not arguments of each function.

--- a/crates/core/src/balance/budget.rs
+++ b/crates/core/src/balance/budget.rs
@@ -14,8 +14,13 @@
         Budget { steps: 1, concurrency, floor, ..Budget::default() }
     }
 
-    pub(super) fn trial_ready(&self, now: Micros) -> bool {
-        !self.trial_out && now >= self.backoff_end
+    /// From when on a call may pass as a trial, unless something else forbids it.
+    pub(super) fn trial_at(&self) -> Micros {
+        if self.trial_out {
+            Micros::MAX
+        } else {
+            self.backoff_end
+        }
     }
 
     pub(super) fn trial_served(&mut self) {
@@ -50,25 +55,58 @@
         self.listed && self.budget.steps > 0 && now >= self.not_before
     }
 
-    /// Are enough answers in since its budget last changed to tell what the change did?
-    pub(super) fn settled(&self, now: Micros, usual: f64) -> bool {
-        self.answers_since >= self.in_flight.max(1)
-            && (self.answers_since as f64 * SMOOTHING >= 1.0
-                || now.saturating_sub(self.changed) as f64 >= 2.0 * usual)
-    }
-
-    /// Set aside and due for the one call that tries it.
-    pub(super) fn returning(&self, now: Micros, rules: &Rules) -> bool {
-        // All balancers' trials together could push a cold server over.
-        let rested = self.budget.trial_ready(now) && now >= self.not_before;
-        self.listed && self.budget.steps == 0 && rested && self.warmth(now, rules) >= 1.0
+    /// From when on enough answers are in since its budget last changed to tell what the change did.
+    pub(super) fn settled_at(&self, usual: f64) -> Micros {
+        match self.answers_since {
+            few if few < self.in_flight.max(1) => Micros::MAX,
+            many if f64::from(many) * SMOOTHING >= 1.0 => 0,
+            _ => self.changed.saturating_add((2.0 * usual) as Micros),
+        }
     }
 }
 
 impl Balancer {
     /// Never most of the fleet: trouble seen everywhere is not the servers' own.
     pub(super) fn may_set_aside(&self) -> bool {
-        let aside = self.listed().filter(|s| s.budget.steps == 0).count();
-        (aside + 1) * 2 <= self.listed().count()
+        (self.sets.aside + 1) * 2 <= self.sets.listed.len()
+    }
+
+    /// Files a server where it stands now; each change of what its standing follows from ends here.
+    pub(crate) fn refile(&mut self, place: usize) {
+        let server = &self.servers[place];
+        let mark = Mark { size: server.size, rank: server.rank, started: server.started.min(self.now) };
+        let standing = self.standing(server);
+        self.sets.put(place, standing, mark);
+        if !server.listed && server.in_flight == 0 {
+            self.sets.well_again(place, server.fares.keys());
+            self.servers.leave(server.id, place);
+        }
+    }
+
+    pub(crate) fn standing(&self, server: &Server) -> Standing {
+        let rules = &self.settings.rules;
+        let Server { listed, strain, changed, not_before, .. } = *server;
+        let (warm, full) = (server.warmth(self.now, rules) >= 1.0, server.full(self.now, rules));
+        let aside = listed && server.budget.steps == 0;
+        let up = server.usable(self.now) && warm;
+        let trial_at = server.budget.trial_at();
+        // A strained server grows no further, nor one whose last change has not shown what it did.
+        let settled_at = if changed == 0 { 0 } else { server.settled_at(self.classes.longest_usual()) };
+        let grows_at = if strain > 1.0 { Micros::MAX } else { trial_at.max(settled_at) };
+        let warm_at = server.started.saturating_add(rules.cold_time);
+        let moments = [warm_at, not_before, trial_at, if full { grows_at } else { 0 }];
+        let until = moments.into_iter().filter(|&at| listed && at > self.now && at < Micros::MAX).min();
+        Standing {
+            listed,
+            aside,
+            // All balancers' trials together could push a cold server over.
+            returning: aside && warm && self.now >= trial_at.max(not_before),
+            cold: listed && !warm,
+            up,
+            room: up && !full,
+            trial: up && full && self.now >= grows_at,
+            near: server.zone == self.settings.zone,
+            until,
+        }
     }
 }
--- a/crates/core/src/balance/learn.rs
+++ b/crates/core/src/balance/learn.rs
@@ -40,9 +40,9 @@
 
 impl Balancer {
     /// As many waiting as in work, or nearly all cores busy, is as much as an answer at its limit.
-    pub(super) fn report(&mut self, id: CallId, attempt: u32, load: Load) {
-        let Some(tried) = self.calls.get(&id).and_then(|c| c.attempts.get(attempt as usize)) else { return };
-        let Some(place) = self.place(tried.server) else { return };
+    pub(crate) fn report(&mut self, id: CallId, attempt: u32, load: Load) {
+        let Some(tried) = self.calls.get(id).and_then(|c| c.attempts.get(attempt as usize)) else { return };
+        let Some(place) = self.servers.place(tried.server) else { return };
         let crowding = match load {
             Load { in_hand: Some(all), waiting: Some(waiting), .. } => waiting / (all - waiting).max(1.0),
             Load { busy: Some(busy), .. } => busy / BUSY_FULL,
@@ -52,32 +52,25 @@
     }
 
     /// An answer that had begun to flow has ended: its server was done with it, but may have cut it.
-    pub(super) fn flowed(&mut self, id: ServerId, outcome: Outcome) {
+    pub(crate) fn flowed(&mut self, id: ServerId, outcome: Outcome) {
         let cut = matches!(outcome, Outcome::Reset | Outcome::TimedOut);
-        if let Some(place) = self.place(id).filter(|_| cut) {
+        if let Some(place) = self.servers.place(id).filter(|_| cut) {
             let failing = &mut self.servers[place].failing;
             *failing += (1.0 - *failing) * FAIL_WEIGHT;
         }
     }
 
     /// What a server's answer, or its absence, teaches.
-    pub(super) fn learn(
-        &mut self,
-        now: Micros,
-        tried: Attempt,
-        class_id: usize,
-        outcome: Outcome,
-        actions: &mut Actions,
-    ) {
+    pub(crate) fn learn(&mut self, tried: Attempt, class_id: usize, outcome: Outcome) {
         let Attempt { server: id, sent, trial, .. } = tried;
-        let elapsed = now.saturating_sub(sent);
-        let (first, longest, longest_aim) = (self.first_backoff(), self.longest_usual(), self.longest_aim());
+        let elapsed = self.now.saturating_sub(sent);
+        let (first, longest, longest_aim) =
+            (self.first_backoff(), self.classes.longest_usual(), self.classes.longest_aim());
         let may_set_aside = self.may_set_aside();
-        let Some(place) = self.place(id) else { return };
-        let pace = self.paces.get_mut(class_id);
-        let aim = self.settings.classes.get(class_id).map_or(f64::MAX, |c| c.aim as f64);
-        let limit =
-            pace.as_ref().map_or(f64::MAX, |p| (p.base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(p.base));
+        let Some(place) = self.servers.place(id) else { return };
+        let aim = self.classes.class(class_id).map_or(f64::MAX, |c| c.aim as f64);
+        let base = self.classes.base(class_id);
+        let limit = (base * STRAIN_TIMES).min(aim * STRAIN_AIM).max(base);
         let server = &mut self.servers[place];
         server.in_flight = server.in_flight.saturating_sub(1);
         let late = if outcome == Outcome::TimedOut && server.answered > sent { 2.0 } else { 0.0 };
@@ -90,6 +83,7 @@
                 // A loser called off was at least this slow.
                 server.strain += (strain - server.strain).max(0.0) * SMOOTHING;
                 server.budget.trial_out &= !trial;
+                self.refile(place);
                 return;
             }
             _ => true,
@@ -99,9 +93,10 @@
         if outcome == Outcome::Served || outcome == Outcome::Error || silent {
             let fare = server.fares.entry(class_id).or_default();
             let failed_before = fare.fails();
-            fare.note(now, outcome != Outcome::Served, first);
+            fare.note(self.now, outcome != Outcome::Served, first);
+            self.sets.fails(class_id, place, fare.fails());
             if fare.fails() && !failed_before {
-                actions.push(Action::Log(Note::FailsClass { server: id, class: ClassId(class_id) }));
+                self.actions.push(Action::Log(Note::FailsClass { server: id, class: ClassId(class_id) }));
             }
         }
         // A time-out proves less than an error: a crowded server may owe a lone call for that long.
@@ -113,36 +108,36 @@
         let change = (STRAIN_DEEP - seen).max(-STRAIN_DEEP) * SMOOTHING;
         group.share = (group.share * change.exp()).clamp(SMOOTHING / 2.0, 1.0);
         // Few answers a second must not make the strain a memory of long ago.
-        let gap = now.saturating_sub(server.heard) as f64 / longest_aim;
+        let gap = self.now.saturating_sub(server.heard) as f64 / longest_aim;
         let weight = SMOOTHING.max(1.0 - (-gap).exp());
-        server.heard = now;
+        server.heard = self.now;
         if !failed {
             strain = strain.max(server.crowding);
             server.strain += (strain - server.strain) * weight;
             server.answers_since += 1;
         }
         // Answers alone would make the mean that of the lucky: late ones count for what was waited.
-        if let Some(pace) = pace.filter(|_| !failed) {
-            pace.answered(now, elapsed as f64);
+        if let Some(pace) = self.classes.pace(class_id).filter(|_| !failed) {
+            pace.answered(self.now, elapsed as f64);
         }
         if tried.crowd > 0.0 && matches!(outcome, Outcome::Served | Outcome::TimedOut) {
             let faded = 1.0 - SMOOTHING / 2.0;
             self.told = (self.told.0 * faded + elapsed as f64, self.told.1 * faded + tried.crowd);
         }
         if outcome == Outcome::Served {
-            server.answered = now;
+            server.answered = self.now;
         }
         // Latency well above an unloaded server's is the sign, beside refusals, of too much in flight.
         if outcome == Outcome::TurnedAway {
             server.budget.cut(CUT_FULL, 0.0);
             // Fast refusals leave it looking idle: without a pause it would draw in call after call.
-            server.not_before = server.not_before.max(now + longest as Micros);
-        } else if server.strain > 1.0 && server.settled(now, longest) {
+            server.not_before = server.not_before.max(self.now + longest as Micros);
+        } else if server.strain > 1.0 && self.now >= server.settled_at(longest) {
             let floor = server.budget.floor * if server.strain > STRAIN_DEEP { CUT_MOST / 2.0 } else { 1.0 };
             server.budget.cut(1.0 / server.strain, floor);
             // The cut answers for part of it: else one jam would be cut for again and again.
             server.strain = server.strain.sqrt();
-            (server.answers_since, server.changed) = (0, now);
+            (server.answers_since, server.changed) = (0, self.now);
         }
         let was_up = server.budget.steps > 0;
         if matches!(outcome, Outcome::NoConnection | Outcome::Reset)
@@ -153,14 +148,14 @@
         server.budget.trial_out &= !trial;
         if trial {
             if outcome != Outcome::Served {
-                server.budget.back_off(now, first);
+                server.budget.back_off(self.now, first);
             } else if was_up && server.strain > 1.0 {
-                server.budget.backoff_end = now + first;
+                server.budget.backoff_end = self.now + first;
             } else if was_up || server.failing < FAIL_LIMIT / 2.0 {
                 server.budget.trial_served();
-                (server.answers_since, server.changed) = (0, now);
+                (server.answers_since, server.changed) = (0, self.now);
                 if !was_up {
-                    actions.push(Action::Log(Note::TakenBack { server: id }));
+                    self.actions.push(Action::Log(Note::TakenBack { server: id }));
                 }
             } else {
                 // One good answer of a server that fails most does not bring it back: several in a row do.
@@ -172,9 +167,10 @@
             server.budget.steps = 0;
         }
         if was_up && server.budget.steps == 0 {
-            server.budget.back_off(now, first);
+            server.budget.back_off(self.now, first);
             server.strain = 1.0;
-            actions.push(Action::Log(Note::SetAside { server: id, outcome }));
+            self.actions.push(Action::Log(Note::SetAside { server: id, outcome }));
         }
+        self.refile(place);
     }
 }
--- a/crates/core/src/balance/retry.rs
+++ b/crates/core/src/balance/retry.rs
@@ -29,54 +29,49 @@
 }
 
 impl Balancer {
-    pub(super) fn request(
-        &mut self,
-        now: Micros,
-        id: CallId,
-        (class, left, lot): (ClassId, Micros, bool),
-        actions: &mut Actions,
-    ) {
+    pub(crate) fn request(&mut self, id: CallId, (class, left, lot): (ClassId, Micros, bool)) {
         // A class that the settings do not name is unsafe.
         let unknown = Class { aim: left, deadline: left, ..Class::default() };
-        let spec = self.settings.classes.get(class.0).copied().unwrap_or(unknown);
+        let spec = self.classes.class(class.0).unwrap_or(unknown);
         let call = Call {
             class: spec,
             class_id: class.0,
             most: self.settings.limits.max_attempts,
-            arrived: now,
-            asked: now.saturating_sub(self.spent(class.0, &spec, left)),
-            deadline: now.saturating_add(left),
+            arrived: self.now,
+            asked: self.now.saturating_sub(self.spent(class.0, &spec, left)),
+            deadline: self.now.saturating_add(left),
             lot,
             chance: self.unit(),
             ..Call::default()
         };
-        self.calls.insert(id, call);
+        self.calls.open(id, call);
         self.retries = (self.retries + RETRY_EARNED).min(RETRY_SAVED);
-        self.paces.iter_mut().skip(class.0).take(1).for_each(|p| p.asked += 1.0);
-        let waited = self.hold.front().map_or(0, |head| now.saturating_sub(self.calls[head].arrived));
+        self.classes.pace(class.0).into_iter().for_each(|p| p.asked += 1.0);
+        let waited =
+            self.calls.hold().front().map_or(0, |&head| self.now.saturating_sub(self.calls[head].arrived));
         if waited > self.wait_limit(id) {
-            self.give_up(id, waited, actions);
+            self.give_up(id, waited);
         } else {
-            self.enqueue(now, id, false);
+            self.enqueue(id, false);
         }
     }
 
     /// All of a call is there at last: what it was sent with before counts from now, for it and its server.
-    pub(super) fn whole(&mut self, now: Micros, id: CallId, time_left: Micros) {
-        let Some(call) = self.calls.get_mut(&id).filter(|c| !c.ended) else { return };
-        call.asked += now.saturating_sub(call.arrived);
-        (call.arrived, call.deadline) = (now, now.saturating_add(time_left));
-        call.attempts.iter_mut().filter(|a| a.effect == Effect::Out).for_each(|a| a.sent = now);
+    pub(crate) fn whole(&mut self, id: CallId, time_left: Micros) {
+        let Some(call) = self.calls.get_mut(id).filter(|c| !c.ended) else { return };
+        call.asked += self.now.saturating_sub(call.arrived);
+        (call.arrived, call.deadline) = (self.now, self.now.saturating_add(time_left));
+        call.attempts.iter_mut().filter(|a| a.effect == Effect::Out).for_each(|a| a.sent = self.now);
         if !call.held {
             // It cannot go twice: no second copy.
-            self.wakes.set(id, None);
+            self.calls.wakes.set(id, None);
         }
     }
 
     /// How long ago did the client first ask? One that waits less for this try than others do has used up the
     /// rest. Only as many are taken to have tried before as were turned back: patience may be unequal.
     pub(super) fn spent(&mut self, class_id: usize, class: &Class, left: Micros) -> Micros {
-        let Some(pace) = self.paces.get_mut(class_id) else { return 0 };
+        let Some(pace) = self.classes.pace(class_id) else { return 0 };
         pace.patience = pace.patience.max(left);
         if left as f64 >= pace.patience as f64 * PATIENCE_SAME || pace.turned_back == 0 {
             return 0;
@@ -85,48 +80,35 @@
         class.deadline.saturating_sub(left)
     }
 
-    /// Notes an attempt's end; late, double and unknown ones change nothing.
-    pub(super) fn outcome(&mut self, id: CallId, attempt: u32, outcome: Outcome) -> Option<(Attempt, usize)> {
-        let call = self.calls.get_mut(&id)?;
-        let tried = call.attempts.get_mut(attempt as usize).filter(|a| a.effect == Effect::Out)?;
-        tried.effect = if outcome.never_ran() { Effect::NeverRan } else { Effect::MayHaveRan };
-        Some((*tried, call.class_id))
-    }
-
     /// After an attempt's end: the call's end, another attempt, or nothing while a copy is out.
-    pub(super) fn proceed(
-        &mut self,
-        now: Micros,
-        id: CallId,
-        outcome: Outcome,
-        closed: bool,
-        actions: &mut Actions,
-    ) {
+    pub(crate) fn proceed(&mut self, id: CallId, outcome: Outcome, closed: bool) {
         if closed || outcome == Outcome::Served {
-            self.end(id);
-            self.cancel_others(id, None, actions);
-        } else if self.calls.get(&id).is_some_and(|c| !c.ended && !c.held && c.out() == 0) {
+            self.calls.end(id);
+            self.cancel_others(id, None);
+        } else if self.calls.get(id).is_some_and(|c| !c.ended && !c.held && c.out() == 0) {
             if outcome == Outcome::Rejected {
-                self.close(id, Action::Fail { call: id }, actions);
+                self.close(id, Action::Fail { call: id });
             } else {
-                self.again(now, id, outcome, actions);
+                self.again(id, outcome);
             }
         }
-        self.forget(id);
+        self.calls.forget(id);
     }
 
     /// After an attempt that did not serve: again, or the end.
-    pub(super) fn again(&mut self, now: Micros, id: CallId, outcome: Outcome, actions: &mut Actions) {
-        let call = &self.calls[&id];
-        let in_time = now as f64 + self.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
-        let some = self.servers.iter().any(|s| s.listed && call.may_go(now, s, self.settings.tick));
+    pub(super) fn again(&mut self, id: CallId, outcome: Outcome) {
+        let call = &self.calls[id];
+        let in_time =
+            self.now as f64 + self.classes.usual(call.class_id, call.class.aim) < call.aim_at() as f64;
+        let some =
+            self.sets.listed.iter().any(|p| call.may_go(self.now, &self.servers[p], self.settings.tick));
         let more = self.more(call);
         let paid = self.retries >= 1.0 || outcome == Outcome::NoConnection;
         if in_time && some && more && paid && !call.streaming {
             self.retries = (self.retries - 1.0).max(0.0);
-            self.enqueue(now, id, true);
+            self.enqueue(id, true);
         } else {
-            self.give_up(id, self.first_backoff(), actions);
+            self.give_up(id, self.first_backoff());
         }
     }
 
@@ -136,62 +118,44 @@
     }
 
     /// A second copy for a call that is late on a server that may have stalled.
-    pub(super) fn second_copy(&mut self, now: Micros, id: CallId, actions: &mut Actions) {
-        let call = &self.calls[&id];
+    pub(super) fn second_copy(&mut self, id: CallId) {
+        let call = &self.calls[id];
         // Where others were answered since, its server has not stalled: the call is long, and is so anywhere.
-        let answers = |a: &Attempt| self.place(a.server).is_some_and(|p| self.servers[p].answered > a.sent);
+        let answers =
+            |a: &Attempt| self.servers.place(a.server).is_some_and(|p| self.servers[p].answered > a.sent);
         let long = call.attempts.iter().any(|a| a.effect == Effect::Out && answers(a));
         let more = self.more(call) && call.out() == 1 && !long;
-        let spare = self.retries >= 1.0 && self.hold.is_empty() && !call.streaming;
+        let spare = self.retries >= 1.0 && self.calls.hold().is_empty() && !call.streaming;
         if !more || !spare {
             return;
         }
-        match self.route(now, id) {
-            Route::Send { server, trial: false } => self.send(now, id, server, false, actions),
+        match self.route(id) {
+            Route::Send { server, trial: false } => self.send(id, server, false),
             _ => return,
         }
         self.retries -= 1.0;
     }
 
     /// The call's last answer, and its end.
-    pub(super) fn close(&mut self, id: CallId, last: Action, actions: &mut Actions) {
-        actions.push(last);
-        self.end(id);
-        self.cancel_others(id, None, actions);
-        self.forget(id);
+    pub(super) fn close(&mut self, id: CallId, last: Action) {
+        self.actions.push(last);
+        self.calls.end(id);
+        self.cancel_others(id, None);
+        self.calls.forget(id);
     }
 
-    pub(super) fn give_up(&mut self, id: CallId, retry_after: Micros, actions: &mut Actions) {
-        let class_id = self.calls[&id].class_id;
-        self.paces.iter_mut().skip(class_id).take(1).for_each(|p| p.turned_back += 1);
+    pub(super) fn give_up(&mut self, id: CallId, retry_after: Micros) {
+        let class_id = self.calls[id].class_id;
+        self.classes.pace(class_id).into_iter().for_each(|p| p.turned_back += 1);
         let retry_after = retry_after.min(self.settings.limits.max_retry_after);
-        let refuse = self.calls[&id].may_be_refused();
+        let refuse = self.calls[id].may_be_refused();
         let last = if refuse { Action::Refuse { call: id, retry_after } } else { Action::Fail { call: id } };
-        self.close(id, last, actions);
-    }
-
-    pub(super) fn end(&mut self, id: CallId) {
-        self.wakes.set(id, None);
-        let Some(call) = self.calls.get_mut(&id) else { return };
-        call.ended = true;
-        call.asks.clear();
-        if std::mem::take(&mut call.held) {
-            if let Some(index) = self.hold.iter().position(|&held| held == id) {
-                self.hold.remove(index);
-            }
-        }
-    }
-
-    pub(super) fn cancel_others(&mut self, id: CallId, but: Option<u32>, actions: &mut Actions) {
-        let Some(call) = self.calls.get(&id).filter(|_| self.settings.limits.cancel) else { return };
-        let stays = |n: u32, a: &Attempt| a.effect != Effect::Out || a.flows || Some(n) == but;
-        let out = (0..).zip(&call.attempts).filter(|(n, a)| !stays(*n, a));
-        actions.extend(out.map(|(attempt, _)| Action::Cancel { call: id, attempt }));
+        self.close(id, last);
     }
 
-    pub(super) fn forget(&mut self, id: CallId) {
-        if self.calls.get(&id).is_some_and(|c| c.ended && c.out() == 0) {
-            self.calls.remove(&id);
+    pub(crate) fn cancel_others(&mut self, id: CallId, but: Option<u32>) {
+        if self.settings.limits.cancel {
+            self.actions.extend(self.calls.losers(id, but));
         }
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,8 +27,15 @@
 
 mod api;
 mod balance;
+mod classes;
+mod events;
+mod ledger;
+mod roster;
+mod server;
+mod sets;
 pub mod settings;
 mod timetable;
+mod weighted;
 
 pub use api::*;
 pub use balance::Balancer;
--- a/crates/core/src/timetable.rs
+++ b/crates/core/src/timetable.rs
@@ -1,24 +1,37 @@
-//! When which call is due. It orders moments and decides nothing.
+//! When which thing is due. It orders moments and decides nothing.
 
-use crate::api::{CallId, Micros};
-use std::collections::{BTreeMap, BTreeSet};
+use crate::api::Micros;
+use std::collections::{BTreeSet, HashMap};
+use std::hash::Hash;
 
-/// When which call is due; each has one time at the most.
-#[derive(Debug, Default)]
-pub(crate) struct Timetable {
-    due: BTreeSet<(Micros, CallId)>,
-    times: BTreeMap<CallId, Micros>,
+/// When which key is due; each has one time at the most.
+#[derive(Debug)]
+pub(crate) struct Timetable<K> {
+    due: BTreeSet<(Micros, K)>,
+    times: HashMap<K, Micros>,
 }
 
-impl Timetable {
-    /// Sets a call's time, or takes it off.
-    pub(crate) fn set(&mut self, id: CallId, at: Option<Micros>) {
-        if let Some(old) = self.times.remove(&id) {
-            self.due.remove(&(old, id));
+impl<K> Default for Timetable<K> {
+    fn default() -> Self {
+        Timetable { due: BTreeSet::new(), times: HashMap::new() }
+    }
+}
+
+impl<K: Copy + Hash + Ord> Timetable<K> {
+    /// Sets a key's time, or takes it off.
+    pub(crate) fn set(&mut self, key: K, at: Option<Micros>) {
+        let old = match at {
+            Some(at) => self.times.insert(key, at),
+            None => self.times.remove(&key),
+        };
+        if old == at {
+            return;
+        }
+        if let Some(old) = old {
+            self.due.remove(&(old, key));
         }
         if let Some(at) = at {
-            self.due.insert((at, id));
-            self.times.insert(id, at);
+            self.due.insert((at, key));
         }
     }
 
@@ -27,10 +40,11 @@
         self.due.first().map(|d| d.0)
     }
 
-    /// Takes off a call that is due by now.
-    pub(crate) fn pop(&mut self, now: Micros) -> Option<CallId> {
-        let &(_, id) = self.due.first().filter(|d| d.0 <= now)?;
-        self.set(id, None);
-        Some(id)
+    /// Takes off a key that is due by now.
+    pub(crate) fn pop(&mut self, now: Micros) -> Option<K> {
+        let &(at, key) = self.due.first().filter(|d| d.0 <= now)?;
+        self.due.remove(&(at, key));
+        self.times.remove(&key);
+        Some(key)
     }
 }
