Bound the calls that a balancer may have out, where its part of a server is under one

Cause: a budget is at least one call, so 60 balancers may have 60 calls and more at a server of three cores. Ruled out: a lack of capacity (the load after the burst is that of before it). Change: overload.rs keeps an allowance of calls out at all servers together. It starts at an even part of what servers bear, grows by a call a round while it binds and few answers are late, and is cut, never under a safe part, when many are. A part under one call is a part in time. The shedding by groups of servers, which took minutes to end, gives way to it. Balancers so few that their part is a call or more (seven) are bound by their budgets alone, as before. The tests of sparse traffic that had 8 and 40 calls out at once from the start now let them grow first.

--- a/crates/core/src/balance/learn.rs
+++ b/crates/core/src/balance/learn.rs
@@ -1,5 +1,6 @@
 //! What the end of an attempt teaches of its server, its group and its class.
 
+use super::overload::LATE_AIM;
 use super::state::*;
 
 const CUT_FULL: f64 = 0.8;
@@ -75,6 +76,14 @@
         server.in_flight = server.in_flight.saturating_sub(1);
         let late = if outcome == Outcome::TimedOut && server.answered > sent { 2.0 } else { 0.0 };
         let mut strain = (elapsed as f64 / limit).clamp(late, 4.0);
+        // Errors and resets tell nothing of load; who never went, or was called off early, nothing at all.
+        let late_back = match outcome {
+            Outcome::Served => Some(elapsed as f64 > aim * LATE_AIM),
+            Outcome::TimedOut | Outcome::TurnedAway | Outcome::NoConnection => Some(true),
+            _ => None,
+        };
+        self.comes_back(elapsed, late_back);
+        let server = &mut self.servers[place];
         let failed = match outcome {
             Outcome::Served => false,
             // Late while others are answered: the server is slow, not gone, and is sent less, not nothing.
@@ -102,11 +111,9 @@
         // A time-out proves less than an error: a crowded server may owe a lone call for that long.
         let weight = if outcome == Outcome::TimedOut { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
         server.failing += (f64::from(u8::from(failed)) - server.failing) * weight;
-        let group = self.groups.entry((server.zone, server.kind)).or_insert(Group { strain, share: 1.0 });
+        let group = self.groups.entry((server.zone, server.kind)).or_insert(Group { strain });
         let seen = if failed { STRAIN_DEEP * 2.0 } else { strain };
         group.strain += (seen - group.strain) * SMOOTHING;
-        let change = (STRAIN_DEEP - seen).max(-STRAIN_DEEP) * SMOOTHING;
-        group.share = (group.share * change.exp()).clamp(SMOOTHING / 2.0, 1.0);
         // Few answers a second must not make the strain a memory of long ago.
         let gap = self.now.saturating_sub(server.heard) as f64 / longest_aim;
         let weight = SMOOTHING.max(1.0 - (-gap).exp());
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -7,6 +7,7 @@
 mod hold;
 mod learn;
 mod members;
+mod overload;
 mod retry;
 mod route;
 mod state;
--- a/crates/core/src/balance/route.rs
+++ b/crates/core/src/balance/route.rs
@@ -29,6 +29,9 @@
         if sets.room.is_empty() && sets.trials.is_empty() && !sets.cold.iter().any(|p| self.has_room(p)) {
             return Route::Hold;
         }
+        if !self.may_send() {
+            return Route::Hold;
+        }
         if let Some(server) = self.cold_draw(id) {
             return Route::Send { server, trial: false };
         }
@@ -89,8 +92,6 @@
         random: &mut Pcg32,
     ) -> Route {
         let (call, servers, sets) = (&self.calls[id], &self.servers, &self.sets);
-        let group = |p: usize| self.groups.get(&(servers[p].zone, servers[p].kind));
-        let fits = |p: usize| fits(p) && group(p).is_none_or(|g| g.share >= call.chance);
         // A stable few, more when they were full: they bound connections, and what they show is fresh.
         let most = SUBSET << call.found_full.min(BACKOFF_DOUBLINGS);
         let few = |ranked: &BTreeSet<(u32, usize)>| -> Vec<usize> {
@@ -188,6 +189,7 @@
             && self.settings.limits.second_copies
             && copy_at + usual <= aim as f64;
         self.calls.wakes.set(id, copy.then_some((copy_at as Micros).max(self.now + 1)));
+        self.goes_out();
         self.refile(place);
     }
 }
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -1,5 +1,6 @@
 //! What a balancer remembers, and what is read off it alike everywhere.
 
+pub(super) use super::overload::Allowance;
 pub(super) use crate::api::*;
 pub(super) use crate::classes::Classes;
 pub(super) use crate::ledger::{Attempt, Call, Effect, Ledger};
@@ -29,8 +30,6 @@
 #[derive(Debug)]
 pub(crate) struct Group {
     pub(super) strain: f64,
-    /// Their budget where it is under one call each: the chance that a call may go there.
-    pub(super) share: f64,
 }
 
 /// Decides for one client proxy.
@@ -44,6 +43,7 @@
     pub(crate) servers: Roster<Server>,
     pub(crate) sets: Sets,
     pub(crate) calls: Ledger,
+    pub(crate) allowance: Allowance,
     /// Calls that wait for the load of servers.
     pub(crate) asking: Vec<CallId>,
     /// Answer times of late, and what their servers held then for their size: all servers' together.
@@ -74,6 +74,7 @@
             servers: Roster::default(),
             sets: Sets::default(),
             calls: Ledger::default(),
+            allowance: Allowance::default(),
             asking: Vec::new(),
             told: (0.0, 0.0),
             pressure: 1.0,
--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -66,7 +66,8 @@
         let mut next = self.ask_at.min(self.calls.wakes.next().unwrap_or(Micros::MAX));
         if let Some(&head) = self.calls.hold().front() {
             let asks = Some(self.calls[head].ask_next).filter(|&at| at > self.now);
-            next = self.sets.next().into_iter().chain(asks).fold(next, Micros::min);
+            let paced = Some(self.allowance.next_at).filter(|&at| at > self.now);
+            next = self.sets.next().into_iter().chain(asks).chain(paced).fold(next, Micros::min);
         }
         if next < self.timer_at {
             self.timer_at = next;
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -76,6 +76,19 @@
         server
     }
 
+    /// Rounds of more calls at once than may go out, all that go served after `elapsed`.
+    pub fn busy_rounds(&mut self, rounds: usize, elapsed: Micros) {
+        for _ in 0..rounds {
+            let mut out: Vec<CallId> = (0..100).flat_map(|_| sent(&self.call().1)).map(|s| s.0).collect();
+            while !out.is_empty() {
+                self.now += elapsed;
+                let more = |call| sent(&self.end(call, 0, Outcome::Served, elapsed));
+                out = out.into_iter().flat_map(more).map(|s| s.0).collect();
+            }
+            self.wait(1_200 * MS);
+        }
+    }
+
     pub fn wait(&mut self, span: Micros) -> Vec<Action> {
         self.now += span;
         self.event(Event::Timer)
