--- a/crates/core/tests/overload.rs
+++ b/crates/core/tests/overload.rs
@@ -10,11 +10,20 @@
 const WORK: Micros = 80 * MS;
 const STEP: Micros = 5 * MS;
 
+/// A call in a server.
+#[derive(Clone, Copy)]
+struct Work {
+    /// What it still needs, in microseconds of a core.
+    left: f64,
+    proxy: usize,
+    call: CallId,
+    since: Micros,
+}
+
 /// Balancers and servers that have nothing but calls between them. `rate` calls a second come, spread over all.
 struct Fleet {
     proxies: Vec<Proxy>,
-    /// Of each server: what each call in it still needs, in microseconds of a core; whose it is, and since when.
-    servers: Vec<Vec<(f64, usize, CallId, u32, Micros)>>,
+    servers: Vec<Vec<Work>>,
     arrivals: f64,
     next: usize,
 }
@@ -40,11 +49,11 @@
         for action in actions {
             match action {
                 Action::Send { call, server, .. } => {
-                    let now = self.proxies[proxy].now;
-                    self.servers[server.0 as usize].push((WORK as f64, proxy, call, 0, now));
+                    let since = self.proxies[proxy].now;
+                    self.servers[server.0 as usize].push(Work { left: WORK as f64, proxy, call, since });
                 }
                 Action::Cancel { call, .. } => {
-                    self.servers.iter_mut().for_each(|s| s.retain(|w| (w.1, w.2) != (proxy, call)))
+                    self.servers.iter_mut().for_each(|s| s.retain(|w| (w.proxy, w.call) != (proxy, call)))
                 }
                 _ => {}
             }
@@ -68,13 +77,13 @@
             for server in 0..self.servers.len() {
                 let work = &mut self.servers[server];
                 let share = STEP as f64 * (CORES / work.len().max(1) as f64).min(1.0);
-                work.iter_mut().for_each(|w| w.0 -= share);
-                let done: Vec<_> = work.iter().copied().filter(|w| w.0 <= 0.0).collect();
-                work.retain(|w| w.0 > 0.0);
-                for (_, proxy, call, attempt, since) in done {
+                work.iter_mut().for_each(|w| w.left -= share);
+                let done: Vec<Work> = work.iter().copied().filter(|w| w.left <= 0.0).collect();
+                work.retain(|w| w.left > 0.0);
+                for Work { proxy, call, since, .. } in done {
                     let elapsed = self.proxies[proxy].now - since;
                     good += u32::from(elapsed <= 500 * MS);
-                    let actions = self.proxies[proxy].end(call, attempt, Outcome::Served, elapsed);
+                    let actions = self.proxies[proxy].end(call, 0, Outcome::Served, elapsed);
                     self.act(proxy, actions);
                 }
             }
