Let sparse traffic leave a strained group of servers for others

Change: calls above a group's share go to other groups again; where none is left they stay, as the allowance sheds now.

--- a/crates/core/src/balance/learn.rs
+++ b/crates/core/src/balance/learn.rs
@@ -111,9 +111,11 @@
         // A time-out proves less than an error: a crowded server may owe a lone call for that long.
         let weight = if outcome == Outcome::TimedOut { FAIL_WEIGHT / 2.0 } else { FAIL_WEIGHT };
         server.failing += (f64::from(u8::from(failed)) - server.failing) * weight;
-        let group = self.groups.entry((server.zone, server.kind)).or_insert(Group { strain });
+        let group = self.groups.entry((server.zone, server.kind)).or_insert(Group { strain, share: 1.0 });
         let seen = if failed { STRAIN_DEEP * 2.0 } else { strain };
         group.strain += (seen - group.strain) * SMOOTHING;
+        let change = (STRAIN_DEEP - seen).max(-STRAIN_DEEP) * SMOOTHING;
+        group.share = (group.share * change.exp()).clamp(SMOOTHING / 2.0, 1.0);
         // Few answers a second must not make the strain a memory of long ago.
         let gap = self.now.saturating_sub(server.heard) as f64 / longest_aim;
         let weight = SMOOTHING.max(1.0 - (-gap).exp());
--- a/crates/core/src/balance/route.rs
+++ b/crates/core/src/balance/route.rs
@@ -94,16 +94,21 @@
         let (call, servers, sets) = (&self.calls[id], &self.servers, &self.sets);
         // A stable few, more when they were full: they bound connections, and what they show is fresh.
         let most = SUBSET << call.found_full.min(BACKOFF_DOUBLINGS);
-        let few = |ranked: &BTreeSet<(u32, usize)>| -> Vec<usize> {
-            ranked.iter().map(|r| r.1).filter(|&p| fits(p)).take(most).collect()
+        let few = |ranked: &BTreeSet<(u32, usize)>, well: bool| -> Vec<usize> {
+            let group = |p: usize| self.groups.get(&(servers[p].zone, servers[p].kind));
+            let well = |p: usize| !well || group(p).is_none_or(|g| g.share >= call.chance);
+            ranked.iter().map(|r| r.1).filter(|&p| well(p) && fits(p)).take(most).collect()
         };
-        // Own zone first, where crossing costs: others' when it has no room.
+        // Own zone first, where crossing costs: others' when it has no room, or is strained and they are not.
         let crossing = self.settings.charges.cross_zone > 0.0 && call.found_full == 0;
-        let mut room = if crossing { few(&sets.near) } else { Vec::new() };
+        let near = if crossing { &sets.near } else { &sets.ranked };
+        let mut room = few(near, true);
         if room.is_empty() && sets.up.is_empty() {
-            room = few(&sets.cold.iter().filter(|&p| cold(p)).map(|p| (servers[p].rank, p)).collect());
-        } else if room.is_empty() {
-            room = few(&sets.ranked);
+            let cold = sets.cold.iter().filter(|&p| cold(p)).map(|p| (servers[p].rank, p)).collect();
+            room = few(&cold, false);
+        }
+        for (ranked, well) in [(&sets.ranked, true), (near, false), (&sets.ranked, false)] {
+            room = if room.is_empty() { few(ranked, well) } else { room };
         }
         if room.is_empty() {
             let trial = self.of_two(&sets.trials, fits, random);
--- a/crates/core/src/balance/state.rs
+++ b/crates/core/src/balance/state.rs
@@ -30,6 +30,8 @@
 #[derive(Debug)]
 pub(crate) struct Group {
     pub(super) strain: f64,
+    /// It falls with strain: calls of a higher chance go elsewhere, as long as there is an elsewhere.
+    pub(super) share: f64,
 }
 
 /// Decides for one client proxy.
