--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -136,6 +136,7 @@
             "p50",
             "p99",
             "p99.9",
+            "recovers",
             "rules",
         ]);
         let percent = |share: f64| format!("{:.1}%", share * 100.0);
@@ -156,6 +157,7 @@
                 millis(v.latency[0]),
                 millis(v.latency[1]),
                 millis(v.latency[2]),
+                v.recover.map_or("-".to_owned(), |us| format!("{} s", us / 1_000_000)),
                 if v.broken == 0 { "kept".to_owned() } else { format!("{} broken", v.broken) },
             ]);
         }
--- a/crates/model/src/judge.rs
+++ b/crates/model/src/judge.rs
@@ -1,12 +1,14 @@
 //! What a day is worth, and whether the rules were kept (BRIEF, "How we count"; WIRE, "Invariants").
 
-use crate::scenario::{Again, Scenario};
+use crate::scenario::{Again, Scenario, What};
 use hdrhistogram::Histogram;
 use oakport_core::{CallId, Micros, Outcome, ServerId};
 use serde::Serialize;
 
 /// Seconds of the worst stretch.
 const STRETCH: usize = 10;
+/// Share of the earlier service that counts as recovered.
+const RECOVERED: f64 = 0.95;
 /// Violations that are kept with their story; all are counted.
 const KEPT: usize = 20;
 
@@ -83,6 +85,9 @@
     pub violations: Vec<Violation>,
     /// The day in stretches of five seconds.
     pub windows: Vec<Window>,
+    /// Time from the end of the last surge until three seconds together are served as well as before the first, less a
+    /// twentieth; `None`: no surge, or never. In microseconds.
+    pub recover: Option<Micros>,
     /// Things that happened in the simulation.
     pub events: u64,
 }
@@ -217,6 +222,15 @@
                 1.0
             }
         };
+        let surges = || scenario.events.iter().filter(|e| e.what == What::Surge);
+        let second = |at: Micros| ((at / 1_000_000) as usize).min(self.seconds.len());
+        let recover = surges().map(|e| e.at + e.lasts).max().and_then(|end| {
+            let begin = surges().map(|e| second(e.at)).min().unwrap_or(0);
+            let usual = share(&self.seconds[..begin]) * RECOVERED;
+            let (from, asked) = (second(end), second(scenario.length));
+            let late = self.seconds[from..asked].windows(3).position(|three| share(three) >= usual)?;
+            Some(late as Micros * 1_000_000)
+        });
         let whole = share(&self.seconds);
         // From the first second on, as far as a stretch is whole.
         let stretches = self.seconds.windows(STRETCH.min(self.seconds.len()));
@@ -271,6 +285,7 @@
             broken: self.broken,
             violations: self.violations,
             windows: self.seconds.chunks(5).map(fold).collect(),
+            recover,
             events,
         }
     }
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -80,6 +80,30 @@
     /// Work that a new connection costs it.
     #[serde(deserialize_with = "span")]
     pub handshake: Micros,
+    /// How it suffers under a crowd, if at all.
+    pub choke: Option<ChokeSpec>,
+}
+
+/// A server that has had too many waiting for too long is slower, until it has had little to do for a while (BRIEF,
+/// "Servers").
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ChokeSpec {
+    /// More requests than this wait for each core ...
+    pub at: f64,
+    /// ... for this span: then it chokes.
+    #[serde(deserialize_with = "span")]
+    pub over: Micros,
+    /// How many times slower it is then.
+    pub slower: f64,
+    /// Fewer requests than this are in hand for each core ...
+    pub below: f64,
+    /// ... for this span: then it is well again.
+    #[serde(deserialize_with = "span")]
+    pub rest: Micros,
+    /// It is well again after this in any case.
+    #[serde(deserialize_with = "span")]
+    pub most: Micros,
 }
 
 impl Default for ServerSpec {
@@ -95,6 +119,7 @@
             connections: 80,
             idle_close: 5_000_000,
             handshake: 1_000,
+            choke: None,
         }
     }
 }
@@ -342,6 +367,10 @@
             (share(self.uneven), "uneven: must be from 0 to 1"),
             (positive(self.server.cores), "server.cores: must be above 0"),
             (self.server.slots > 0, "server.slots: at least 1 is needed"),
+            (
+                self.server.choke.as_ref().is_none_or(|c| positive(c.slower)),
+                "server.choke.slower: must be above 0",
+            ),
             (share(self.server.cold_share), "server.cold_share: must be from 0 to 1"),
             (share(self.network.jitter), "network.jitter: must be from 0 to 1"),
             (share(self.clients.patience), "clients.patience: must be from 0 to 1"),
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -57,6 +57,15 @@
     }
 }
 
+/// Where a server stands that chokes under a crowd.
+#[derive(Clone, Copy, Debug, Default)]
+struct Choke {
+    /// Since when too many have waited, or too few have been in hand.
+    since: Option<Micros>,
+    /// Since when it has been slower.
+    slower: Option<Micros>,
+}
+
 /// One server process.
 #[derive(Debug)]
 pub struct Server {
@@ -88,6 +97,7 @@
     links_open: usize,
     /// Work that arrived while it was cold, of late.
     flood: VecDeque<(Micros, f64)>,
+    choke: Choke,
     /// It was sent too much while it was cold, and stays down.
     pub fallen: bool,
 }
@@ -113,6 +123,7 @@
             links: BTreeMap::new(),
             links_open: 0,
             flood: VecDeque::new(),
+            choke: Choke::default(),
             fallen: false,
         }
     }
@@ -129,7 +140,9 @@
 
     /// Cores' worth of work that it can do now.
     pub fn capacity(&self, now: Micros) -> f64 {
-        self.spec.cores * self.warmth(now) / self.health.slow
+        let choked =
+            self.spec.choke.as_ref().filter(|_| self.choke.slower.is_some()).map_or(1.0, |c| c.slower);
+        self.spec.cores * self.warmth(now) / self.health.slow / choked
     }
 
     /// Work in hand, in microseconds of one core.
@@ -171,6 +184,26 @@
         }
         self.done += pace * span;
         self.at = now;
+        self.breathe(now);
+    }
+
+    /// Chokes, or is well again, once what leads there has lasted. Looked at whenever something happens here.
+    fn breathe(&mut self, now: Micros) {
+        let Some(spec) = &self.spec.choke else { return };
+        let (waiting, in_hand) = (self.waiting.len() as f64, (self.in_work + self.waiting.len()) as f64);
+        let (turns, lasts) = match self.choke.slower {
+            None => (waiting > spec.at * self.spec.cores, spec.over),
+            Some(_) => (in_hand < spec.below * self.spec.cores, spec.rest),
+        };
+        let since = *self.choke.since.get_or_insert(now);
+        let over = self.choke.slower.is_some_and(|slower| now >= slower + spec.most);
+        if !turns && !over {
+            self.choke.since = None;
+        } else if over || now >= since + lasts {
+            let slower = if self.choke.slower.is_none() { Some(now) } else { None };
+            self.choke = Choke { since: None, slower };
+            self.version += 1;
+        }
     }
 
     /// A request with so much work arrives.
@@ -276,6 +309,7 @@
         (self.up, self.draining, self.fallen, self.started) = (true, false, false, now);
         (self.at, self.health) = (now, Health::default());
         self.flood.clear();
+        self.choke = Choke::default();
     }
 
     /// Work arrives, wherever it goes from here. True if that pushes a cold server over.
@@ -337,6 +371,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
+    use crate::scenario::ChokeSpec;
 
     fn run(server: &mut Server, mut now: Micros) -> Vec<(usize, Micros)> {
         let mut ends = Vec::new();
@@ -385,6 +420,32 @@
         assert!((19_000..21_000).contains(&cold), "half the pace at first: {cold}");
     }
 
+    #[test]
+    fn a_crowded_server_chokes_and_is_well_again_after_rest_or_in_the_end() {
+        let (over, rest, most) = (100_000, 50_000, 400_000);
+        let choke = ChokeSpec { at: 2.0, over, slower: 4.0, below: 1.0, rest, most };
+        let spec = ServerSpec { cores: 1.0, slots: 1, choke: Some(choke), ..ServerSpec::default() };
+        // What waits, when it leaves, and when the server is asked; its pace then.
+        let cases = [(2, None, 200_000, 1.0), (4, Some(50_000), 200_000, 1.0), (4, None, 200_000, 0.25)];
+        let more =
+            [(4, Some(200_000), 240_000, 0.25), (4, Some(200_000), 260_000, 1.0), (4, None, 510_000, 1.0)];
+        for (waiting, leaves, asked, pace) in cases.into_iter().chain(more) {
+            let mut server = Server::new(&spec, 0, 0);
+            let taken = (0..=waiting).filter(|&n| server.take(1, n, 9e9) == Taken::Yes).count();
+            assert_eq!(taken, waiting + 1);
+            for at in (1..=asked).step_by(1_000) {
+                server.advance(at);
+                if leaves.is_some_and(|l| at > l) {
+                    (0..=waiting).for_each(|n| {
+                        server.drop_work(at, n);
+                    });
+                }
+            }
+            server.advance(asked);
+            assert_eq!(server.capacity(asked), pace, "{waiting} waiting until {leaves:?}, at {asked}");
+        }
+    }
+
     #[test]
     fn connections_are_kept_counted_and_closed_when_idle() {
         let spec = ServerSpec { connections: 2, idle_close: 1_000, ..ServerSpec::default() };
--- a/crates/model/tests/days.rs
+++ b/crates/model/tests/days.rs
@@ -165,3 +165,11 @@
         assert!(told.contains(wanted), "{from} -> {to}: {told}");
     }
 }
+
+#[test]
+fn a_burst_that_chokes_servers_is_over_when_it_ends_and_plain_policies_never_come_back() {
+    let day = scenario("burst");
+    let recovers = |kind| play(&day, kind, 4).recover;
+    assert!(recovers(Kind::Oakport).is_some_and(|after| after <= 5_000_000));
+    assert_eq!(recovers(Kind::TwoChoices), None);
+}
