Take lateness in one place for that place's trouble, and let few balancers be bound by budgets

Change: lateness is kept by group of servers (kind and zone), and only what all groups show that were heard of late cuts. A connection that is refused at once is none. The allowance acts beyond 12 balancers, where the cuts' floor is under a call.

--- a/crates/core/src/balance/budget.rs
+++ b/crates/core/src/balance/budget.rs
@@ -4,7 +4,8 @@
 
 /// Most steps of a budget: A105's default for max_connections_per_subchannel.
 const STEP_CLAMP: u32 = 10;
-const FLOOR_CONCURRENCY: f64 = 12.0;
+/// Calls in flight at a server over all balancers that cuts for mild strain leave.
+pub(super) const FLOOR_CONCURRENCY: f64 = 12.0;
 
 impl Budget {
     pub(super) fn new(balancers: u32) -> Self {
--- a/crates/core/src/balance/learn.rs
+++ b/crates/core/src/balance/learn.rs
@@ -79,10 +79,13 @@
         // Errors and resets tell nothing of load; who never went, or was called off early, nothing at all.
         let late_back = match outcome {
             Outcome::Served => Some(elapsed as f64 > aim * LATE_AIM),
-            Outcome::TimedOut | Outcome::TurnedAway | Outcome::NoConnection => Some(true),
+            Outcome::TimedOut | Outcome::TurnedAway => Some(true),
+            // A dead process refuses at once, a crowded one is slow to accept.
+            Outcome::NoConnection => (strain > 1.0).then_some(true),
             _ => None,
         };
-        self.comes_back(elapsed, late_back);
+        let at = (server.zone, server.kind);
+        self.comes_back(at, elapsed, late_back);
         let server = &mut self.servers[place];
         let failed = match outcome {
             Outcome::Served => false,
--- a/crates/core/src/balance/overload.rs
+++ b/crates/core/src/balance/overload.rs
@@ -1,7 +1,8 @@
-//! How many calls this balancer may have out at all servers together, where an even part of what a server
-//! bears is under one call. Budgets never are: a burst would then fill all servers with work that nobody
-//! waits for any more, and keep them full.
+//! How many calls this balancer may have out at all servers together, where an even part of what a crowded
+//! server bears is under one call. Budgets never are: a burst would then fill all servers with work that
+//! nobody waits for any more, and keep them full.
 
+use super::budget::FLOOR_CONCURRENCY;
 use super::state::*;
 
 /// Calls out that a balancer starts with at the least: most are silent, and an even part starves the others.
@@ -11,6 +12,8 @@
 /// Shares of late answers above which fewer calls go out, and below which more may.
 const LATE_MANY: f64 = 0.35;
 const LATE_FEW: f64 = 0.2;
+/// Longest aims for which what a group told counts.
+const FRESH_AIMS: f64 = 4.0;
 /// What a cut leaves of the allowance.
 const CUT: f64 = 0.7;
 /// Share of an even part that is never taken away: about a call a core, which no server is too full for.
@@ -24,11 +27,10 @@
     /// 0: no call has gone out yet.
     pub(super) calls: f64,
     pub(super) out: u32,
-    /// Share of late ones among the latest answers, and when the last came.
-    late: f64,
+    /// Share of late ones among the latest answers of each group of servers, and when the last came.
+    late: BTreeMap<(ZoneId, KindId), (f64, Micros)>,
     /// Where the last cut left it: below that it grows by a call a good answer, above by one a round.
     known: f64,
-    heard: Micros,
     /// How long calls are out of late.
     spell: f64,
     /// No further cut before this: answers to calls sent before the last one are on the way.
@@ -48,7 +50,7 @@
 
     /// May another call go out? Few balancers are bound by their budgets alone.
     pub(super) fn may_send(&mut self) -> bool {
-        if f64::from(self.settings.balancers) <= START_CONCURRENCY {
+        if f64::from(self.settings.balancers) <= FLOOR_CONCURRENCY {
             return true;
         }
         let (start, now) = (self.even_part().max(START_LEAST), self.now);
@@ -70,23 +72,28 @@
         allowance.next_at = self.now + pause as Micros;
     }
 
-    /// A call that was out for `elapsed` is back, in good time or late; `None`: that tells nothing of load.
-    pub(super) fn comes_back(&mut self, elapsed: Micros, late: Option<bool>) {
+    /// A call that was out for `elapsed` is back from a group of servers, in good time or late; `None`: that
+    /// tells nothing of load.
+    pub(super) fn comes_back(&mut self, from: (ZoneId, KindId), elapsed: Micros, late: Option<bool>) {
         let (aim, safe) = (self.classes.longest_aim(), (self.even_part() * SAFE).max(LEAST));
         let (now, allowance) = (self.now, &mut self.allowance);
         allowance.out = allowance.out.saturating_sub(1);
-        let Some(late) = late else { return };
+        let Some(is_late) = late else { return };
+        let (late, heard) = allowance.late.entry(from).or_default();
         // Few answers a second must not make it a memory of long ago.
-        let gap = now.saturating_sub(allowance.heard) as f64 / aim;
+        let gap = now.saturating_sub(*heard) as f64 / aim;
         let weight = (SMOOTHING / 2.0).max(1.0 - (-gap).exp());
-        allowance.heard = now;
+        *late += (f64::from(u8::from(is_late)) - *late) * weight;
+        *heard = now;
         allowance.spell += (elapsed as f64 - allowance.spell) * weight;
-        allowance.late += (f64::from(u8::from(late)) - allowance.late) * weight;
-        if allowance.late > LATE_MANY && now >= allowance.settles_at {
+        // The fleet is crowded where all of it is late; what is late in one place only has a cause there.
+        let fresh = |heard: Micros| now.saturating_sub(heard) as f64 <= FRESH_AIMS * aim;
+        let late = allowance.late.values().filter(|l| fresh(l.1)).map(|l| l.0).fold(1.0, f64::min);
+        if late > LATE_MANY && now >= allowance.settles_at {
             allowance.calls = (allowance.calls * CUT).max(safe);
             allowance.known = allowance.calls;
             allowance.settles_at = now + allowance.spell as Micros;
-        } else if !late && allowance.late < LATE_FEW && std::mem::take(&mut allowance.binding) {
+        } else if !is_late && late < LATE_FEW && std::mem::take(&mut allowance.binding) {
             let step = if allowance.calls < allowance.known { 1.0 } else { 1.0 / allowance.calls.max(1.0) };
             allowance.calls += step * allowance.calls.min(1.0);
         }
