Draw arrivals in a place that virtual time and sockets can share

The rig on sockets has to ask the same requests at the same moments as the model does from one seed.

--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,14 +3,16 @@
 //! [`Scenario`] is a day as it is written, [`play`] plays it with one policy and judges it. One seed gives one result,
 //! whatever the machine: `docs/model.md` says how, and what the model leaves out.
 
-mod chance;
+mod arrivals;
+pub mod chance;
 mod judge;
 mod policy;
 mod queue;
-mod scenario;
-mod server;
+pub mod scenario;
+pub mod server;
 mod world;
 
+pub use arrivals::{Arrival, Arrivals};
 pub use judge::{Verdict, Violation, Window};
 pub use policy::{Kind, Policy, Sight, Truth, KINDS};
 pub use scenario::{BadScenario, Scenario};
--- a/crates/model/src/world/clients.rs
+++ b/crates/model/src/world/clients.rs
@@ -4,27 +4,15 @@
 
 impl World<'_> {
     pub(super) fn next_arrival(&mut self) {
-        let gap: f64 = Exp1.sample(&mut self.arrivals);
-        let at = self.now() + (gap * 1e6 / (self.scenario.rate * self.surge)) as Micros;
+        let at = self.now() + self.arrivals.gap(self.scenario.rate * self.surge);
         if at < START + self.scenario.length {
             self.queue.at(at, Happening::Arrival);
         }
     }
 
     pub(super) fn arrival(&mut self) {
-        let total: f64 = self.scenario.classes.iter().map(|c| c.share).sum();
-        let mut mark = self.arrivals.gen::<f64>() * total;
-        let last = self.scenario.classes.len() - 1;
-        let found = self.scenario.classes.iter().position(|c| {
-            mark -= c.share;
-            mark < 0.0
-        });
-        let class = found.unwrap_or(last);
-        let spec = &self.scenario.classes[class];
-        let work = spec.spread.draw(spec.work as f64, &mut self.arrivals).max(1.0);
-        let mark = self.arrivals.gen::<f64>() * self.shares.last().copied().unwrap_or(1.0);
-        let proxy = self.shares.partition_point(|sum| *sum <= mark).min(self.proxies.len() - 1);
         let asked = self.now();
+        let Arrival { class, work, proxy, .. } = self.arrivals.draw(self.scenario, asked - START);
         self.judge.asked(class, asked - START, work);
         self.requests.push(Request { class, proxy, asked, work, tries: 0, ended: false });
         self.try_again(self.requests.len() - 1);
--- a/crates/model/src/world/mod.rs
+++ b/crates/model/src/world/mod.rs
@@ -6,6 +6,7 @@
 mod site;
 mod troubles;
 
+use crate::arrivals::{Arrival, Arrivals};
 use crate::chance::{self, jitter, Part};
 use crate::judge::{End, Judge, Verdict};
 use crate::policy::{Kind, Policy, Sight, Truth};
@@ -17,7 +18,6 @@
 };
 use rand::seq::SliceRandom;
 use rand::Rng;
-use rand_distr::{Distribution, Exp1};
 use rand_pcg::Pcg64;
 use std::collections::VecDeque;
 
@@ -106,14 +106,12 @@
     queue: Queue<Happening>,
     servers: Vec<Server>,
     proxies: Vec<Proxy>,
-    /// Sums of the proxies' parts of the requests.
-    shares: Vec<f64>,
     requests: Vec<Request>,
     calls: Vec<Call>,
     attempts: Vec<Attempt>,
     truth: Vec<Truth>,
     surge: f64,
-    arrivals: Pcg64,
+    arrivals: Arrivals,
     luck: Pcg64,
     clients: Pcg64,
     fleet: Pcg64,
@@ -158,12 +156,7 @@
         let mut fleet = chance::stream(seed, Part::Fleet);
         let zones = scenario.zones.len();
         let servers = (0..scenario.servers).map(|n| Server::new(&scenario.server, n % zones, 0)).collect();
-        let mut sum = 0.0;
-        let shares = (0..scenario.balancers).map(|_| {
-            sum += (scenario.uneven * 2.0 * (fleet.gen::<f64>() * 2.0 - 1.0)).exp();
-            sum
-        });
-        let shares = shares.collect();
+        let arrivals = Arrivals::new(scenario, seed, &mut fleet);
         let mut world = World {
             scenario,
             seed,
@@ -172,13 +165,12 @@
             queue: Queue::new(START),
             servers,
             proxies: Vec::new(),
-            shares,
             requests: Vec::new(),
             calls: Vec::new(),
             attempts: Vec::new(),
             truth: Vec::new(),
             surge: 1.0,
-            arrivals: chance::stream(seed, Part::Arrivals),
+            arrivals,
             luck: chance::stream(seed, Part::Luck),
             clients: chance::stream(seed, Part::Clients),
             fleet,
