Give scenarios the words for processes, links and discovery that fail

A file is to be played in virtual time and on sockets. Events gain stalled, restarted and relieved proxies, a list that is silent, unavailable or differs, cuts and bad links between two groups, and servers that return cold; [[expect]] names what a figure must be. Virtual time refuses what it does not play, by name. Faults of events tell their line.

--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -109,6 +109,11 @@
         let file = path.display();
         let text = std::fs::read_to_string(path).map_err(|e| format!("{file}: {e}"))?;
         let mut scenario = Scenario::parse(&text).map_err(|odd| format!("{file}: {odd}"))?;
+        if let Some(what) = scenario.only_on_sockets() {
+            return Err(format!(
+                "{file}: event {what:?} is not played in virtual time; use oakport-lab fleet"
+            ));
+        }
         scenario.balancers = self.balancers.map_or(scenario.balancers, |n| n as usize);
         scenario.servers = self.servers.map_or(scenario.servers, |n| n as usize);
         scenario.rate = self.rate.unwrap_or(scenario.rate);
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -46,6 +46,23 @@
     /// What goes wrong, and when.
     #[serde(default, rename = "event")]
     pub events: Vec<Trouble>,
+    /// What the day's figures must be on sockets.
+    #[serde(default, rename = "expect")]
+    pub expects: Vec<Expect>,
+}
+
+/// What a figure of the day must be.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Expect {
+    /// Its dotted name.
+    pub figure: String,
+    /// No less than this.
+    #[serde(default)]
+    pub least: Option<f64>,
+    /// No more than this.
+    #[serde(default)]
+    pub most: Option<f64>,
 }
 
 fn one_zone() -> Vec<String> {
@@ -294,6 +311,40 @@
     /// How many times slower, or how many times the rate.
     #[serde(default = "three")]
     pub factor: f64,
+    /// Servers that it met start again, cold, when it is over.
+    #[serde(default)]
+    pub cold: bool,
+    /// For a cut or a bad link: the two groups between which it lies, each as "zone:derby", "proxies:derby",
+    /// "servers:derby", "proxies", "servers", "proxy:3", "server:5" or "discovery".
+    #[serde(default)]
+    pub cut: Vec<String>,
+    /// Only what the first group sends to the second is met.
+    #[serde(default)]
+    pub one_way: bool,
+    /// What a link does.
+    #[serde(default)]
+    pub link: LinkSpec,
+}
+
+/// What a bad link does to what passes over it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct LinkSpec {
+    /// All comes so much later.
+    #[serde(deserialize_with = "span")]
+    pub delay: Micros,
+    /// Share of the datagrams that are lost.
+    pub drop: f64,
+    /// Share of the datagrams that come twice.
+    pub duplicate: f64,
+    /// Share of the datagrams that the next one overtakes.
+    pub reorder: f64,
+    /// Nothing passes, and nobody is told.
+    pub stall: bool,
+    /// Connections that are open are reset.
+    pub reset: bool,
+    /// New connections are refused.
+    pub refuse: bool,
 }
 
 fn tenth() -> f64 {
@@ -326,6 +377,30 @@
     Surge,
     /// A share of the client proxies die at once and start again from nothing.
     Herd,
+    /// A share of the client proxies are stopped where they stand, and go on after it.
+    Stall,
+    /// A share of the client proxies are told to end, as for a planned restart, and start again.
+    Restart,
+    /// A share of the client proxies are relieved by another process on the same listener.
+    Upgrade,
+    /// Discovery says nothing to a share of the client proxies.
+    ListSilent,
+    /// Discovery answers 503 to a share of the client proxies.
+    ListUnavailable,
+    /// A share of the client proxies are told that the servers of a zone, or a tenth of all, are gone, though they serve.
+    ListDiffers,
+    /// Nothing passes between two groups.
+    Cut,
+    /// What passes between two groups suffers.
+    Link,
+}
+
+impl What {
+    /// It is played on sockets only.
+    pub fn on_sockets(self) -> bool {
+        use What::{Cut, Link, ListDiffers, ListSilent, ListUnavailable, Restart, Stall, Upgrade};
+        matches!(self, Stall | Restart | Upgrade | ListSilent | ListUnavailable | ListDiffers | Cut | Link)
+    }
 }
 
 /// Why a scenario cannot be played.
@@ -347,14 +422,19 @@
     /// What is wrong, with its place in the text, or which figure makes no sense.
     pub fn parse(text: &str) -> Result<Self, BadScenario> {
         let scenario: Scenario = toml::from_str(text).map_err(|e| BadScenario(e.to_string()))?;
-        match scenario.odd() {
+        match scenario.odd(text) {
             Some(odd) => Err(BadScenario(odd)),
             None => Ok(scenario),
         }
     }
 
+    /// The first event that virtual time does not play yet, if there is one.
+    pub fn only_on_sockets(&self) -> Option<What> {
+        self.events.iter().map(|e| e.what).find(|what| what.on_sockets())
+    }
+
     /// What makes no sense although it can be read.
-    fn odd(&self) -> Option<String> {
+    fn odd(&self, text: &str) -> Option<String> {
         let share = |value: f64| (0.0..=1.0).contains(&value);
         let positive = |value: f64| value.is_finite() && value > 0.0;
         let whole = [
@@ -382,16 +462,108 @@
             Some(format!("class {}: share, work and deadline must be above 0, worth not below", bad.name))
         };
         let event = || {
-            let known = |t: &Trouble| t.zone.as_ref().is_none_or(|z| self.zones.contains(z));
-            let bad = self.events.iter().find(|t| !known(t) || !share(t.part) || !positive(t.factor))?;
+            let fine = |t: &Trouble| {
+                let known = t.zone.as_ref().is_none_or(|z| self.zones.contains(z));
+                known && share(t.part) && positive(t.factor)
+            };
+            let number = self.events.iter().position(|t| !fine(t))?;
             Some(format!(
-                "event {:?}: its zone must be one of {}, part from 0 to 1, factor above 0",
-                bad.what,
+                "line {}: event {:?}: its zone must be one of {}, part from 0 to 1, factor above 0",
+                line_of(text, "[[event]]", number),
+                self.events[number].what,
                 self.zones.join(", ")
             ))
         };
-        odd.or_else(class).or_else(event)
+        let link = || {
+            let odd = |t: &Trouble| {
+                match t.what {
+                What::Cut | What::Link if t.cut.len() != 2 => {
+                    Some("cut must name two groups, such as [\"zone:derby\", \"servers\"]".to_owned())
+                }
+                _ => t.cut.iter().find(|group| Group::read(group, self).is_none()).map(|group| {
+                    let zones = self.zones.join(", ");
+                    format!(
+                        "{group} is no group; write zone:, proxies: or servers: with one of {zones}, or proxies, \
+                         servers, proxy:0 to proxy:{}, server:0 to server:{}, discovery",
+                        self.balancers - 1,
+                        self.servers - 1
+                    )
+                }),
+            }
+            };
+            let found = self.events.iter().enumerate().find_map(|(n, t)| Some((n, odd(t)?)));
+            found.map(|(n, odd)| format!("line {}: event: {odd}", line_of(text, "[[event]]", n)))
+        };
+        let expect = || {
+            let number = self.expects.iter().position(|e| e.least.is_none() && e.most.is_none())?;
+            let line = line_of(text, "[[expect]]", number);
+            Some(format!("line {line}: expect {}: give least, most or both", self.expects[number].figure))
+        };
+        odd.or_else(class).or_else(event).or_else(link).or_else(expect)
+    }
+}
+
+/// Parties between which a link lies.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Group {
+    /// Proxies and servers of a zone, by its place in the scenario's list.
+    Zone(usize),
+    /// Proxies, of a zone or all.
+    Proxies(Option<usize>),
+    /// Servers, of a zone or all.
+    Servers(Option<usize>),
+    /// One proxy.
+    Proxy(usize),
+    /// One server.
+    Server(usize),
+    /// All that tells the list.
+    Discovery,
+}
+
+impl Group {
+    /// The group that a text names in this scenario.
+    pub fn read(text: &str, scenario: &Scenario) -> Option<Group> {
+        let (kind, name) = text.split_once(':').map_or((text, None), |(kind, name)| (kind, Some(name)));
+        let zone = || scenario.zones.iter().position(|zone| Some(zone.as_str()) == name);
+        let number = |below: usize| name?.parse().ok().filter(|number| *number < below);
+        match (kind, name) {
+            ("zone", _) => zone().map(Group::Zone),
+            ("proxies", None) => Some(Group::Proxies(None)),
+            ("proxies", _) => zone().map(|z| Group::Proxies(Some(z))),
+            ("servers", None) => Some(Group::Servers(None)),
+            ("servers", _) => zone().map(|z| Group::Servers(Some(z))),
+            ("proxy", _) => number(scenario.balancers).map(Group::Proxy),
+            ("server", _) => number(scenario.servers).map(Group::Server),
+            ("discovery", None) => Some(Group::Discovery),
+            _ => None,
+        }
     }
+
+    /// Does a proxy of this number and zone belong to it?
+    pub fn has_proxy(self, number: usize, zone: usize) -> bool {
+        match self {
+            Group::Zone(z) | Group::Proxies(Some(z)) => z == zone,
+            Group::Proxies(None) => true,
+            Group::Proxy(n) => n == number,
+            Group::Servers(_) | Group::Server(_) | Group::Discovery => false,
+        }
+    }
+
+    /// Does a server of this number and zone belong to it?
+    pub fn has_server(self, number: usize, zone: usize) -> bool {
+        match self {
+            Group::Zone(z) | Group::Servers(Some(z)) => z == zone,
+            Group::Servers(None) => true,
+            Group::Server(n) => n == number,
+            Group::Proxies(_) | Group::Proxy(_) | Group::Discovery => false,
+        }
+    }
+}
+
+/// The line at which the table of this number begins, from 1; 0 if it is not written as a table of its own.
+fn line_of(text: &str, header: &str, number: usize) -> usize {
+    let lines = text.lines().enumerate().filter(|(_, line)| line.trim() == header);
+    lines.map(|(line, _)| line + 1).nth(number).unwrap_or(0)
 }
 
 /// A time such as "400ms", or a whole number of microseconds.
--- a/crates/model/src/server.rs
+++ b/crates/model/src/server.rs
@@ -345,10 +345,15 @@
             return None;
         }
         self.links_open += 1;
-        self.owed += self.spec.handshake as f64;
+        self.greet();
         Some(false)
     }
 
+    /// A connection comes up whose number is kept elsewhere: the work of its handshake is owed.
+    pub fn greet(&mut self) {
+        self.owed += self.spec.handshake as f64;
+    }
+
     /// A client proxy has died, and its connections with it.
     pub fn forget(&mut self, proxy: usize) {
         if let Some((used, idle)) = self.links.remove(&proxy) {
--- a/crates/model/src/world/troubles.rs
+++ b/crates/model/src/world/troubles.rs
@@ -126,6 +126,11 @@
                 self.servers[server].restart(now);
                 self.tell(server, State::Ready);
             }
+            _ if self.scenario.events[trouble].cold => {
+                self.fall(server);
+                self.servers[server].restart(now);
+                self.tell(server, State::Ready);
+            }
             _ => {
                 self.servers[server].advance(now);
                 self.servers[server].health = Default::default();
