--- /dev/null
+++ b/crates/lab/src/lib.rs
@@ -0,0 +1,5 @@
+//! What `oakport-lab` is made of: days in virtual time, and a rig that plays them with real processes on loopback.
+
+pub mod fleet;
+pub mod rig;
+pub mod sim;
--- /dev/null
+++ b/crates/lab/src/rig/clients.rs
@@ -0,0 +1,178 @@
+//! The application beside a proxy: an open loop of requests, with the retries that the site's clients make.
+
+use super::http::{self, Side};
+use super::record::{Seen, Shared, Try, TryEnd};
+use super::servers::author;
+use bytes::BytesMut;
+use oakport_core::Micros;
+use oakport_model::chance::{self, Part};
+use oakport_model::scenario::Again;
+use rand::Rng;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::watch;
+use tokio::time::timeout_at;
+
+/// Time after a deadline in which an answer still counts as given (PROTOCOL, "The rules on sockets").
+pub const SLACK: Micros = 50_000;
+/// A client watches for so much longer, so that an answer that is late is told from none.
+const WATCH: Micros = 30_000;
+/// The least time for which a try is made.
+const LEAST: Micros = 2_000;
+
+/// An open connection, and what has been read of it.
+type Open = (TcpStream, BytesMut);
+
+/// The application beside one proxy.
+pub struct App {
+    proxy: usize,
+    address: SocketAddr,
+    pool: Mutex<Vec<Open>>,
+    /// It asks nothing, for it stops and starts with its proxy.
+    away: watch::Sender<bool>,
+    shared: Arc<Shared>,
+}
+
+impl App {
+    /// Beside the proxy that listens there.
+    pub fn new(shared: &Arc<Shared>, proxy: usize, address: SocketAddr) -> Arc<Self> {
+        let (pool, away) = (Mutex::default(), watch::Sender::new(false));
+        Arc::new(App { proxy, address, pool, away, shared: Arc::clone(shared) })
+    }
+
+    fn pool(&self) -> MutexGuard<'_, Vec<Open>> {
+        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// It stops asking, or asks again.
+    pub fn away(&self, away: bool) {
+        self.away.send_replace(away);
+        if away {
+            self.pool().clear();
+        }
+    }
+
+    /// A connection that rests; what has come on one unasked is told.
+    fn resting(&self) -> Option<Open> {
+        loop {
+            let (stream, mut buffer) = self.pool().pop()?;
+            match stream.try_read_buf(&mut buffer) {
+                Err(e) if e.kind() == std::io::ErrorKind::WouldBlock && buffer.is_empty() => {
+                    return Some((stream, buffer))
+                }
+                Ok(0) | Err(_) if buffer.is_empty() => {}
+                _ => self.shared.saw(Seen::Extra { proxy: self.proxy, at: self.shared.now() }),
+            }
+        }
+    }
+
+    /// Looks at all connections for the last time.
+    pub fn close(&self) {
+        while self.resting().is_some() {}
+    }
+
+    /// One request, over all its tries.
+    pub async fn ask(self: Arc<Self>, request: usize) {
+        let shared = &self.shared;
+        let (class, clients) = (&shared.day.classes[shared.arrivals[request].class], &shared.day.clients);
+        let first = shared.at(shared.arrivals[request].at);
+        let last = first + class.deadline;
+        let mut random = chance::stream(shared.seed, Part::Policy(2_000_000 + request));
+        let mut number = 0;
+        let mut away = self.away.subscribe();
+        let end = loop {
+            // Whoever is away comes back, or the request's time is over.
+            let back = timeout_at(shared.instant(last), away.wait_for(|away| !away)).await.is_ok();
+            let now = shared.now();
+            let share = clients.patience + (1.0 - clients.patience) * random.gen::<f64>();
+            let time = ((class.deadline as f64 * share) as Micros).min(last.saturating_sub(now));
+            if !back || time < LEAST {
+                break TryEnd::Unreachable;
+            }
+            let mut done = self.attempt(request, number, now + time).await;
+            done.ended = shared.now();
+            let end = done.end;
+            shared.saw(Seen::Try(done));
+            let (comes, told) = match end {
+                TryEnd::Served(_) => break end,
+                TryEnd::Refused(told) => (true, told),
+                TryEnd::Unreachable => (true, 0),
+                _ => (class.idempotency == Again::Free, 0),
+            };
+            let told = if clients.heed_retry_after { told.min(clients.retry_after_most) } else { 0 };
+            let at = shared.now() + chance::jitter(clients.wait, 0.5, &mut random).max(told);
+            if !comes || number >= clients.retries || at >= last {
+                break end;
+            }
+            number += 1;
+            shared.until(at).await;
+        };
+        shared.saw(Seen::Done { request, at: shared.now(), end });
+    }
+
+    async fn attempt(&self, request: usize, number: u32, deadline: Micros) -> Try {
+        let shared = &self.shared;
+        let sent = shared.now();
+        let mut done =
+            Try { request, number, sent, again: None, deadline, ended: sent, end: TryEnd::Unreachable };
+        let watched = shared.instant(deadline + SLACK + WATCH);
+        if let Some(open) = self.resting() {
+            match timeout_at(watched, self.exchange(open, &done)).await {
+                Ok(Some(end)) => return Try { end, ..done },
+                Err(_) => return Try { end: TryEnd::Silent, ..done },
+                // Its end may have crossed the request: once more, on a new connection.
+                Ok(None) => done.again = Some(shared.now()),
+            }
+        }
+        let end = match timeout_at(shared.instant(deadline), TcpStream::connect(self.address)).await {
+            Ok(Ok(stream)) => {
+                // It only saves time.
+                let _ = stream.set_nodelay(true);
+                match timeout_at(watched, self.exchange((stream, BytesMut::new()), &done)).await {
+                    Ok(Some(end)) => end,
+                    Ok(None) => TryEnd::Lost,
+                    Err(_) => TryEnd::Silent,
+                }
+            }
+            _ if done.again.is_some() => TryEnd::Lost,
+            _ => TryEnd::Unreachable,
+        };
+        Try { end, ..done }
+    }
+
+    /// One question and its answer. None: the connection ended before one had come whole.
+    async fn exchange(&self, (mut stream, mut buffer): Open, asked: &Try) -> Option<TryEnd> {
+        let shared = &self.shared;
+        let class = &shared.day.classes[shared.arrivals[asked.request].class];
+        let id = Shared::id(asked.request, asked.number);
+        let (method, body) = match class.idempotency {
+            Again::Free => ("GET", ""),
+            Again::SingleShot => ("POST", "Content-Length: 1\r\n\r\n1"),
+        };
+        let time = asked.deadline.saturating_sub(shared.now());
+        let body = if body.is_empty() { "\r\n" } else { body };
+        let text = format!(
+            "{method} /{} HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\nX-Timeout: {time}u\r\n{body}",
+            class.name
+        );
+        stream.write_all(text.as_bytes()).await.ok()?;
+        let answer = match http::read(&mut stream, &mut buffer, Side::Answers).await {
+            Ok(answer) => answer,
+            Err(e) if e.kind() == std::io::ErrorKind::InvalidData => return Some(TryEnd::Foreign),
+            Err(_) => return None,
+        };
+        if !buffer.is_empty() {
+            shared.saw(Seen::Extra { proxy: self.proxy, at: shared.now() });
+        } else if !answer.closes() && !*self.away.borrow() {
+            self.pool().push((stream, buffer));
+        }
+        let told = answer.header("retry-after").and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
+        Some(match answer.status() {
+            200 => author(&answer.body, &id).map_or(TryEnd::Foreign, TryEnd::Served),
+            429 | 503 => TryEnd::Refused((told.max(0.0) * 1e6) as Micros),
+            status => TryEnd::Failed(status),
+        })
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rig/discovery.rs
@@ -0,0 +1,212 @@
+//! Discovery: an agent beside each proxy, which answers at once with what it has been sent.
+
+use super::gate::{address, Party};
+use super::http::{self, Side};
+use super::record::{Seen, Shared};
+use super::servers::name;
+use bytes::BytesMut;
+use oakport_core::{Micros, State};
+use serde_json::{json, Value};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Longest that a call may wait (PROTOCOL, "Discovery").
+const LONGEST_WAIT: u64 = 60_000;
+
+/// What an agent does when it is asked.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// It answers.
+    #[default]
+    Well,
+    /// It takes the question and says nothing.
+    Silent,
+    /// It answers 503.
+    Unavailable,
+}
+
+/// A server as an agent knows it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Member {
+    /// Whether it is listed, drains, or is gone.
+    pub state: State,
+    /// Where this proxy reaches it.
+    pub address: SocketAddr,
+    /// The name of its zone.
+    pub zone: String,
+    /// The label of what runs there.
+    pub release: String,
+    /// When its process started; 0: long ago.
+    pub started: Micros,
+}
+
+#[derive(Default)]
+struct Known {
+    index: u64,
+    /// By the server's number, with the version at which it last changed.
+    members: BTreeMap<usize, (Member, u64)>,
+}
+
+/// The agent of one proxy.
+pub struct Agent {
+    proxy: usize,
+    /// Where it listens.
+    pub address: SocketAddr,
+    known: Mutex<Known>,
+    version: watch::Sender<u64>,
+    mode: watch::Sender<Mode>,
+    shared: Arc<Shared>,
+}
+
+impl Agent {
+    /// Starts the agent of a proxy, which knows no server yet.
+    pub async fn start(shared: &Arc<Shared>, proxy: usize) -> std::io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(address(Party::Agent, proxy)).await?;
+        let agent = Arc::new(Agent {
+            proxy,
+            address: listener.local_addr()?,
+            known: Mutex::default(),
+            version: watch::Sender::new(0),
+            mode: watch::Sender::default(),
+            shared: Arc::clone(shared),
+        });
+        tokio::spawn(Arc::clone(&agent).accept(listener));
+        Ok(agent)
+    }
+
+    fn known(&self) -> MutexGuard<'_, Known> {
+        self.known.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// It has been sent news of a server. Old news of a process that another has followed are passed over.
+    pub fn news(&self, server: usize, member: Member) {
+        let mut known = self.known();
+        if known.members.get(&server).is_some_and(|(old, _)| {
+            old.started > member.started || old.started == member.started && old.state == State::Gone
+        }) {
+            return;
+        }
+        self.set(&mut known, server, member);
+    }
+
+    /// For a while it tells of a server what is not so, or stops doing so.
+    pub fn pretend(&self, server: usize, state: State) {
+        let mut known = self.known();
+        if let Some((member, _)) = known.members.get(&server).cloned() {
+            self.set(&mut known, server, Member { state, ..member });
+        }
+    }
+
+    fn set(&self, known: &mut Known, server: usize, member: Member) {
+        known.index += 1;
+        let index = known.index;
+        known.members.insert(server, (member, index));
+        self.version.send_replace(index);
+    }
+
+    /// What it does when it is asked, from now on.
+    pub fn turn(&self, mode: Mode) {
+        self.mode.send_replace(mode);
+    }
+
+    /// What it holds, as a whole list, or as changes since a version; and what that tells.
+    fn list(&self, since: Option<u64>) -> (Value, Vec<(usize, State)>) {
+        let known = self.known();
+        let wanted = |(member, index): &&(Member, u64)| match since {
+            Some(since) => *index > since,
+            None => member.state != State::Gone,
+        };
+        let (mut endpoints, mut told) = (Vec::new(), Vec::new());
+        for (&server, entry) in known.members.iter().filter(|(_, entry)| wanted(entry)) {
+            let member = &entry.0;
+            let status = match member.state {
+                State::Ready => "up",
+                State::Draining => "draining",
+                State::Gone => "removed",
+            };
+            told.push((server, member.state));
+            endpoints.push(json!({
+                "name": name(server), "address": member.address, "zone": member.zone, "type": member.release,
+                "group": 0, "status": status, "weight": 1.0,
+                "since_ms": self.shared.unix_ms(member.started),
+            }));
+        }
+        if since.is_none() {
+            // A whole list tells also what is not in it.
+            told.extend(
+                known.members.iter().filter(|e| e.1 .0.state == State::Gone).map(|e| (*e.0, State::Gone)),
+            );
+        }
+        (json!({"index": known.index, "snapshot": since.is_none(), "endpoints": endpoints}), told)
+    }
+
+    fn told(&self, entries: Vec<(usize, State)>) {
+        if !entries.is_empty() {
+            self.shared.saw(Seen::Told { proxy: self.proxy, at: self.shared.now(), entries });
+        }
+    }
+
+    /// The list for a process that starts; it counts as told.
+    pub fn hand_over(&self) -> Value {
+        let (list, told) = self.list(None);
+        self.told(told);
+        list
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        loop {
+            if let Ok((stream, _)) = listener.accept().await {
+                tokio::spawn(Arc::clone(&self).connection(stream));
+            }
+        }
+    }
+
+    async fn connection(self: Arc<Self>, mut stream: TcpStream) {
+        let mut buffer = BytesMut::new();
+        while let Ok(message) = http::read(&mut stream, &mut buffer, Side::Asks).await {
+            let path = message.first.1;
+            let figure = |key: &str| {
+                let (_, query) = path.split_once('?')?;
+                query
+                    .split('&')
+                    .find_map(|pair| pair.strip_prefix(key)?.strip_prefix('=')?.parse::<u64>().ok())
+            };
+            let since = figure("index");
+            if let Some(since) = since {
+                let wait = Duration::from_millis(figure("wait").unwrap_or(0).min(LONGEST_WAIT));
+                let mut version = self.version.subscribe();
+                tokio::select! {
+                    _ = tokio::time::timeout(wait, version.wait_for(|v| *v > since)) => {}
+                    () = http::closed(&stream) => return,
+                }
+            }
+            let mode = {
+                let mut mode = self.mode.subscribe();
+                tokio::select! {
+                    mode = mode.wait_for(|mode| *mode != Mode::Silent) => match mode {
+                        Ok(mode) => *mode,
+                        Err(_) => return,
+                    },
+                    () = http::closed(&stream) => return,
+                }
+            };
+            let (text, told) = match mode {
+                Mode::Unavailable => (http::answer(503, "", ""), Vec::new()),
+                _ if !path.starts_with("/catalog/members") => (http::answer(404, "", ""), Vec::new()),
+                _ => {
+                    let (list, told) = self.list(since);
+                    (http::answer(200, "Content-Type: application/json\r\n", &list.to_string()), told)
+                }
+            };
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+            self.told(told);
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rig/events.rs
@@ -0,0 +1,226 @@
+//! The time line: who is met by what, and when it is over.
+
+use super::clients::App;
+use super::discovery::Mode;
+use super::links::Both;
+use super::plan::Play;
+use super::processes::Seat;
+use super::record::Seen;
+use super::servers::Machine;
+use super::site::{met, Pair, Site};
+use oakport_core::{Micros, State};
+use oakport_model::scenario::{LinkSpec, Trouble, What};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Between two counts of connections, and two looks at the processes.
+const LOOK: Duration = Duration::from_millis(200);
+/// How long a drained process has for what it holds.
+const DRAIN: Micros = 2_000_000;
+/// For so long clients still come to a proxy that has been told to end (PROTOCOL, "Figures").
+const STILL: Duration = Duration::from_millis(300);
+/// So long after the longest deadline a process that has been told to end is killed.
+const KILL: Micros = 700_000;
+
+/// All parties of a play.
+pub struct Fleet {
+    /// Those that are not oakport.
+    pub site: Site,
+    /// The processes.
+    pub seats: Vec<Mutex<Seat>>,
+    /// The application beside each.
+    pub apps: Vec<Arc<App>>,
+    /// How it is played.
+    pub play: Play,
+}
+
+impl Fleet {
+    /// Plays one event from its beginning to its end.
+    pub async fn event(self: Arc<Self>, number: usize) {
+        let event = self.site.shared.day.events[number].clone();
+        let (begin, end) = (self.site.shared.at(event.at), self.site.shared.at(event.at + event.lasts));
+        self.site.shared.until(begin).await;
+        match event.what {
+            // Arrivals were drawn with it.
+            What::Surge => {}
+            What::Crash | What::Slow | What::Hang | What::Error | What::Reset | What::Silent => {
+                let met = self.site.met_servers(&event);
+                met.iter().for_each(|machine| self.strike(machine, &event));
+                self.site.shared.until(end).await;
+                met.iter().for_each(|machine| self.heal(machine, &event));
+            }
+            What::Release => self.release(&event, begin).await,
+            What::Herd | What::Restart | What::Upgrade | What::Stall => {
+                let mut all = JoinSet::new();
+                for proxy in self.site.met_proxies(&event) {
+                    all.spawn(Arc::clone(&self).meet(proxy, event.what, end));
+                }
+                while all.join_next().await.is_some() {}
+            }
+            What::ListSilent | What::ListUnavailable => {
+                let mode = match event.what {
+                    What::ListSilent => Mode::Silent,
+                    _ => Mode::Unavailable,
+                };
+                let met = self.site.met_proxies(&Trouble { zone: None, ..event.clone() });
+                met.iter().for_each(|&proxy| self.site.agents[proxy].turn(mode));
+                self.site.shared.until(end).await;
+                met.iter().for_each(|&proxy| self.site.agents[proxy].turn(Mode::Well));
+            }
+            What::ListDiffers => {
+                let met = self.site.met_proxies(&Trouble { zone: None, ..event.clone() });
+                let hidden = self.site.met_servers(&event);
+                for (state, until) in [(State::Gone, end), (State::Ready, end)] {
+                    for machine in &hidden {
+                        met.iter().for_each(|&proxy| self.site.agents[proxy].pretend(machine.number, state));
+                    }
+                    self.site.shared.until(until).await;
+                }
+            }
+            What::Cut | What::Link => {
+                let spec = match event.what {
+                    What::Cut => LinkSpec { stall: true, ..LinkSpec::default() },
+                    _ => event.link,
+                };
+                let mut ways: BTreeMap<Pair, Both> = BTreeMap::new();
+                for (pair, way) in met(&self.site.shared.day, &event) {
+                    let both = ways.entry(pair).or_default();
+                    both[way] = spec;
+                    if !event.one_way {
+                        *both = [spec; 2];
+                    }
+                }
+                self.turn(&ways);
+                self.site.shared.until(end).await;
+                self.turn(&ways.into_keys().map(|pair| (pair, Default::default())).collect());
+            }
+        }
+    }
+
+    fn turn(&self, ways: &BTreeMap<Pair, Both>) {
+        for (pair, both) in ways {
+            if let Some(relay) = self.site.relays.get(pair) {
+                relay.turn(*both);
+            }
+        }
+    }
+
+    fn strike(self: &Arc<Self>, machine: &Arc<Machine>, event: &Trouble) {
+        match event.what {
+            What::Crash => {
+                machine.stop();
+                self.site.tell(machine, State::Gone);
+            }
+            What::Slow => machine.fall_ill(|health| health.slow = event.factor),
+            What::Hang => machine.fall_ill(|health| health.hangs = true),
+            What::Error => machine.fall_ill(|health| health.errors = true),
+            What::Reset => machine.fall_ill(|health| health.resets = true),
+            _ => machine.fall_ill(|health| health.silent = true),
+        }
+    }
+
+    fn heal(self: &Arc<Self>, machine: &Arc<Machine>, event: &Trouble) {
+        if event.what == What::Crash || event.cold {
+            if event.what != What::Crash {
+                machine.stop();
+            }
+            machine.restart();
+            self.site.tell(machine, State::Ready);
+        } else {
+            machine.fall_ill(|health| *health = Default::default());
+        }
+    }
+
+    /// Servers drain one after the other, and others start in their place.
+    async fn release(self: &Arc<Self>, event: &Trouble, begin: Micros) {
+        let met = self.site.met_servers(event);
+        let step = event.lasts / met.len().max(1) as Micros;
+        let mut all = JoinSet::new();
+        for (place, machine) in met.into_iter().enumerate() {
+            let fleet = Arc::clone(self);
+            all.spawn(async move {
+                let at = begin + step * place as Micros;
+                fleet.site.shared.until(at).await;
+                machine.drain();
+                fleet.site.tell(&machine, State::Draining);
+                fleet.site.shared.until(at + DRAIN).await;
+                machine.stop();
+                fleet.site.tell(&machine, State::Gone);
+                let started = fleet.site.shared.now();
+                let mut machines = fleet.site.machines();
+                // Without a socket the fleet has one server less.
+                let next =
+                    Machine::start(&fleet.site.shared, machines.len(), machine.zone, "second", started).ok();
+                machines.extend(next.clone());
+                drop(machines);
+                if let Some(next) = next {
+                    fleet.site.tell(&next, State::Ready);
+                }
+            });
+        }
+        while all.join_next().await.is_some() {}
+    }
+
+    /// A process is met.
+    async fn meet(self: Arc<Self>, proxy: usize, what: What, end: Micros) {
+        let (seat, app) = (&self.seats[proxy], &self.apps[proxy]);
+        let longest = self.site.shared.day.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+        let most = Duration::from_micros(longest + KILL);
+        match what {
+            What::Stall => {
+                seat.lock().await.stall(true);
+                self.site.shared.until(end).await;
+                seat.lock().await.stall(false);
+            }
+            What::Herd => {
+                let mut seat = seat.lock().await;
+                seat.kill().await;
+                self.start(&mut seat).await;
+            }
+            What::Restart => {
+                let mut seat = seat.lock().await;
+                seat.tell();
+                sleep(STILL).await;
+                app.away(true);
+                seat.end(most).await;
+                self.start(&mut seat).await;
+                app.away(false);
+            }
+            _ => {
+                let mut seat = seat.lock().await;
+                let old = seat.start(&self.play.second);
+                if seat.ready().await.is_ok() {
+                    if let Ok(Some(old)) = old {
+                        seat.relieve(old, most).await;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Starts a process again; one that cannot is seen by the judge.
+    async fn start(&self, seat: &mut Seat) {
+        if seat.start(&self.play.program).is_ok() {
+            // What is not ready in its time is seen by its clients.
+            let _ = seat.ready().await;
+        }
+    }
+
+    /// Counts connections and looks at the processes, for ever.
+    pub async fn watch(self: Arc<Self>) {
+        loop {
+            sleep(LOOK).await;
+            let open = self.site.machines().iter().map(|m| m.connections()).sum();
+            self.site.shared.saw(Seen::Connections { at: self.site.shared.now(), open });
+            for seat in &self.seats {
+                if let Ok(mut seat) = seat.try_lock() {
+                    seat.look();
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rig/mod.rs
@@ -0,0 +1,120 @@
+//! A fleet of real processes on loopback, with faults between them, judged from outside (`docs/rig.md`).
+
+mod clients;
+mod discovery;
+mod events;
+pub mod forwarder;
+mod gate;
+pub mod http;
+mod judge;
+pub mod links;
+mod plan;
+mod processes;
+mod record;
+mod servers;
+mod site;
+
+pub use judge::{Second, Verdict, RULES};
+pub use plan::{Play, Progress, Tell};
+pub use processes::Program;
+
+use clients::App;
+use events::Fleet;
+use oakport_core::Micros;
+use oakport_model::scenario::What;
+use processes::Seat;
+use record::Shared;
+use servers::Machine;
+use site::Site;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Mutex;
+use tokio::task::JoinSet;
+
+/// Between two looks at how far the day is.
+const LOOK: Duration = Duration::from_millis(200);
+/// The number of a server that no list names, far from those that lists name.
+const DECOY: usize = 60_000;
+
+/// Plays a day.
+///
+/// # Errors
+/// The fleet could not be started, and why.
+pub async fn play(play: &Play, tell: &Tell<'_>) -> Result<Verdict, String> {
+    let odd = |e: std::io::Error| format!("the rig's sockets: {e}");
+    let shared = Arc::new(Shared::new(play.day.clone(), play.seed));
+    let day = &shared.day;
+    let site = Site::start(&shared).await.map_err(odd)?;
+    // It is in no list; whoever sends there has invented it.
+    let decoy = Machine::start(&shared, DECOY, 0, "none", 0).map_err(odd)?;
+    let mut play = play.clone();
+    for program in [&mut play.program, &mut play.second] {
+        program.environment.push((forwarder::DECOY.to_owned(), decoy.address.to_string()));
+    }
+    let inherits = day.events.iter().any(|event| event.what == What::Upgrade);
+    let mut seats = Vec::new();
+    for (number, agent) in site.agents.iter().enumerate() {
+        let logs = play.logs.as_deref();
+        let mut seat =
+            Seat::new(&shared, agent, number, site.discovery_of(number), inherits, logs).map_err(odd)?;
+        seat.start(&play.program)?;
+        seats.push(seat);
+    }
+    for seat in &mut seats {
+        seat.ready().await?;
+    }
+    let apps = seats.iter().map(|seat| App::new(&shared, seat.number, seat.address)).collect();
+    let seats = seats.into_iter().map(Mutex::new).collect();
+    let fleet = Arc::new(Fleet { site, seats, apps, play });
+    shared.begin_day();
+    tell(Progress::Begun);
+    let mut tasks = JoinSet::new();
+    let mut requests = JoinSet::new();
+    for number in 0..day.events.len() {
+        tasks.spawn(Arc::clone(&fleet).event(number));
+    }
+    tasks.spawn(Arc::clone(&fleet).watch());
+    let told = tell_progress(&shared, tell);
+    let asked = async {
+        for (request, arrival) in shared.arrivals.iter().enumerate() {
+            shared.until(shared.at(arrival.at)).await;
+            requests.spawn(Arc::clone(&fleet.apps[arrival.proxy]).ask(request));
+        }
+        while requests.join_next().await.is_some() {}
+    };
+    tokio::select! {
+        () = asked => {}
+        () = told => {}
+    }
+    tasks.shutdown().await;
+    for app in &fleet.apps {
+        app.close();
+    }
+    let verdict = judge::judge(&shared, &fleet.site.sorts());
+    for seat in &fleet.seats {
+        seat.lock().await.end(Duration::ZERO).await;
+    }
+    Ok(verdict)
+}
+
+/// Tells how far the day is, for ever.
+async fn tell_progress(shared: &Shared, tell: &Tell<'_>) {
+    let mut marks: Vec<(Micros, String)> = Vec::new();
+    for event in &shared.day.events {
+        let place = event.zone.as_ref().map_or(String::new(), |zone| format!(" {zone}"));
+        let place = if event.cut.is_empty() { place } else { format!(" {}", event.cut.join(" | ")) };
+        let what = format!("{:?}{place}", event.what).to_lowercase();
+        marks.push((event.at, format!("{what} begins")));
+        marks.push((event.at + event.lasts, format!("{what} is over")));
+    }
+    marks.sort();
+    let mut marks = marks.iter().peekable();
+    loop {
+        tokio::time::sleep(LOOK).await;
+        let now = shared.now().saturating_sub(shared.at(0));
+        while let Some((at, text)) = marks.next_if(|(at, _)| *at <= now) {
+            tell(Progress::Event(*at, text));
+        }
+        tell(Progress::At(now.min(shared.day.length)));
+    }
+}
--- /dev/null
+++ b/crates/lab/src/rig/plan.rs
@@ -0,0 +1,35 @@
+//! How a day is to be played, and what is told while it is.
+
+use super::processes::Program;
+use oakport_core::Micros;
+use oakport_model::scenario::Scenario;
+use std::path::PathBuf;
+
+/// How a day is to be played.
+#[derive(Clone, Debug)]
+pub struct Play {
+    /// The day.
+    pub day: Scenario,
+    /// For all that is drawn.
+    pub seed: u64,
+    /// What the proxies are.
+    pub program: Program,
+    /// What those are that relieve them.
+    pub second: Program,
+    /// Where their logs go.
+    pub logs: Option<PathBuf>,
+}
+
+/// Something that can be told while a day is played.
+pub type Tell<'a> = dyn Fn(Progress<'_>) + Sync + 'a;
+
+/// How far a day is.
+#[derive(Clone, Copy, Debug)]
+pub enum Progress<'a> {
+    /// The fleet stands, and requests begin.
+    Begun,
+    /// Something begins, or is over, at this time of the day.
+    Event(Micros, &'a str),
+    /// So much of the day is over.
+    At(Micros),
+}
--- /dev/null
+++ b/crates/lab/src/rig/processes.rs
@@ -0,0 +1,275 @@
+//! The proxies as processes: started as the platform starts them, met by signals, and never left behind.
+
+use super::discovery::Agent;
+use super::gate::{address, held, hold, Party};
+use super::record::{Seen, Shared, Signal};
+use nix::sys::signal::{kill, Signal as Number};
+use nix::unistd::Pid;
+use oakport_model::scenario::Again;
+use serde_json::{json, Value};
+use socket2::Socket;
+use std::net::SocketAddr;
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
+use std::process::Stdio;
+use std::sync::Arc;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::process::{Child, Command};
+use tokio::time::{sleep, timeout, Instant};
+
+/// Longest wait for a proxy to be ready (DEPLOY: clients come after 30 s).
+const READY: Duration = Duration::from_secs(30);
+/// Between two looks at something that must come.
+const LOOK: Duration = Duration::from_millis(5);
+/// The descriptor at which an inherited listener is told of.
+const INHERITED: &str = "7";
+/// Makes the inherited listener that descriptor, as the platform does.
+const SCRIPT: &str = "exec 7<&0 0</dev/null; exec \"$0\" \"$@\"";
+
+/// A program that can be a proxy.
+#[derive(Clone, Debug)]
+pub struct Program {
+    /// The file.
+    pub path: PathBuf,
+    /// Its arguments.
+    pub arguments: Vec<String>,
+    /// More of its environment.
+    pub environment: Vec<(String, String)>,
+}
+
+impl Program {
+    /// `oakport serve` at this path.
+    pub fn oakport(path: &Path) -> Self {
+        Program { path: path.to_owned(), arguments: vec!["serve".to_owned()], environment: Vec::new() }
+    }
+}
+
+/// Where the processes of one proxy run.
+pub struct Seat {
+    /// Its number.
+    pub number: usize,
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// Keeps the address; listens itself if processes inherit the listener.
+    holder: Socket,
+    inherits: bool,
+    agent: Arc<Agent>,
+    discovery: SocketAddr,
+    folder: TempDir,
+    logs: Option<PathBuf>,
+    shared: Arc<Shared>,
+    child: Option<Child>,
+    starts: u32,
+}
+
+impl Seat {
+    /// A seat with no process. With `inherits` the rig listens and processes take its listener over.
+    pub fn new(
+        shared: &Arc<Shared>,
+        agent: &Arc<Agent>,
+        number: usize,
+        discovery: SocketAddr,
+        inherits: bool,
+        logs: Option<&Path>,
+    ) -> std::io::Result<Self> {
+        const BACKLOG: i32 = 1_024;
+        let holder = hold(address(Party::Proxy, number))?;
+        if inherits {
+            holder.listen(BACKLOG)?;
+        }
+        Ok(Seat {
+            number,
+            address: held(&holder)?,
+            holder,
+            inherits,
+            agent: Arc::clone(agent),
+            discovery,
+            folder: tempfile::Builder::new().prefix("oakport-rig-").tempdir()?,
+            logs: logs.map(Path::to_owned),
+            shared: Arc::clone(shared),
+            child: None,
+            starts: 0,
+        })
+    }
+
+    fn saw(&self, what: Signal) {
+        self.shared.saw(Seen::Process { proxy: self.number, at: self.shared.now(), what });
+    }
+
+    /// What the process is told (DEPLOY, "What a client proxy is told").
+    fn configuration(&self) -> Value {
+        let seed = oakport_model::chance::seed_of(self.shared.seed ^ u64::from(self.starts), self.number);
+        json!({
+            "name": format!("n{}", self.number), "listen": self.address, "discovery": self.discovery,
+            "seed": format!("{seed:016x}"),
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+            "known": self.agent.hand_over(),
+            "settings": settings(&self.shared, self.number),
+        })
+    }
+
+    /// Starts a process beside the one that runs, which is returned.
+    ///
+    /// # Errors
+    /// It cannot be started, with its path.
+    pub fn start(&mut self, program: &Program) -> Result<Option<Child>, String> {
+        let odd = |e: std::io::Error| format!("{}: cannot be started: {e}", program.path.display());
+        self.starts += 1;
+        let file = self.folder.path().join(format!("config-{}.json", self.starts));
+        std::fs::write(&file, self.configuration().to_string()).map_err(odd)?;
+        let lab = std::env::current_exe().map_err(odd)?;
+        let mut command = if self.inherits {
+            let mut command = Command::new("/bin/sh");
+            command.args(["-c", SCRIPT]).arg(&lab).env("RELAY_ACCEPT_FD", INHERITED);
+            let listener: OwnedFd = self.holder.try_clone().map_err(odd)?.into();
+            command.stdin(listener);
+            command
+        } else {
+            let mut command = Command::new(&lab);
+            command.stdin(Stdio::null());
+            command
+        };
+        command.arg("hold").arg(&program.path).args(&program.arguments);
+        command.envs(program.environment.iter().map(|(name, text)| (name, text)));
+        command.env("RELAY_NAME", format!("n{}", self.number)).env("RELAY_CONFIG", &file);
+        command.env("RELAY_LISTEN", self.address.to_string());
+        command.env("RELAY_DISCOVERY", self.discovery.to_string()).env("TMPDIR", self.folder.path());
+        command.process_group(0).kill_on_drop(true).stdout(Stdio::null());
+        command.stderr(match &self.logs {
+            Some(folder) => {
+                let path = folder.join(format!("n{}-{}.log", self.number, self.starts));
+                let log = std::fs::File::create(&path).map_err(|e| format!("{}: {e}", path.display()))?;
+                Stdio::from(log)
+            }
+            None => Stdio::null(),
+        });
+        let child = command.spawn().map_err(odd)?;
+        self.saw(Signal::Started);
+        Ok(self.child.replace(child))
+    }
+
+    /// Waits until the process takes requests.
+    ///
+    /// # Errors
+    /// It ends first, or is not ready in its time.
+    pub async fn ready(&mut self) -> Result<(), String> {
+        let end = Instant::now() + READY;
+        loop {
+            if let Some(status) = self.child.as_mut().and_then(|child| child.try_wait().ok().flatten()) {
+                return Err(format!("proxy n{} ended before it was ready: {status}", self.number));
+            }
+            if timeout(READY, healthy(self.address)).await.is_ok_and(|well| well) {
+                return Ok(());
+            }
+            if Instant::now() > end {
+                return Err(format!("proxy n{} was not ready within {READY:?}", self.number));
+            }
+            sleep(LOOK).await;
+        }
+    }
+
+    fn signal(&self, child: Option<&Child>, number: Number) {
+        if let Some(pid) = child.and_then(Child::id).and_then(|id| i32::try_from(id).ok()) {
+            // It may have ended already.
+            let _ = kill(Pid::from_raw(pid), number);
+        }
+    }
+
+    /// Kills the process.
+    pub async fn kill(&mut self) {
+        self.saw(Signal::Killed);
+        if let Some(mut child) = self.child.take() {
+            // It may have ended already.
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Stops the process where it stands, or lets it go on.
+    pub fn stall(&self, stalled: bool) {
+        let (number, what) = match stalled {
+            true => (Number::SIGSTOP, Signal::Stopped),
+            false => (Number::SIGCONT, Signal::Continued),
+        };
+        self.saw(what);
+        self.signal(self.child.as_ref(), number);
+    }
+
+    /// Tells the process to end.
+    pub fn tell(&self) {
+        self.saw(Signal::Told);
+        self.signal(self.child.as_ref(), Number::SIGTERM);
+    }
+
+    /// Waits for a process that has been told to end; after `most` it is killed.
+    pub async fn end(&mut self, most: Duration) {
+        if let Some(child) = self.child.take() {
+            self.finish(child, most).await;
+        }
+    }
+
+    /// Tells a process that another has relieved to end, and waits for it.
+    pub async fn relieve(&self, old: Child, most: Duration) {
+        self.signal(Some(&old), Number::SIGTERM);
+        self.finish(old, most).await;
+    }
+
+    async fn finish(&self, mut child: Child, most: Duration) {
+        if timeout(most, child.wait()).await.is_err() {
+            self.saw(Signal::Killed);
+            let _ = child.kill().await;
+        }
+    }
+
+    /// Notes an end that nobody had asked for.
+    pub fn look(&mut self) {
+        if self.child.as_mut().is_some_and(|child| child.try_wait().is_ok_and(|ended| ended.is_some())) {
+            self.child = None;
+            self.saw(Signal::Crashed);
+        }
+    }
+}
+
+/// Whether a proxy answers 200 when it is asked for its health.
+async fn healthy(address: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(address).await else { return false };
+    let asked = stream.write_all(b"GET /_health HTTP/1.1\r\nHost: localhost\r\n\r\n").await;
+    let mut start = [0; 12];
+    asked.is_ok() && stream.read_exact(&mut start).await.is_ok() && start.ends_with(b" 200")
+}
+
+/// The settings of the site as a proxy is told them (WIRE, "Settings").
+fn settings(shared: &Shared, proxy: usize) -> Value {
+    let day = &shared.day;
+    let classes = day.classes.iter().map(|c| {
+        json!({
+            "name": c.name, "objective_us": c.aim, "deadline_us": c.deadline, "worth": c.worth, "late_value": 0.0,
+            "idempotency": if c.idempotency == Again::Free { "free" } else { "single_shot" },
+        })
+    });
+    let (server, goal) = (&day.server, &day.goal);
+    json!({
+        "balancers": day.balancers, "tick_us": 1000, "discovery": "push",
+        "locality": day.zones[shared.zone(proxy)],
+        "classes": classes.collect::<Vec<_>>(),
+        "limits": {
+            "cancel": true, "probes": false, "second_copies": true, "max_attempts": 3, "retry_after": true,
+            "max_retry_after_us": day.clients.retry_after_most, "max_open": 10_000,
+            "conn_idle_us": server.idle_close, "connect_timeout_us": day.network.connect_timeout,
+        },
+        "invariants": {
+            "cold_from": server.cold_share, "cold_us": server.cold_time, "tip_after_us": server.fall_time,
+            "fall_multiple": server.fall_multiple, "drain_grace_us": day.discovery.drain_grace,
+        },
+        "result_mix": {
+            "whole": goal.whole, "worst_class": goal.worst_class, "worst_tenant": 0.0,
+            "worst_window": goal.worst_window,
+        },
+        "charges": {
+            "cross_zone": goal.cross_zone, "probe": 0.0, "handshake": goal.handshake, "waste": goal.waste,
+            "late_fail": goal.late_fail,
+        },
+    })
+}
--- /dev/null
+++ b/crates/lab/src/rig/record.rs
@@ -0,0 +1,214 @@
+//! What the parties saw, with the time on the one clock, for the judge to go through when the play is over.
+
+use hdrhistogram::Histogram;
+use oakport_core::{Micros, Outcome, State};
+use oakport_model::scenario::Scenario;
+use oakport_model::Arrival;
+use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::time::Instant;
+
+/// How a try of a client ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TryEnd {
+    /// With the answer that this server gave to it.
+    Served(usize),
+    /// With 429 or 503, and after how long it may come again.
+    Refused(Micros),
+    /// With another status.
+    Failed(u16),
+    /// With an answer that no server made for it.
+    Foreign,
+    /// The connection ended without a whole answer.
+    Lost,
+    /// No connection came up.
+    Unreachable,
+    /// No answer came in its time.
+    Silent,
+}
+
+/// What was done to a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Signal {
+    /// It started.
+    Started,
+    /// It was killed.
+    Killed,
+    /// It was told to end.
+    Told,
+    /// It was stopped.
+    Stopped,
+    /// It went on.
+    Continued,
+    /// It ended without having been told to.
+    Crashed,
+}
+
+/// One try of a client, and what came of it.
+#[derive(Clone, Debug)]
+pub struct Try {
+    /// The request, by its place among the arrivals.
+    pub request: usize,
+    /// From 0.
+    pub number: u32,
+    /// When it was written, and when again, if its first connection had been closed before.
+    pub sent: Micros,
+    /// See `sent`.
+    pub again: Option<Micros>,
+    /// When its client gives up.
+    pub deadline: Micros,
+    /// When it ended.
+    pub ended: Micros,
+    /// How.
+    pub end: TryEnd,
+}
+
+/// Something that a party saw.
+#[derive(Clone, Debug)]
+pub enum Seen {
+    /// An attempt has arrived whole at a server; `first` is the time of its first byte.
+    Began { attempt: u64, request: usize, number: u32, server: usize, first: Micros, whole: Micros },
+    /// The server is done with it; the work that was done for nobody, in microseconds of a core.
+    Ended { attempt: u64, outcome: Outcome, wasted: f64 },
+    /// A cold server was pushed over.
+    Fell { server: usize, at: Micros },
+    /// A try has ended.
+    Try(Try),
+    /// A client is done with a request; how its last try ended.
+    Done { request: usize, at: Micros, end: TryEnd },
+    /// An answer came that nobody had asked for.
+    Extra { proxy: usize, at: Micros },
+    /// The list was told to a proxy.
+    Told { proxy: usize, at: Micros, entries: Vec<(usize, State)> },
+    /// A process was met by a signal, or ended.
+    Process { proxy: usize, at: Micros, what: Signal },
+    /// Connections that servers held.
+    Connections { at: Micros, open: usize },
+}
+
+/// What all parties of a play share.
+pub struct Shared {
+    /// The day.
+    pub day: Scenario,
+    /// The seed.
+    pub seed: u64,
+    /// All requests, drawn before the start.
+    pub arrivals: Vec<Arrival>,
+    begin: Instant,
+    unix: Duration,
+    /// The start of the day on the clock.
+    start: OnceLock<Micros>,
+    seen: Mutex<Vec<Seen>>,
+    late: Mutex<Late>,
+}
+
+/// How late the rig itself was.
+#[derive(Clone, Debug)]
+pub struct Late {
+    /// By how much each moment was missed, in microseconds.
+    pub by: Histogram<u64>,
+    /// Spans in which it was later than it may be.
+    pub spans: Vec<(Micros, Micros)>,
+}
+
+/// A rig that is later than this cannot tell what is late, in microseconds.
+pub const TOO_LATE: Micros = 20_000;
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // What is kept is whole after each step, so that another's panic spoils nothing.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Shared {
+    /// For a play that begins now.
+    pub fn new(day: Scenario, seed: u64) -> Self {
+        let arrivals = oakport_model::Arrivals::whole_day(&day, seed);
+        Shared {
+            arrivals,
+            seed,
+            begin: Instant::now(),
+            unix: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
+            start: OnceLock::new(),
+            seen: Mutex::new(Vec::new()),
+            late: Mutex::new(Late { by: histogram(), spans: Vec::new() }),
+            day,
+        }
+    }
+
+    /// Microseconds on the play's clock; above 0.
+    pub fn now(&self) -> Micros {
+        self.begin.elapsed().as_micros() as Micros + 1
+    }
+
+    /// A moment of the clock for a timer.
+    pub fn instant(&self, at: Micros) -> Instant {
+        self.begin + Duration::from_micros(at)
+    }
+
+    /// A moment of the clock as Unix time in milliseconds; 0 stays 0, long ago.
+    pub fn unix_ms(&self, at: Micros) -> u64 {
+        if at == 0 {
+            return 0;
+        }
+        (self.unix + Duration::from_micros(at)).as_millis() as u64
+    }
+
+    /// The day begins now.
+    pub fn begin_day(&self) {
+        let _ = self.start.set(self.now());
+    }
+
+    /// A moment of the day on the clock.
+    pub fn at(&self, of_day: Micros) -> Micros {
+        self.start.get().copied().unwrap_or(0) + of_day
+    }
+
+    /// Waits for a moment of the clock, and notes by how much it was missed.
+    pub async fn until(&self, at: Micros) {
+        tokio::time::sleep_until(self.instant(at)).await;
+        self.missed(at);
+    }
+
+    /// Something was to happen at `at`, and happens now.
+    pub fn missed(&self, at: Micros) {
+        let now = self.now();
+        let mut late = lock(&self.late);
+        late.by.saturating_record(now.saturating_sub(at));
+        if now > at + TOO_LATE {
+            late.spans.push((at, now));
+        }
+    }
+
+    /// Keeps what was seen.
+    pub fn saw(&self, seen: Seen) {
+        lock(&self.seen).push(seen);
+    }
+
+    /// Takes all that was seen, and the lateness of the rig itself.
+    pub fn close(&self) -> (Vec<Seen>, Late) {
+        (std::mem::take(&mut *lock(&self.seen)), lock(&self.late).clone())
+    }
+
+    /// The id of a try.
+    pub fn id(request: usize, number: u32) -> String {
+        format!("{request:08x}{number:02x}")
+    }
+
+    /// Request and try of an id.
+    pub fn of_id(&self, id: &str) -> Option<(usize, u32)> {
+        let (request, number) = (id.get(..8)?, id.get(8..)?);
+        let request = usize::from_str_radix(request, 16).ok().filter(|r| *r < self.arrivals.len())?;
+        Some((request, u32::from_str_radix(number, 16).ok()?))
+    }
+
+    /// The zone of a proxy or server by its number.
+    pub fn zone(&self, number: usize) -> usize {
+        number % self.day.zones.len()
+    }
+}
+
+/// Times in microseconds, up to an hour.
+pub fn histogram() -> Histogram<u64> {
+    const LONGEST: u64 = 3_600_000_000;
+    Histogram::new_with_bounds(1, LONGEST, 3).unwrap_or_else(|_| unreachable!("constant bounds"))
+}
--- /dev/null
+++ b/crates/lab/src/rig/servers.rs
@@ -0,0 +1,332 @@
+//! Servers on sockets: the model's server, with its cores, slots and cold start, behind a listener of its own.
+
+use super::gate::{address, gone, heard, Gate, Party};
+use super::http::{self, Side};
+use super::record::{Seen, Shared};
+use bytes::BytesMut;
+use oakport_core::{Micros, Outcome};
+use oakport_model::chance::{self, Part};
+use oakport_model::server::{Health, Server, Taken};
+use rand::Rng;
+use rand_pcg::Pcg64;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+use tokio::sync::{oneshot, Notify};
+
+/// A fast error comes after this.
+const FAST: Micros = 1_000;
+/// The shortest way that is waited for: the timers know no less.
+const SHORTEST_WAY: Micros = 1_000;
+
+struct Inner {
+    server: Server,
+    waiting: HashMap<usize, oneshot::Sender<()>>,
+    open: usize,
+    luck: Pcg64,
+}
+
+/// A server.
+pub struct Machine {
+    /// By its place in the fleet.
+    pub number: usize,
+    /// Its zone, by its place in the scenario.
+    pub zone: usize,
+    /// The label of what runs there.
+    pub release: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    gate: Gate,
+    inner: Mutex<Inner>,
+    changed: Notify,
+    shared: Arc<Shared>,
+}
+
+/// Counts the attempts of a play.
+static ATTEMPTS: AtomicU64 = AtomicU64::new(0);
+
+impl Machine {
+    /// Starts a server; `started` 0: it has run for long and is warm.
+    pub fn start(
+        shared: &Arc<Shared>,
+        number: usize,
+        zone: usize,
+        release: &str,
+        started: Micros,
+    ) -> std::io::Result<Arc<Self>> {
+        let gate = Gate::new(address(Party::Server, number))?;
+        let inner = Inner {
+            server: Server::new(&shared.day.server, zone, started),
+            waiting: HashMap::new(),
+            open: 0,
+            luck: chance::stream(shared.seed, Part::Policy(1_000_000 + number)),
+        };
+        let machine = Arc::new(Machine {
+            number,
+            zone,
+            release: release.to_owned(),
+            address: gate.address,
+            gate,
+            inner: Mutex::new(inner),
+            changed: Notify::new(),
+            shared: Arc::clone(shared),
+        });
+        let taking = Arc::clone(&machine);
+        tokio::spawn(async move {
+            let taken = |stream, life| {
+                tokio::spawn(Arc::clone(&taking).connection(stream, life));
+            };
+            taking.gate.serve(taken).await;
+        });
+        tokio::spawn(Arc::clone(&machine).work());
+        Ok(machine)
+    }
+
+    /// Its name in the list.
+    pub fn name(&self) -> String {
+        name(self.number)
+    }
+
+    fn inner(&self) -> MutexGuard<'_, Inner> {
+        // Each step leaves it whole, so that another's panic spoils nothing.
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Connections that it holds.
+    pub fn connections(&self) -> usize {
+        self.inner().open
+    }
+
+    /// When its process started; 0: long ago.
+    pub fn started(&self) -> Micros {
+        self.inner().server.started
+    }
+
+    /// It runs, and is not told to drain.
+    pub fn takes(&self) -> bool {
+        let inner = self.inner();
+        inner.server.up && !inner.server.draining
+    }
+
+    /// Something is wrong with it from now on, or nothing any more.
+    pub fn fall_ill(&self, change: impl FnOnce(&mut Health)) {
+        let mut inner = self.inner();
+        inner.server.advance(self.shared.now());
+        change(&mut inner.server.health);
+        let silent = inner.server.health.silent;
+        drop(inner);
+        self.gate.silence(silent);
+        self.changed.notify_one();
+    }
+
+    /// It takes nothing new from now on.
+    pub fn drain(&self) {
+        self.inner().server.draining = true;
+    }
+
+    /// Its process dies: connections are reset, new ones refused.
+    pub fn stop(&self) {
+        let mut inner = self.inner();
+        inner.server.stop(self.shared.now());
+        inner.waiting.clear();
+        drop(inner);
+        self.gate.close();
+        self.changed.notify_one();
+    }
+
+    /// A process starts there, cold.
+    pub fn restart(&self) {
+        self.inner().server.restart(self.shared.now());
+        self.gate.open();
+    }
+
+    /// Ends requests when their work is done.
+    async fn work(self: Arc<Self>) {
+        loop {
+            let next = {
+                let (mut inner, now) = (self.inner(), self.shared.now());
+                while let Some(attempt) = inner.server.ended(now) {
+                    // One that has gone away needs no answer.
+                    let _ = inner.waiting.remove(&attempt).map(|ends| ends.send(()));
+                }
+                inner.server.next_end(now)
+            };
+            match next {
+                Some(at) => tokio::select! {
+                    () = self.shared.until(at) => {}
+                    () = self.changed.notified() => {}
+                },
+                None => self.changed.notified().await,
+            }
+        }
+    }
+
+    /// One connection, until it ends.
+    async fn connection(self: Arc<Self>, mut stream: TcpStream, life: u32) {
+        let counted = Counted::new(&self);
+        if counted.of > self.shared.day.server.connections {
+            return http::reset(stream);
+        }
+        self.inner().server.greet();
+        // It only saves time.
+        let _ = stream.set_nodelay(true);
+        let mut phase = self.gate.watch();
+        let mut buffer = BytesMut::new();
+        let idle = std::time::Duration::from_micros(self.shared.day.server.idle_close);
+        loop {
+            let began = tokio::select! {
+                began = tokio::time::timeout(idle, http::begun(&mut stream, &mut buffer)) => began,
+                () = gone(&mut phase, life) => return http::reset(stream),
+            };
+            if !matches!(began, Ok(Ok(true))) {
+                return;
+            }
+            let first = self.shared.now();
+            let message = tokio::select! {
+                message = http::read(&mut stream, &mut buffer, Side::Asks) => message,
+                () = gone(&mut phase, life) => return http::reset(stream),
+            };
+            let Ok(message) = message else { return };
+            let id = message.header("x-request-id").and_then(|id| self.shared.of_id(id));
+            let Some((request, number)) = id else {
+                let text = http::answer(404, "", "");
+                if stream.write_all(text.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            };
+            let attempt = ATTEMPTS.fetch_add(1, Ordering::Relaxed);
+            let (server, whole) = (self.number, self.shared.now());
+            self.shared.saw(Seen::Began { attempt, request, number, server, first, whole });
+            let work = self.shared.arrivals[request].work;
+            let (outcome, wasted) = tokio::select! {
+                done = self.serve(&mut stream, attempt, request) => done,
+                () = gone(&mut phase, life) => (Outcome::Reset, work),
+            };
+            self.shared.saw(Seen::Ended { attempt, outcome, wasted });
+            let text = match outcome {
+                Outcome::Served => http::answer(200, "", &body(&self.name(), &Shared::id(request, number))),
+                Outcome::TurnedAway => http::answer(503, "X-Not-Processed: 1\r\n", ""),
+                Outcome::Error => http::answer(500, "", ""),
+                _ => return http::reset(stream),
+            };
+            tokio::select! {
+                () = heard(self.gate.watch()) => {}
+                () = gone(&mut phase, life) => return http::reset(stream),
+            }
+            if stream.write_all(text.as_bytes()).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    /// What comes of an attempt, and the work that was done for nobody.
+    async fn serve(&self, stream: &mut TcpStream, attempt: u64, request: usize) -> (Outcome, f64) {
+        let (work, proxy) = (self.shared.arrivals[request].work, self.shared.arrivals[request].proxy);
+        heard(self.gate.watch()).await;
+        let network = &self.shared.day.network;
+        let way = if self.shared.zone(proxy) == self.zone { network.within } else { network.across };
+        self.pass(way).await;
+        let attempt = attempt as usize;
+        let ends = match self.take(attempt, work) {
+            Ok(ends) => ends,
+            Err((outcome, after)) => {
+                self.pass(after.max(way)).await;
+                return (outcome, 0.0);
+            }
+        };
+        tokio::select! {
+            done = ends => match done {
+                Ok(()) => {
+                    self.pass(way).await;
+                    (Outcome::Served, 0.0)
+                }
+                Err(_) => (Outcome::Reset, work),
+            },
+            () = http::closed(stream) => {
+                let left = self.inner().server.drop_work(self.shared.now(), attempt);
+                self.inner().waiting.remove(&attempt);
+                self.changed.notify_one();
+                // Its client has gone, so that nothing is told.
+                (Outcome::Reset, (work - left.unwrap_or(0.0)).max(0.0))
+            }
+        }
+    }
+
+    async fn pass(&self, span: Micros) {
+        if span >= SHORTEST_WAY {
+            self.shared.until(self.shared.now() + span).await;
+        }
+    }
+
+    /// Takes work in, or tells what becomes of it and after how long.
+    fn take(&self, attempt: usize, work: f64) -> Result<oneshot::Receiver<()>, (Outcome, Micros)> {
+        let now = self.shared.now();
+        let mut inner = self.inner();
+        if inner.server.flooded(now, work) {
+            drop(inner);
+            self.shared.saw(Seen::Fell { server: self.number, at: now });
+            self.stop();
+            return Err((Outcome::Reset, 0));
+        }
+        if inner.server.draining {
+            return Err((Outcome::TurnedAway, 0));
+        }
+        let Health { errors, resets, .. } = inner.server.health;
+        if errors && inner.luck.gen_bool(0.5) {
+            return Err((Outcome::Error, FAST));
+        }
+        if resets && inner.luck.gen_bool(1.0 / 3.0) {
+            return Err((Outcome::Reset, FAST));
+        }
+        if inner.server.take(now, attempt, work) == Taken::Full {
+            return Err((Outcome::TurnedAway, 0));
+        }
+        let (sender, ends) = oneshot::channel();
+        inner.waiting.insert(attempt, sender);
+        drop(inner);
+        self.changed.notify_one();
+        Ok(ends)
+    }
+}
+
+/// The name of a server in the list.
+pub fn name(number: usize) -> String {
+    format!("s-{number:04}")
+}
+
+/// The body of an answer, which no other server would have given, nor this one to another request.
+fn body(server: &str, id: &str) -> String {
+    format!("{server} served {id} whole\n")
+}
+
+/// The server whose answer to this try a body is.
+pub fn author(found: &[u8], id: &str) -> Option<usize> {
+    let text = std::str::from_utf8(found).ok()?;
+    let number = text.strip_prefix("s-")?.split(' ').next()?.parse().ok()?;
+    (text == body(&name(number), id)).then_some(number)
+}
+
+/// An open connection in a server's count.
+struct Counted<'a> {
+    machine: &'a Machine,
+    /// How many are open with it.
+    of: usize,
+}
+
+impl<'a> Counted<'a> {
+    fn new(machine: &'a Machine) -> Self {
+        let mut inner = machine.inner();
+        inner.open += 1;
+        Counted { machine, of: inner.open }
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.machine.inner().open -= 1;
+    }
+}
--- a/crates/lab/src/sim.rs
+++ b/crates/lab/src/sim.rs
@@ -9,6 +9,7 @@
 use std::fmt::Write;
 use std::path::PathBuf;
 
+/// Days in virtual time.
 #[derive(Debug, Args)]
 #[command(after_help = "Exit status: 0 oakport kept the rules, 1 it did not, or a day could not be played.")]
 pub struct Sim {
