--- a/crates/lab/src/rig/gate.rs
+++ b/crates/lab/src/rig/gate.rs
@@ -3,6 +3,7 @@
 use socket2::{Domain, SockRef, Socket, Type};
 use std::io::Result;
 use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Mutex, PoisonError};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
@@ -26,6 +27,8 @@
     pub address: SocketAddr,
     /// Keeps the port while nobody listens there.
     _holder: Socket,
+    /// Takes connections from the beginning, though `serve` comes later.
+    first: Mutex<Option<TcpListener>>,
     phase: watch::Sender<Phase>,
 }
 
@@ -71,11 +74,13 @@
 }
 
 impl Gate {
-    /// Takes an address; nobody is taken in before `serve`.
+    /// Takes an address; who comes before `serve` waits for it.
     pub fn new(address: SocketAddr) -> Result<Self> {
         let holder = hold(address)?;
         let phase = watch::Sender::new(Phase { up: true, silent: false, life: 0 });
-        Ok(Gate { address: held(&holder)?, _holder: holder, phase })
+        let address = held(&holder)?;
+        let first = Mutex::new(Some(listen(address)?));
+        Ok(Gate { address, _holder: holder, first, phase })
     }
 
     /// Nothing passes, and new connections never come up; or it is as before.
@@ -111,7 +116,7 @@
     /// Takes connections while it is open, for ever.
     pub async fn serve(&self, taken: impl Fn(TcpStream, u32)) {
         let mut phase = self.phase.subscribe();
-        let mut listener = None;
+        let mut listener = self.first.lock().unwrap_or_else(PoisonError::into_inner).take();
         loop {
             let now = *phase.borrow_and_update();
             if !now.up {
--- a/crates/lab/src/rig/links.rs
+++ b/crates/lab/src/rig/links.rs
@@ -85,6 +85,8 @@
     async fn connection(self: Arc<Self>, near: TcpStream, target: SocketAddr, life: u32) {
         let mut phase = self.gate.watch();
         let far = tokio::select! {
+            // One that is up is reset below, on both sides.
+            biased;
             far = TcpStream::connect(target) => far,
             () = gone(&mut phase, life) => return http::reset(near),
         };
