Compare two programs play by play, and measure what a hop costs

`oakport-lab compare` plays pairs with the same seed, who is first changing, and gives differences with their spread; `oakport-lab overhead` lets the direct way, a relay, the forwarder and oakport take turns.

--- /dev/null
+++ b/crates/lab/src/compare.rs
@@ -0,0 +1,116 @@
+//! `oakport-lab compare`: two programs on the same day, play by play.
+
+use crate::fleet::{played, read, Stop};
+use crate::rig::{Play, Program, Verdict};
+use clap::Args;
+use comfy_table::{presets, CellAlignment, Table};
+use serde_json::json;
+use std::path::PathBuf;
+
+/// Two programs on the same day, in turn.
+#[derive(Debug, Args)]
+#[command(
+    after_help = "Each pair of plays has a seed of its own; who plays first changes from pair to pair. The difference \
+                  is b less a; its spread is the least and the most of all pairs.\n\
+                  Exit status: 0 b kept the rules, 1 it did not, 2 a scenario or program cannot be played, \
+                  3 the rig was too late to judge a play."
+)]
+pub struct Compare {
+    /// The day, as TOML
+    scenario: PathBuf,
+    /// The one program
+    #[arg(long, value_name = "PATH")]
+    a: PathBuf,
+    /// The other
+    #[arg(long, value_name = "PATH")]
+    b: PathBuf,
+    /// Pairs of plays
+    #[arg(long, default_value_t = 3, value_name = "N", value_parser = clap::value_parser!(u64).range(1..=100))]
+    plays: u64,
+    /// The first seed
+    #[arg(long, default_value_t = 1, value_name = "N")]
+    seed: u64,
+    /// Only figures whose names begin so
+    #[arg(long, value_name = "NAME,...", value_delimiter = ',')]
+    figures: Vec<String>,
+    /// Write all figures there, as JSON
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+}
+
+/// How a comparison ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Compared {
+    /// `b` kept the rules.
+    Well,
+    /// It did not.
+    Broken,
+    /// A play could not be judged.
+    Late,
+}
+
+impl Compare {
+    /// Plays all pairs and prints the table.
+    ///
+    /// # Errors
+    /// The day or a program cannot be played.
+    pub fn run(&self) -> Result<Compared, Stop> {
+        for path in [&self.a, &self.b] {
+            if !path.is_file() {
+                return Err(Stop::Bad(format!(
+                    "{}: no such program; give the path of a build",
+                    path.display()
+                )));
+            }
+        }
+        let (name, day) = read(&self.scenario)?;
+        println!("{name}: {}", day.purpose);
+        let mut pairs: Vec<[Verdict; 2]> = Vec::new();
+        for number in 0..self.plays {
+            let seed = self.seed + number;
+            let play = |path: &PathBuf| {
+                let program = Program::oakport(path);
+                played(&Play { day: day.clone(), seed, second: program.clone(), program, logs: None })
+            };
+            pairs.push(if number % 2 == 0 {
+                let a = play(&self.a)?;
+                [a, play(&self.b)?]
+            } else {
+                let b = play(&self.b)?;
+                [play(&self.a)?, b]
+            });
+        }
+        println!("{}", self.table(&pairs));
+        if let Some(path) = &self.json {
+            let text = format!("{:#}\n", json!({"day": name, "seed": self.seed, "pairs": pairs}));
+            std::fs::write(path, text).map_err(|e| Stop::Bad(format!("{}: {e}", path.display())))?;
+        }
+        if pairs.iter().flatten().any(Verdict::too_late) {
+            println!("a play was not judged: the rig itself was too late; give it idle cores");
+            return Ok(Compared::Late);
+        }
+        let kept = pairs.iter().all(|[_, b]| b.rules.values().all(|broken| *broken == 0));
+        Ok(if kept { Compared::Well } else { Compared::Broken })
+    }
+
+    fn table(&self, pairs: &[[Verdict; 2]]) -> String {
+        let mut table = Table::new();
+        table.load_preset(presets::NOTHING).set_header(["figure", "a", "b", "difference", "least", "most"]);
+        let wanted = |name: &str| self.figures.is_empty() || self.figures.iter().any(|f| name.starts_with(f));
+        let names = pairs.iter().flatten().flat_map(|verdict| verdict.figures.keys());
+        let names: std::collections::BTreeSet<&String> = names.filter(|name| wanted(name)).collect();
+        for name in names {
+            let both = |pair: &[Verdict; 2]| Some([*pair[0].figures.get(name)?, *pair[1].figures.get(name)?]);
+            let found: Vec<[f64; 2]> = pairs.iter().filter_map(both).collect();
+            let mean = |part: fn(&[f64; 2]) -> f64| found.iter().map(part).sum::<f64>() / found.len() as f64;
+            let differences = || found.iter().map(|[a, b]| b - a);
+            let least = differences().fold(f64::INFINITY, f64::min);
+            let most = differences().fold(f64::NEG_INFINITY, f64::max);
+            let all = [mean(|p| p[0]), mean(|p| p[1]), mean(|p| p[1] - p[0]), least, most];
+            table.add_row(std::iter::once(name.clone()).chain(all.map(|figure| format!("{figure:.4}"))));
+        }
+        table.column_iter_mut().skip(1).for_each(|column| column.set_cell_alignment(CellAlignment::Right));
+        let lines = table.lines().map(|line| format!("{}\n", line.trim_end()));
+        lines.chain([format!("{} pairs, seeds from {}", pairs.len(), self.seed)]).collect()
+    }
+}
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,9 @@
 //! The program `oakport-lab`: tries oakport out.
 
 use clap::{Parser, Subcommand};
+use oakport_lab::compare::{Compare, Compared};
 use oakport_lab::fleet::{Ended, Fleet, Stop};
+use oakport_lab::overhead::Overhead;
 use oakport_lab::rig::forwarder::{self, Broken};
 use oakport_lab::sim::Sim;
 use std::ffi::OsString;
@@ -27,6 +29,10 @@
 enum Command {
     /// Play days with real processes on loopback
     Fleet(Fleet),
+    /// Play a day with two programs in turn
+    Compare(Compare),
+    /// Measure what a hop through oakport costs
+    Overhead(Overhead),
     /// Play days in virtual time, with several policies side by side
     Sim(Sim),
     /// Serve as a proxy that picks at random, by the platform's environment
@@ -51,15 +57,23 @@
 const INTERRUPTED: u8 = 130;
 
 fn main() -> ExitCode {
+    let stopped = |stop| match stop {
+        Stop::Bad(odd) => (odd, BAD),
+        Stop::Interrupted => ("interrupted".to_owned(), INTERRUPTED),
+    };
     let done = match Arguments::parse().command {
         Command::Sim(sim) => sim.run().map_err(|odd| (odd, 1)).map(|kept| u8::from(!kept)),
-        Command::Fleet(fleet) => match fleet.run() {
-            Ok(Ended::Well) => Ok(0),
-            Ok(Ended::Broken) => Ok(1),
-            Ok(Ended::Late) => Ok(LATE),
-            Err(Stop::Bad(odd)) => Err((odd, BAD)),
-            Err(Stop::Interrupted) => Err(("interrupted".to_owned(), INTERRUPTED)),
-        },
+        Command::Fleet(fleet) => fleet.run().map_err(stopped).map(|ended| match ended {
+            Ended::Well => 0,
+            Ended::Broken => 1,
+            Ended::Late => LATE,
+        }),
+        Command::Compare(compare) => compare.run().map_err(stopped).map(|ended| match ended {
+            Compared::Well => 0,
+            Compared::Broken => 1,
+            Compared::Late => LATE,
+        }),
+        Command::Overhead(overhead) => overhead.run().map(|()| 0).map_err(stopped),
         Command::Forward { broken } => forward(broken).map(|()| 0).map_err(|odd| (odd, 1)),
         Command::Hold { command } => Err((hold(&command), 1)),
     };
--- a/crates/lab/src/rig/links.rs
+++ b/crates/lab/src/rig/links.rs
@@ -113,6 +113,13 @@
     }
 }
 
+/// Waits until a moment, if it is still to come: a timer would take a millisecond for one that has come.
+async fn due(at: Option<Instant>) {
+    if let Some(at) = at.filter(|at| *at > Instant::now()) {
+        sleep_until(at).await;
+    }
+}
+
 /// Passes one direction on, until its end.
 async fn pump(from: &TcpStream, to: &TcpStream, mut ways: watch::Receiver<Both>, way: usize) -> Result<()> {
     let mut under_way: VecDeque<(Instant, Vec<u8>)> = VecDeque::new();
@@ -121,7 +128,7 @@
         let spec = ways.borrow_and_update()[way];
         let next = under_way.front().map(|(at, _)| *at).filter(|_| !spec.stall);
         tokio::select! {
-            () = sleep_until(next.unwrap_or_else(Instant::now)), if next.is_some() => {
+            () = due(next), if next.is_some() => {
                 let Some((_, piece)) = under_way.pop_front() else { continue };
                 if piece.is_empty() {
                     return SockRef::from(to).shutdown(std::net::Shutdown::Write);
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -5,6 +5,7 @@
 mod events;
 pub mod forwarder;
 mod gate;
+pub mod hops;
 pub mod http;
 mod judge;
 pub mod links;
--- a/crates/lab/src/rig/processes.rs
+++ b/crates/lab/src/rig/processes.rs
@@ -178,6 +178,11 @@
         }
     }
 
+    /// The number of the process.
+    pub fn pid(&self) -> Option<u32> {
+        self.child.as_ref().and_then(Child::id)
+    }
+
     /// Kills the process.
     pub async fn kill(&mut self) {
         self.saw(Signal::Killed);
