--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -1,7 +1,8 @@
 //! `oakport-lab fleet`: days with real processes on loopback, judged.
 
+use crate::report;
 use crate::rig::forwarder::Broken;
-use crate::rig::{self, Play, Program, Progress, Verdict};
+use crate::rig::{self, Play, Program, Progress, Tell, Verdict};
 use clap::Args;
 use comfy_table::{presets, CellAlignment, Table};
 use oakport_model::scenario::Scenario;
@@ -30,6 +31,9 @@
     /// Write all figures there, as JSON
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
+    /// Write a page with plots for each day into this folder
+    #[arg(long, value_name = "DIR")]
+    report: Option<PathBuf>,
     /// Keep the log of each process in this folder
     #[arg(long, value_name = "DIR")]
     logs: Option<PathBuf>,
@@ -54,7 +58,7 @@
 
 impl Programs {
     /// The program, and the one that relieves it.
-    fn found(&self) -> Result<[Program; 2], Stop> {
+    pub fn found(&self) -> Result<[Program; 2], Stop> {
         let lab = std::env::current_exe().map_err(|e| Stop::Bad(format!("this program: {e}")))?;
         if self.forwarder {
             let mut arguments = vec!["forward".to_owned()];
@@ -101,7 +105,7 @@
     pub fn run(&self) -> Result<Ended, Stop> {
         let [program, second] = self.programs.found()?;
         let days = self.scenarios.iter().map(|path| read(path)).collect::<Result<Vec<_>, _>>()?;
-        if let Some(folder) = &self.logs {
+        for folder in [&self.logs, &self.report].into_iter().flatten() {
             std::fs::create_dir_all(folder).map_err(|e| Stop::Bad(format!("{}: {e}", folder.display())))?;
         }
         let (mut ended, mut all) = (Ended::Well, Vec::new());
@@ -110,7 +114,11 @@
             let (program, second) = (program.clone(), second.clone());
             let play = Play { day, seed: self.seed, program, second, logs: self.logs.clone() };
             let verdict = played(&play)?;
-            print!("{}", report(&verdict, self.seconds));
+            if let Some(folder) = &self.report {
+                let page = report::html(&name, &play.day, self.seed, &verdict).map_err(Stop::Bad)?;
+                write(&folder.join(format!("{name}.html")), &page)?;
+            }
+            print!("{}", table(&verdict, self.seconds));
             ended = ended.max(match () {
                 () if verdict.too_late() => Ended::Late,
                 () if verdict.holds() => Ended::Well,
@@ -120,12 +128,17 @@
         }
         if let Some(path) = &self.json {
             let text = format!("{:#}\n", json!({ "days": all }));
-            std::fs::write(path, text).map_err(|e| Stop::Bad(format!("{}: {e}", path.display())))?;
+            write(path, &text)?;
         }
         Ok(ended)
     }
 }
 
+/// Writes a file.
+pub fn write(path: &Path, text: &str) -> Result<(), Stop> {
+    std::fs::write(path, text).map_err(|e| Stop::Bad(format!("{}: {e}", path.display())))
+}
+
 /// Reads a day, and tells its name.
 pub fn read(path: &Path) -> Result<(String, Scenario), Stop> {
     let bad = |odd: &dyn std::fmt::Display| Stop::Bad(format!("{}: {odd}", path.display()));
@@ -137,8 +150,6 @@
 
 /// Plays a day, with its progress on a terminal, until its end or Ctrl-C.
 pub fn played(play: &Play) -> Result<Verdict, Stop> {
-    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
-    let runtime = runtime.map_err(|e| Stop::Bad(format!("runtime: {e}")))?;
     let shown = std::io::stderr().is_terminal();
     let bar =
         if shown { indicatif::ProgressBar::new(play.day.length) } else { indicatif::ProgressBar::hidden() };
@@ -148,20 +159,27 @@
     let tell = |progress: Progress<'_>| match progress {
         Progress::Begun => bar.set_message("the fleet stands"),
         Progress::Event(at, text) => bar.set_message(format!("{} s: {text}", at / 1_000_000)),
-        Progress::At(at) => bar.set_position(at),
+        Progress::At(at, _) => bar.set_position(at),
     };
-    let verdict = runtime.block_on(async {
+    let verdict = told(play, &tell);
+    bar.finish_and_clear();
+    verdict
+}
+
+/// Plays a day, telling how far it is, until its end or Ctrl-C.
+pub fn told(play: &Play, tell: &Tell<'_>) -> Result<Verdict, Stop> {
+    let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Stop::Bad(format!("runtime: {e}")))?;
+    runtime.block_on(async {
         tokio::select! {
-            verdict = rig::play(play, &tell) => verdict.map_err(Stop::Bad),
+            verdict = rig::play(play, tell) => verdict.map_err(Stop::Bad),
             _ = tokio::signal::ctrl_c() => Err(Stop::Interrupted),
         }
-    });
-    bar.finish_and_clear();
-    verdict
+    })
 }
 
 /// A verdict for people.
-fn report(verdict: &Verdict, seconds: bool) -> String {
+pub fn table(verdict: &Verdict, seconds: bool) -> String {
     let mut text = String::new();
     if seconds {
         text += &by_seconds(verdict);
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -1,7 +1,9 @@
 //! What `oakport-lab` is made of: days in virtual time, and a rig that plays them with real processes on loopback.
 
 pub mod compare;
+pub mod demo;
 pub mod fleet;
 pub mod overhead;
+pub mod report;
 pub mod rig;
 pub mod sim;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -2,6 +2,7 @@
 
 use clap::{Parser, Subcommand};
 use oakport_lab::compare::{Compare, Compared};
+use oakport_lab::demo::Demo;
 use oakport_lab::fleet::{Ended, Fleet, Stop};
 use oakport_lab::overhead::Overhead;
 use oakport_lab::rig::forwarder::{self, Broken};
@@ -12,6 +13,7 @@
 
 const EXAMPLES: &str = "\
 Examples:
+  oakport-lab demo --quick                                  a small fleet live while parts of it fail
   oakport-lab fleet scenarios/fleet/zone-lost.toml          a day with real processes on loopback
   oakport-lab sim scenarios/slow.toml                       a day with all policies, side by side
   oakport-lab sim scenarios/*.toml --seeds 5                five draws of each of many days
@@ -27,6 +29,8 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Show a small fleet live while parts of it fail, and write a report with plots
+    Demo(Demo),
     /// Play days with real processes on loopback
     Fleet(Fleet),
     /// Play a day with two programs in turn
@@ -73,6 +77,7 @@
             Compared::Broken => 1,
             Compared::Late => LATE,
         }),
+        Command::Demo(demo) => demo.run().map_err(stopped).map(|held| u8::from(!held)),
         Command::Overhead(overhead) => overhead.run().map(|()| 0).map_err(stopped),
         Command::Forward { broken } => forward(broken).map(|()| 0).map_err(|odd| (odd, 1)),
         Command::Hold { command } => Err((hold(&command), 1)),
--- a/crates/lab/src/rig/judge.rs
+++ b/crates/lab/src/rig/judge.rs
@@ -51,8 +51,8 @@
     pub attempts: BTreeMap<String, [u64; 2]>,
     /// Answers of each release.
     pub by_release: BTreeMap<String, u64>,
-    /// The longest of the answered requests, in milliseconds, and their median.
-    pub latency_ms: [f64; 2],
+    /// The longest of the answered requests, in milliseconds, their median and their 99th percentile.
+    pub latency_ms: [f64; 3],
     /// Connections that servers held.
     pub connections: usize,
 }
@@ -431,7 +431,7 @@
             seconds[place(at.saturating_sub(start))].connections = *open;
         }
         for (second, own) in seconds.iter_mut().zip(&each) {
-            second.latency_ms = [1.0, 0.5].map(|q| own.value_at_quantile(q) as f64 / 1e3);
+            second.latency_ms = [1.0, 0.5, 0.99].map(|q| own.value_at_quantile(q) as f64 / 1e3);
         }
         let mut figures = BTreeMap::new();
         let mut put = |name: &str, value: f64| {
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -116,6 +116,6 @@
         while let Some((at, text)) = marks.next_if(|(at, _)| *at <= now) {
             tell(Progress::Event(*at, text));
         }
-        tell(Progress::At(now.min(shared.day.length)));
+        tell(Progress::At(now.min(shared.day.length), shared.ended()));
     }
 }
--- a/crates/lab/src/rig/plan.rs
+++ b/crates/lab/src/rig/plan.rs
@@ -30,6 +30,6 @@
     Begun,
     /// Something begins, or is over, at this time of the day.
     Event(Micros, &'a str),
-    /// So much of the day is over.
-    At(Micros),
+    /// So much of the day is over, and so many requests have been served and not.
+    At(Micros, [u64; 2]),
 }
--- a/crates/lab/src/rig/record.rs
+++ b/crates/lab/src/rig/record.rs
@@ -4,6 +4,7 @@
 use oakport_core::{Micros, Outcome, State};
 use oakport_model::scenario::Scenario;
 use oakport_model::Arrival;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::Instant;
@@ -99,6 +100,8 @@
     /// The start of the day on the clock.
     start: OnceLock<Micros>,
     seen: Mutex<Vec<Seen>>,
+    /// Requests that have ended so far, served and not.
+    ended: [AtomicU64; 2],
     late: Mutex<Late>,
 }
 
@@ -130,6 +133,7 @@
             unix: SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default(),
             start: OnceLock::new(),
             seen: Mutex::new(Vec::new()),
+            ended: Default::default(),
             late: Mutex::new(Late { by: histogram(), spans: Vec::new() }),
             day,
         }
@@ -181,9 +185,17 @@
 
     /// Keeps what was seen.
     pub fn saw(&self, seen: Seen) {
+        if let Seen::Done { end, .. } = &seen {
+            self.ended[usize::from(!matches!(end, TryEnd::Served(_)))].fetch_add(1, Ordering::Relaxed);
+        }
         lock(&self.seen).push(seen);
     }
 
+    /// Requests that have ended so far, served and not.
+    pub fn ended(&self) -> [u64; 2] {
+        [0, 1].map(|n: usize| self.ended[n].load(Ordering::Relaxed))
+    }
+
     /// Takes all that was seen, and the lateness of the rig itself.
     pub fn close(&self) -> (Vec<Seen>, Late) {
         (std::mem::take(&mut *lock(&self.seen)), lock(&self.late).clone())
