Tell who is present by SWIM, as a state machine without sockets

A process knows of the others one number, told at its start. `crates/fleet` holds who is present, suspected, left or dead (foca), a digest and the share of peers that agree, and a count that rises at once, falls slowly, and takes a third falling silent together for a cut.

--- /dev/null
+++ b/crates/fleet/src/envelope.rs
@@ -0,0 +1,81 @@
+//! What stands before a datagram's content, so that only this fleet's whole datagrams are read.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// The mark and the version of the format.
+const MARK: [u8; 4] = *b"oak\x01";
+/// Bytes of an envelope.
+pub const LENGTH: usize = 16;
+
+/// What stands before a datagram's content.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Envelope {
+    /// The fleet's name as a hash.
+    pub fleet: u32,
+    /// The digest of the sender's view.
+    pub digest: u32,
+}
+
+/// Why a datagram is thrown away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Odd {
+    /// It is no datagram of oakport's.
+    Mark,
+    /// It has another version.
+    Version,
+    /// It was damaged, or cut.
+    Damaged,
+    /// It is another fleet's.
+    Fleet,
+    /// Its content makes no sense.
+    Content,
+}
+
+impl Envelope {
+    /// The hash of a fleet's name, the same in all builds.
+    pub fn fleet(name: &str) -> u32 {
+        xxh3_64(name.as_bytes()) as u32
+    }
+
+    /// A whole datagram.
+    pub fn seal(&self, content: &[u8]) -> Vec<u8> {
+        let mut whole = Vec::with_capacity(LENGTH + content.len());
+        whole.extend_from_slice(&MARK);
+        whole.extend_from_slice(&self.fleet.to_be_bytes());
+        whole.extend_from_slice(&self.digest.to_be_bytes());
+        whole.extend_from_slice(&checksum(&whole, content).to_be_bytes());
+        whole.extend_from_slice(content);
+        whole
+    }
+
+    /// Opens a datagram of this fleet.
+    ///
+    /// # Errors
+    /// Why it is thrown away.
+    pub fn open(fleet: u32, datagram: &[u8]) -> Result<(Envelope, &[u8]), Odd> {
+        let (mark, rest) = datagram.split_first_chunk::<4>().ok_or(Odd::Mark)?;
+        if mark[..3] != MARK[..3] {
+            return Err(Odd::Mark);
+        }
+        if mark[3] != MARK[3] {
+            return Err(Odd::Version);
+        }
+        let (found, rest) = rest.split_first_chunk::<4>().ok_or(Odd::Damaged)?;
+        let (digest, rest) = rest.split_first_chunk::<4>().ok_or(Odd::Damaged)?;
+        let (sum, content) = rest.split_first_chunk::<4>().ok_or(Odd::Damaged)?;
+        if checksum(&datagram[..12], content) != u32::from_be_bytes(*sum) {
+            return Err(Odd::Damaged);
+        }
+        if u32::from_be_bytes(*found) != fleet {
+            return Err(Odd::Fleet);
+        }
+        Ok((Envelope { fleet, digest: u32::from_be_bytes(*digest) }, content))
+    }
+}
+
+fn checksum(head: &[u8], content: &[u8]) -> u32 {
+    let mut hasher = crc32fast::Hasher::new();
+    hasher.update(head);
+    hasher.update(content);
+    hasher.finalize()
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,17 @@
+//! What processes of oakport know of each other: who is present (`docs/membership.md`). No sockets, no clock: datagrams
+//! and the time in, datagrams and news out.
+
+mod count;
+mod envelope;
+mod identity;
+mod peers;
+mod view;
+
+pub use count::Count;
+pub use envelope::{Envelope, Odd};
+pub use identity::Identity;
+pub use peers::{Config, News, Peers};
+pub use view::{Seen, Standing, View};
+
+/// A moment or a span, in microseconds.
+pub type Micros = u64;
--- /dev/null
+++ b/crates/fleet/tests/fleet.rs
@@ -0,0 +1,354 @@
+//! Many processes in virtual time: deaths, leaves, cuts, losses, wrong names, foreign datagrams.
+
+use oakport_fleet::{Config, Identity, Micros, News, Peers, Standing};
+use rand_pcg_next::rand_core::{Rng, SeedableRng};
+use rand_pcg_next::Pcg64;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const SECOND: Micros = 1_000_000;
+const MILLI: Micros = 1_000;
+
+/// A process, and whether it runs.
+struct Process {
+    peers: Peers,
+    runs: bool,
+    /// It stands still until then; what comes meanwhile waits.
+    stalled: Micros,
+}
+
+/// A fleet on a network.
+struct Net {
+    now: Micros,
+    random: Pcg64,
+    processes: Vec<Process>,
+    /// Datagrams under way, by when they come and their order.
+    under_way: BTreeMap<(Micros, u64), (usize, Vec<u8>)>,
+    number: u64,
+    /// Share of the datagrams that are lost.
+    loss: f64,
+    /// Nothing passes from the one to the other.
+    cut: fn(usize, usize) -> bool,
+    news: Vec<(Micros, usize, News)>,
+    balancers: usize,
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 7_000))
+}
+
+impl Net {
+    /// So many, of which all know the first as their seed.
+    fn new(seed: u64, number: usize, balancers: usize) -> Self {
+        let mut net = Net {
+            now: SECOND,
+            random: Pcg64::seed_from_u64(seed),
+            processes: Vec::new(),
+            under_way: BTreeMap::new(),
+            number: 0,
+            loss: 0.0,
+            cut: |_, _| false,
+            news: Vec::new(),
+            balancers,
+        };
+        (0..number).for_each(|n| {
+            let process = net.process(n, net.now);
+            net.processes.push(process);
+        });
+        net
+    }
+
+    fn process(&mut self, number: usize, life: Micros) -> Process {
+        let own = Identity::new(&format!("n{number}"), address(number), life, "1", "derby");
+        let config = Config { fleet: "fares".to_owned(), seeds: vec![address(0)], balancers: self.balancers };
+        Process { peers: Peers::new(self.now, self.random.next_u64(), own, config), runs: true, stalled: 0 }
+    }
+
+    fn share(&mut self) -> f64 {
+        (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Sends what a process has to send.
+    fn post(&mut self, from: usize) {
+        for (to, datagram) in self.processes[from].peers.outbox() {
+            assert!(datagram.len() <= 1_400, "{} bytes", datagram.len());
+            let Some(to) = (0..self.processes.len()).find(|n| address(*n) == to) else { continue };
+            if self.share() < self.loss || (self.cut)(from, to) {
+                continue;
+            }
+            self.number += 1;
+            let after = MILLI + (self.share() * 4.0 * MILLI as f64) as Micros;
+            self.under_way.insert((self.now + after, self.number), (to, datagram));
+        }
+        let news = self.processes[from].peers.news();
+        self.news.extend(news.into_iter().map(|news| (self.now, from, news)));
+    }
+
+    /// Goes on until this moment.
+    fn until(&mut self, end: Micros) {
+        loop {
+            let due = |p: &Process| if p.runs { p.peers.next_due().max(p.stalled) } else { Micros::MAX };
+            let timer = (0..self.processes.len()).map(|n| (due(&self.processes[n]), n)).min().expect("some");
+            let datagram = self.under_way.first_key_value().map_or(Micros::MAX, |((at, _), _)| *at);
+            if timer.0.min(datagram) > end {
+                self.now = end;
+                return;
+            }
+            if datagram <= timer.0 {
+                let Some(((at, number), (to, bytes))) = self.under_way.pop_first() else { continue };
+                self.now = at;
+                let process = &mut self.processes[to];
+                if process.runs && process.stalled > at {
+                    self.under_way.insert((process.stalled, number), (to, bytes));
+                } else if process.runs {
+                    process.peers.datagram(at, &bytes);
+                    self.post(to);
+                }
+            } else {
+                self.now = timer.0;
+                self.processes[timer.1].peers.time(self.now);
+                self.post(timer.1);
+            }
+        }
+    }
+
+    fn running(&self) -> Vec<usize> {
+        (0..self.processes.len()).filter(|n| self.processes[*n].runs).collect()
+    }
+
+    /// Goes on until something holds, and tells how long that took.
+    fn wait(&mut self, most: Micros, what: &str, holds: impl Fn(&Net) -> bool) -> Micros {
+        let begin = self.now;
+        while !holds(self) {
+            assert!(self.now < begin + most, "{what}: not within {} s", most / SECOND);
+            self.until(self.now + 20 * MILLI);
+        }
+        self.now - begin
+    }
+
+    /// All that run hold the same.
+    fn agree(&self) -> bool {
+        let running = self.running();
+        let view = |n: usize| self.processes[n].peers.view();
+        running
+            .iter()
+            .all(|n| view(*n).digest() == view(running[0]).digest() && view(*n).size() == running.len())
+    }
+
+    fn joined(seed: u64, number: usize) -> Self {
+        let mut net = Net::new(seed, number, number);
+        net.wait(30 * SECOND, "joined", Net::agree);
+        net
+    }
+
+    /// How long each that runs takes to hold another so.
+    fn learnt(&mut self, who: usize, standing: Standing, most: Micros) -> Vec<Micros> {
+        let begin = self.now;
+        let mut found = BTreeMap::new();
+        while found.len() < self.running().len() {
+            assert!(self.now < begin + most, "{} of {} know", found.len(), self.running().len());
+            self.until(self.now + 10 * MILLI);
+            for n in self.running() {
+                let seen = self.processes[n].peers.view().get(address(who)).map(|seen| seen.standing);
+                if seen == Some(standing) {
+                    found.entry(n).or_insert(self.now - begin);
+                }
+            }
+        }
+        found.into_values().collect()
+    }
+}
+
+/// The 99th percentile.
+fn p99(mut all: Vec<Micros>) -> Micros {
+    all.sort_unstable();
+    all[(all.len() * 99).div_ceil(100) - 1]
+}
+
+#[test]
+fn deaths_and_leaves_become_known_to_all_in_their_time() {
+    let (mut deaths, mut leaves) = (Vec::new(), Vec::new());
+    // LONG=1 plays ten times as many.
+    let seeds = if std::env::var_os("LONG").is_some() { 40 } else { 4 };
+    for seed in 0..seeds {
+        let mut net = Net::joined(seed, 60);
+        for dead in [7, 23, 41] {
+            net.processes[dead].runs = false;
+            deaths.extend(net.learnt(dead, Standing::Dead, 10 * SECOND));
+        }
+        for leaves_now in [8, 24, 42] {
+            let now = net.now;
+            net.processes[leaves_now].peers.leave(now);
+            net.post(leaves_now);
+            net.processes[leaves_now].runs = false;
+            leaves.extend(net.learnt(leaves_now, Standing::Left, 10 * SECOND));
+        }
+        assert_eq!(net.processes[0].peers.view().size(), 54);
+    }
+    let (deaths, leaves) = (p99(deaths), p99(leaves));
+    println!("death p99 {deaths} us, leave p99 {leaves} us");
+    assert!(deaths <= 3 * SECOND, "{deaths}");
+    assert!(leaves <= SECOND, "{leaves}");
+}
+
+#[test]
+fn no_one_who_can_be_reached_is_held_dead_and_what_it_costs_is_flat() {
+    // LONG=1 plays ten minutes of three seeds.
+    let long = std::env::var_os("LONG").is_some();
+    let mut costs = Vec::new();
+    for (number, seed) in [(10, 3), (60, 3), (60, 4), (60, 5)].into_iter().take(if long { 4 } else { 2 }) {
+        let mut net = Net::joined(seed, number);
+        net.loss = 0.05;
+        // What joining costs is over.
+        net.until(net.now + 20 * SECOND);
+        net.news.clear();
+        let sent = |net: &Net| net.processes.iter().map(|p| p.peers.bytes_sent).collect::<Vec<_>>();
+        let (before, begin) = (sent(&net), net.now);
+        let length = if long { 600 } else { 120 };
+        while net.now < begin + length * SECOND {
+            // One stands still for a second every ten.
+            net.processes[5].stalled = net.now + SECOND;
+            net.until(net.now + 10 * SECOND);
+        }
+        let dead = net.news.iter().filter(|(_, _, n)| matches!(n, News::Member(_, Standing::Dead))).count();
+        println!("{number} processes: held dead {dead} times in {length} s");
+        assert_eq!(dead, 0, "held dead in {length} s");
+        let most = sent(&net).iter().zip(before).map(|(after, before)| after - before).max().expect("some");
+        costs.push(most as f64 / length as f64);
+    }
+    println!("bytes a second, at most: {costs:?}");
+    assert!(costs.iter().all(|cost| *cost <= 2_048.0), "{costs:?}");
+    assert!(costs[1] <= costs[0] * 1.3, "{costs:?}");
+}
+
+#[test]
+fn cuts_heal_and_the_count_stays_meanwhile() {
+    let halves: fn(usize, usize) -> bool = |a, b| (a < 30) != (b < 30);
+    let thirds: fn(usize, usize) -> bool = |a, b| a / 20 != b / 20;
+    for (name, cut, lasts) in [
+        ("halves", halves, 20),
+        ("thirds", thirds, 20),
+        ("one way", (|a, b| a < 30 && b >= 30) as fn(usize, usize) -> bool, 10),
+    ] {
+        let mut net = Net::joined(11, 60);
+        net.cut = cut;
+        net.until(net.now + lasts * SECOND);
+        for n in 0..60 {
+            assert_eq!(net.processes[n].peers.count().get(), 60, "{name}: {n} counts on");
+        }
+        net.cut = |_, _| false;
+        let took = net.wait(30 * SECOND, name, Net::agree);
+        println!("{name}: agreed {} ms after it healed", took / MILLI);
+        assert!(took <= 5 * SECOND, "{name}: {took}");
+    }
+}
+
+#[test]
+fn the_count_rises_at_once_and_falls_slowly() {
+    let mut net = Net::new(5, 20, 10);
+    net.wait(30 * SECOND, "joined", Net::agree);
+    assert!(net.running().iter().all(|n| net.processes[*n].peers.count().get() == 20), "it rises at once");
+    // Three of twenty leave, one after the other.
+    for n in [3, 4, 5] {
+        let now = net.now;
+        net.processes[n].peers.leave(now);
+        net.post(n);
+        net.processes[n].runs = false;
+        net.until(net.now + 2 * SECOND);
+    }
+    net.wait(10 * SECOND, "it follows", |net| net.processes[0].peers.count().get() == 17);
+    // Twelve of the seventeen die at once: for all that can be known, a cut.
+    (8..20).for_each(|n| net.processes[n].runs = false);
+    net.until(net.now + 30 * SECOND);
+    assert_eq!(net.processes[0].peers.view().size(), 5);
+    assert_eq!(net.processes[0].peers.count().get(), 17);
+    net.wait(60 * SECOND, "in the end it falls", |net| net.processes[0].peers.count().get() == 5);
+    let falls: Vec<(Micros, usize)> = net
+        .news
+        .iter()
+        .filter(|(_, n, _)| *n == 0)
+        .filter_map(|(at, _, news)| match news {
+            News::Count(count) => Some((*at, *count)),
+            _ => None,
+        })
+        .collect();
+    assert!(falls.windows(2).all(|w| w[1].1 + 2 >= w[0].1 || w[1].1 > w[0].1), "{falls:?}");
+    // Alone, it counts as many as it was told of.
+    (1..8).for_each(|n| net.processes[n].runs = false);
+    net.until(net.now + 10 * SECOND);
+    assert_eq!(net.processes[0].peers.count().get(), 10);
+}
+
+#[test]
+fn a_stopped_process_refutes_and_a_restart_is_a_new_life() {
+    let mut net = Net::joined(17, 12);
+    net.processes[4].stalled = net.now + 5 * SECOND;
+    net.until(net.now + 5 * SECOND);
+    net.wait(5 * SECOND, "it is back", Net::agree);
+    // A restart within the detection time, with a clock that went back by an hour.
+    let life = 1;
+    net.processes[6] = net.process(6, life);
+    net.wait(30 * SECOND, "the new life", |net| {
+        net.agree() && net.processes[0].peers.view().get(address(6)).is_some_and(|s| s.standing.is_there())
+    });
+    let now = net.now;
+    net.processes[6] = net.process(6, now);
+    net.wait(5 * SECOND, "a newer life", Net::agree);
+    assert_eq!(net.processes[0].peers.view().get(address(6)).map(|s| s.who.life), Some(now));
+}
+
+#[test]
+fn one_name_for_two_is_told_once_and_both_stay() {
+    let mut net = Net::joined(23, 6);
+    let twin = Identity::new("n3", address(6), 9 * SECOND, "1", "derby");
+    let config = Config { fleet: "fares".to_owned(), seeds: vec![address(0)], balancers: 6 };
+    net.processes.push(Process { peers: Peers::new(net.now, 99, twin, config), runs: true, stalled: 0 });
+    net.wait(10 * SECOND, "seven", Net::agree);
+    net.until(net.now + 20 * SECOND);
+    assert!(net.agree());
+    let told = net.news.iter().filter(|(_, n, news)| *n == 0 && matches!(news, News::OneName(..)));
+    let told: Vec<_> = told.collect();
+    assert_eq!(told.len(), 1, "{told:?}");
+    assert!(matches!(&told[0].2, News::OneName(name, a, b) if name == "n3" && a != b));
+}
+
+#[test]
+fn what_is_foreign_or_random_changes_nothing() {
+    let mut net = Net::joined(29, 4);
+    let own = Identity::new("x", address(9), 5, "1", "derby");
+    let config = Config { fleet: "others".to_owned(), seeds: vec![address(1)], balancers: 4 };
+    let mut foreign = Peers::new(net.now, 1, own, config);
+    foreign.time(net.now);
+    let (_, datagram) = foreign.outbox().pop().expect("it asks its seed");
+    let digest = net.processes[1].peers.view().digest();
+    let now = net.now;
+    let target = &mut net.processes[1].peers;
+    target.datagram(now, &datagram);
+    assert_eq!(target.odd.get("fleet"), Some(&1));
+    let mut random = Pcg64::seed_from_u64(31);
+    let mut sound = net_datagram(&mut net);
+    for round in 0..20_000u64 {
+        let mut bytes: Vec<u8> = (0..random.next_u64() % 200).map(|_| random.next_u64() as u8).collect();
+        if round % 2 == 0 {
+            // One of our own with a byte changed, or its end cut off.
+            bytes = sound.clone();
+            let place = random.next_u64() as usize % bytes.len();
+            bytes[place] ^= 1 << (round % 8);
+            bytes.truncate(bytes.len() - (round as usize / 2) % 3);
+        }
+        net.processes[1].peers.datagram(now, &bytes);
+    }
+    sound[3] = 2;
+    net.processes[1].peers.datagram(now, &sound);
+    let target = &net.processes[1].peers;
+    assert!(target.odd.get("version").is_some_and(|n| *n >= 1), "another version is told from noise");
+    assert!(target.odd.get("damaged").is_some_and(|n| *n > 5_000), "{:?}", target.odd);
+    assert_eq!(target.view().digest(), digest);
+}
+
+/// A datagram of the fleet's own.
+fn net_datagram(net: &mut Net) -> Vec<u8> {
+    let now = net.now + SECOND;
+    net.processes[0].peers.time(now);
+    net.processes[0].peers.outbox().pop().expect("it pings").1
+}
