Let processes be peers: one datagram socket, the live count, and what operators see

The state machine of membership had no sockets. With `peers` in the configuration a process binds one UDP socket, counts the client proxies that are present in place of settings.balancers (through the settings event), says that it leaves at SIGTERM unless its next process waits for the address, and tells who sees whom in DUMP and `oakport ctl ADDRESS peers`. Without the key nothing is opened. The rig gains peers, cuts between them and figures of what they hold.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -93,6 +93,12 @@
         #[arg(long)]
         json: bool,
     },
+    /// Who else is present, as it sees them
+    Peers {
+        /// As JSON, as the process tells them
+        #[arg(long)]
+        json: bool,
+    },
     /// Its figures with their rates, again and again until it is ended
     Watch {
         /// How long between two looks, such as 500ms
--- a/crates/cli/src/check.rs
+++ b/crates/cli/src/check.rs
@@ -46,6 +46,13 @@
     );
     line("discovery", format!("at {}", config.discovery));
     line("operators", config.operator.map_or("no address is opened".to_owned(), |a| format!("at {a}")));
+    line(
+        "peers",
+        config.peers.as_ref().map_or("no address is opened".to_owned(), |peers| {
+            let seeds = peers.seeds.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ");
+            format!("at {}, of the fleet {}, asking {seeds} first", peers.address, peers.fleet)
+        }),
+    );
     line("descriptors", limits.sockets.to_string());
     line("memory", format!("{} MiB, a third of it for bodies", limits.memory_mb));
     line(
--- a/crates/cli/src/ctl.rs
+++ b/crates/cli/src/ctl.rs
@@ -2,7 +2,7 @@
 
 use crate::args::{Ctl, Question};
 use comfy_table::{presets, CellAlignment, Table};
-use oakport_proxy::{Ends, Report};
+use oakport_proxy::{Ends, PeersReport, Report};
 use std::io::{self, IsTerminal, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::time::{Duration, Instant};
@@ -33,6 +33,17 @@
             print!("{}", table(&report(address)?, None));
             Ok(())
         }
+        Question::Peers { json } => {
+            let peers = report(address)?.peers.ok_or_else(|| {
+                format!("{address} knows no peers: set `peers` in its configuration, or wait until it has its address")
+            })?;
+            if json {
+                println!("{}", serde_json::to_string(&peers).map_err(|e| e.to_string())?);
+            } else {
+                print!("{}", members(&peers));
+            }
+            Ok(())
+        }
         Question::Watch { every, count } => watch(address, every, count),
     }
 }
@@ -102,6 +113,35 @@
     serde_json::from_str(&text).map_err(|e| format!("{address} gave figures that cannot be read: {e}"))
 }
 
+/// The peers for people.
+fn members(peers: &PeersReport) -> String {
+    let span = |ms| humantime::format_duration(Duration::from_secs(ms / 1_000)).to_string();
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(["member", "address", "zone", "release", "is", "for"]);
+    for member in &peers.members {
+        table.add_row([
+            member.name.clone(),
+            member.address.clone(),
+            member.zone.clone(),
+            member.release.clone(),
+            member.standing.clone(),
+            span(member.for_ms),
+        ]);
+    }
+    let cut = if peers.cut { ", so many are silent that it is taken for a cut" } else { "" };
+    let head = format!(
+        "{} at {} sees {} present, itself included, for {}; {:.0}% of them agree; counts {}{cut}",
+        peers.name,
+        peers.address,
+        peers.size,
+        span(peers.age_ms),
+        100.0 * peers.agreement,
+        peers.count
+    );
+    let lines = [head, String::new()].into_iter().chain(table.lines());
+    lines.map(|line| format!("{}\n", line.trim_end())).collect()
+}
+
 /// The figures for people; with those of some time ago, what came each second since.
 fn table(now: &Report, before: Option<(&Report, Duration)>) -> String {
     let rate = |now: u64, of: &dyn Fn(&Report) -> u64| match before {
--- a/crates/lab/src/rig/events.rs
+++ b/crates/lab/src/rig/events.rs
@@ -2,12 +2,12 @@
 
 use super::clients::App;
 use super::discovery::Mode;
-use super::links::Both;
+use super::links::{Both, Datagrams};
 use super::plan::Play;
 use super::processes::Seat;
 use super::record::Seen;
 use super::servers::Machine;
-use super::site::{met, Pair, Site};
+use super::site::{met, met_peers, Pair, Site};
 use oakport_core::{Micros, State};
 use oakport_model::scenario::{LinkSpec, Trouble, What};
 use std::collections::BTreeMap;
@@ -34,6 +34,8 @@
     pub seats: Vec<Mutex<Seat>>,
     /// The application beside each.
     pub apps: Vec<Arc<App>>,
+    /// What is between the proxies as peers, if anything is.
+    pub datagrams: Option<Datagrams>,
     /// How it is played.
     pub play: Play,
 }
@@ -54,6 +56,7 @@
                 met.iter().for_each(|machine| self.heal(machine, &event));
             }
             What::Release => self.release(&event, begin).await,
+            What::Kill => self.kill(&event, begin).await,
             What::Herd | What::Restart | What::Upgrade | What::Stall => {
                 let mut all = JoinSet::new();
                 for proxy in self.site.met_proxies(&event) {
@@ -95,7 +98,10 @@
                     }
                 }
                 self.turn(&ways);
+                let peers = met_peers(&self.site.shared.day, &event);
+                self.turn_peers(&peers, Some(spec));
                 self.site.shared.until(end).await;
+                self.turn_peers(&peers, None);
                 self.turn(&ways.into_keys().map(|pair| (pair, Default::default())).collect());
             }
         }
@@ -109,6 +115,19 @@
         }
     }
 
+    /// What is between these proxies from now on.
+    fn turn_peers(&self, met: &[(usize, usize)], spec: Option<LinkSpec>) {
+        let Some(datagrams) = &self.datagrams else { return };
+        let mut ways = datagrams.now();
+        for way in met {
+            match spec {
+                Some(spec) => ways.insert(*way, spec),
+                None => ways.remove(way),
+            };
+        }
+        datagrams.turn(ways);
+    }
+
     fn strike(self: &Arc<Self>, machine: &Arc<Machine>, event: &Trouble) {
         match event.what {
             What::Crash => {
@@ -165,6 +184,23 @@
         while all.join_next().await.is_some() {}
     }
 
+    /// Proxies die at once, and start again one after the other until the end.
+    async fn kill(self: &Arc<Self>, event: &Trouble, begin: Micros) {
+        let met = self.site.met_proxies(event);
+        let step = event.lasts / met.len().max(1) as Micros;
+        let mut all = JoinSet::new();
+        for (place, proxy) in met.into_iter().enumerate() {
+            let fleet = Arc::clone(self);
+            all.spawn(async move {
+                let mut seat = fleet.seats[proxy].lock().await;
+                seat.kill().await;
+                fleet.site.shared.until(begin + step * (place as Micros + 1)).await;
+                fleet.start(&mut seat).await;
+            });
+        }
+        while all.join_next().await.is_some() {}
+    }
+
     /// A process is met.
     async fn meet(self: Arc<Self>, proxy: usize, what: What, end: Micros) {
         let (seat, app) = (&self.seats[proxy], &self.apps[proxy]);
--- a/crates/lab/src/rig/judge.rs
+++ b/crates/lab/src/rig/judge.rs
@@ -1,6 +1,7 @@
 //! Goes through what all parties saw: whether the rules were kept, and what the day was worth.
 
 use super::clients::SLACK;
+use super::membership;
 use super::record::{histogram, Late, Seen, Shared, Signal, Try, TryEnd, TOO_LATE};
 use oakport_core::{Micros, Outcome, State};
 use oakport_model::scenario::Again;
@@ -112,6 +113,7 @@
     stories: Vec<String>,
     wasted: f64,
     connections: Vec<(Micros, usize)>,
+    views: membership::Views,
     late: Late,
     /// Answers that came too late while the rig itself was.
     unjudged: u64,
@@ -132,6 +134,7 @@
         stories: Vec::new(),
         wasted: 0.0,
         connections: Vec::new(),
+        views: Vec::new(),
         late,
         unjudged: 0,
     };
@@ -192,6 +195,7 @@
                 }
                 self.signals.entry(proxy).or_default().push((at, what));
             }
+            Seen::Held { proxy, at, held } => self.views.push((at, proxy, held)),
             Seen::Connections { at, open } => self.connections.push((at, open)),
         }
     }
@@ -472,6 +476,9 @@
         put("rig.late_p99_ms", self.late.by.value_at_quantile(0.99) as f64 / 1e3);
         put("rig.unjudged", self.unjudged as f64);
         put("rig.late_max_ms", self.late.by.max() as f64 / 1e3);
+        let end = start + day.length;
+        let membership = membership::figures(self.shared, &self.views, &self.signals, end);
+        membership.iter().for_each(|(name, value)| put(name, *value));
         for (rule, broken) in &self.rules {
             put(&format!("rules.{rule}"), *broken as f64);
         }
--- a/crates/lab/src/rig/links.rs
+++ b/crates/lab/src/rig/links.rs
@@ -7,7 +7,7 @@
 use oakport_model::scenario::LinkSpec;
 use rand::Rng;
 use socket2::SockRef;
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{ErrorKind, Result};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -161,68 +161,81 @@
     }
 }
 
-/// A relay of datagrams between two sockets: each sees the other at an address of the relay.
+/// What each way from one party to another does; a way that is not named passes all on.
+pub type Ways = BTreeMap<(usize, usize), LinkSpec>;
+
+/// A relay of datagrams between parties: each is known to the others by a door of the relay.
 pub struct Datagrams {
-    ways: watch::Sender<Both>,
-    /// Where the first finds the second, and the second the first.
-    pub doors: [SocketAddr; 2],
+    ways: watch::Sender<Ways>,
+    /// Where each is found by the others.
+    pub doors: Vec<SocketAddr>,
 }
 
 impl Datagrams {
-    /// Starts a relay that passes all on between two sockets that are bound there.
-    pub async fn start(seed: u64, ends: [SocketAddr; 2]) -> Result<Self> {
-        let number = RELAYS.fetch_add(1, Ordering::Relaxed);
-        let doors = [
-            Arc::new(UdpSocket::bind(address(Party::Relay, number)).await?),
-            Arc::new(UdpSocket::bind(address(Party::Relay, number)).await?),
-        ];
-        let ways = watch::Sender::new(Both::default());
-        for way in 0..2 {
-            let (inward, outward) = (Arc::clone(&doors[way]), Arc::clone(&doors[1 - way]));
-            let (ways, to) = (ways.subscribe(), ends[1 - way]);
-            tokio::spawn(carry(inward, outward, to, ways, way, seed ^ way as u64));
+    /// Starts a relay that passes all on between parties that send from these addresses.
+    ///
+    /// # Errors
+    /// A socket cannot be had.
+    pub async fn start(seed: u64, ends: Vec<SocketAddr>) -> Result<Self> {
+        let (mut sockets, mut doors) = (Vec::new(), Vec::new());
+        for _ in &ends {
+            let socket =
+                UdpSocket::bind(address(Party::Relay, RELAYS.fetch_add(1, Ordering::Relaxed))).await?;
+            doors.push(socket.local_addr()?);
+            sockets.push(Arc::new(socket));
         }
-        Ok(Datagrams { ways, doors: [doors[0].local_addr()?, doors[1].local_addr()?] })
+        let ways = watch::Sender::new(Ways::new());
+        for to in 0..ends.len() {
+            tokio::spawn(carry(sockets.clone(), ends.clone(), to, ways.subscribe(), seed));
+        }
+        Ok(Datagrams { ways, doors })
     }
 
     /// What it does from now on.
-    pub fn turn(&self, both: Both) {
-        self.ways.send_replace(both);
+    pub fn turn(&self, ways: Ways) {
+        self.ways.send_replace(ways);
+    }
+
+    /// What it does now.
+    pub fn now(&self) -> Ways {
+        self.ways.borrow().clone()
     }
 }
 
-/// Carries datagrams in one direction while the relay is there.
+/// Carries the datagrams that come to one party's door, while the relay is there.
 async fn carry(
-    inward: Arc<UdpSocket>,
-    outward: Arc<UdpSocket>,
-    to: SocketAddr,
-    mut ways: watch::Receiver<Both>,
-    way: usize,
+    doors: Vec<Arc<UdpSocket>>,
+    ends: Vec<SocketAddr>,
+    to: usize,
+    mut ways: watch::Receiver<Ways>,
     seed: u64,
 ) {
-    let mut number = 0;
+    let mut numbers = vec![0u64; ends.len()];
     let mut room = vec![0; DATAGRAM];
     loop {
-        let length = tokio::select! {
-            came = inward.recv(&mut room) => came,
+        let came = tokio::select! {
+            came = doors[to].recv_from(&mut room) => came,
             changed = ways.changed() => if changed.is_err() { return } else { continue },
         };
-        let Ok(length) = length else { continue };
-        let spec = ways.borrow()[way];
-        for after in copies(&spec, seed, number) {
-            let (datagram, outward) = (room[..length].to_vec(), Arc::clone(&outward));
+        let Ok((length, source)) = came else { continue };
+        // What comes from elsewhere has no place here.
+        let Some(from) = ends.iter().position(|end| *end == source) else { continue };
+        let spec = ways.borrow().get(&(from, to)).copied().unwrap_or_default();
+        let way = seed ^ ((from as u64) << 16 | to as u64);
+        for after in copies(&spec, way, numbers[from]) {
+            let (datagram, door, end) = (room[..length].to_vec(), Arc::clone(&doors[from]), ends[to]);
             let at = Instant::now() + Duration::from_micros(after);
             if after == 0 {
                 // A datagram may be lost.
-                let _ = outward.send_to(&datagram, to).await;
+                let _ = door.send_to(&datagram, end).await;
                 continue;
             }
             tokio::spawn(async move {
                 sleep_until(at).await;
                 // A datagram may be lost.
-                let _ = outward.send_to(&datagram, to).await;
+                let _ = door.send_to(&datagram, end).await;
             });
         }
-        number += 1;
+        numbers[from] += 1;
     }
 }
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -9,6 +9,8 @@
 pub mod http;
 mod judge;
 pub mod links;
+mod membership;
+mod peers;
 mod plan;
 mod processes;
 mod record;
@@ -21,9 +23,10 @@
 
 use clients::App;
 use events::Fleet;
+use links::Datagrams;
 use oakport_core::Micros;
 use oakport_model::scenario::What;
-use processes::Seat;
+use processes::{Peer, Seat};
 use record::Shared;
 use servers::Machine;
 use site::Site;
@@ -36,6 +39,8 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// The number of a server that no list names, far from those that lists name.
 const DECOY: usize = 60_000;
+/// Peers that each knows of from the start.
+const SEEDS: usize = 3;
 
 /// Plays a day.
 ///
@@ -52,12 +57,29 @@
     for program in [&mut play.program, &mut play.second] {
         program.environment.push((forwarder::DECOY.to_owned(), decoy.address.to_string()));
     }
+    let (mut peers, mut datagrams) = (Vec::new(), None);
+    if day.peers {
+        peers = Peer::all(day.balancers, SEEDS).map_err(odd)?;
+        // Without a fault between proxies they reach each other directly.
+        if day.events.iter().any(|event| !site::met_peers(day, event).is_empty()) {
+            let relay =
+                Datagrams::start(play.seed, peers.iter().map(|p| p.address).collect()).await.map_err(odd)?;
+            peers.iter_mut().zip(&relay.doors).for_each(|(peer, door)| peer.advertise = *door);
+            Peer::know(&mut peers, SEEDS);
+            datagrams = Some(relay);
+        }
+    }
+    let operators: Vec<_> = peers.iter().map(|peer| peer.operator).collect();
+    let mut peers = peers.into_iter();
     let inherits = day.events.iter().any(|event| event.what == What::Upgrade);
     let mut seats = Vec::new();
     for (number, agent) in site.agents.iter().enumerate() {
         let logs = play.logs.as_deref();
         let mut seat =
             Seat::new(&shared, agent, number, site.discovery_of(number), inherits, logs).map_err(odd)?;
+        if let Some(peer) = peers.next() {
+            seat.among(peer);
+        }
         seat.start(&play.program)?;
         seats.push(seat);
     }
@@ -66,7 +88,7 @@
     }
     let apps = seats.iter().map(|seat| App::new(&shared, seat.number, seat.address)).collect();
     let seats = seats.into_iter().map(Mutex::new).collect();
-    let fleet = Arc::new(Fleet { site, seats, apps, play });
+    let fleet = Arc::new(Fleet { site, seats, apps, datagrams, play });
     shared.begin_day();
     tell(Progress::Begun);
     let mut tasks = JoinSet::new();
@@ -75,6 +97,9 @@
         tasks.spawn(Arc::clone(&fleet).event(number));
     }
     tasks.spawn(Arc::clone(&fleet).watch());
+    for (proxy, operator) in operators.into_iter().enumerate() {
+        tasks.spawn(peers::watch(Arc::clone(&shared), proxy, operator));
+    }
     let told = tell_progress(&shared, tell);
     let asked = async {
         for (request, arrival) in shared.arrivals.iter().enumerate() {
--- a/crates/lab/src/rig/processes.rs
+++ b/crates/lab/src/rig/processes.rs
@@ -47,6 +47,45 @@
     }
 }
 
+/// Where a proxy is a peer of others.
+pub struct Peer {
+    /// Where it sends and receives.
+    pub address: SocketAddr,
+    /// Where the others reach it.
+    pub advertise: SocketAddr,
+    /// Whom it asks first.
+    pub seeds: Vec<SocketAddr>,
+    /// Where it is asked what it holds.
+    pub operator: SocketAddr,
+    /// Keeps that address.
+    pub _holder: Socket,
+}
+
+impl Peer {
+    /// Addresses for proxies of these numbers; `seeds` of them are asked first.
+    ///
+    /// # Errors
+    /// A socket cannot be had.
+    pub fn all(number: usize, seeds: usize) -> std::io::Result<Vec<Peer>> {
+        let mut all = Vec::new();
+        for n in 0..number {
+            // The port is this proxy's alone: nobody else has its address.
+            let place = std::net::UdpSocket::bind(address(Party::Proxy, n))?.local_addr()?;
+            let holder = hold(address(Party::Proxy, n))?;
+            let operator = held(&holder)?;
+            all.push(Peer { address: place, advertise: place, seeds: Vec::new(), operator, _holder: holder });
+        }
+        Peer::know(&mut all, seeds);
+        Ok(all)
+    }
+
+    /// Each knows the first few where they are reached.
+    pub fn know(all: &mut [Peer], seeds: usize) {
+        let seeds: Vec<SocketAddr> = all.iter().take(seeds).map(|peer| peer.advertise).collect();
+        all.iter_mut().for_each(|peer| peer.seeds = seeds.clone());
+    }
+}
+
 /// Where the processes of one proxy run.
 pub struct Seat {
     /// Its number.
@@ -60,6 +99,8 @@
     discovery: SocketAddr,
     folder: TempDir,
     logs: Option<PathBuf>,
+    /// Where it and others are peers, if they are.
+    peers: Option<Peer>,
     shared: Arc<Shared>,
     child: Option<Child>,
     starts: u32,
@@ -89,12 +130,18 @@
             discovery,
             folder: tempfile::Builder::new().prefix("oakport-rig-").tempdir()?,
             logs: logs.map(Path::to_owned),
+            peers: None,
             shared: Arc::clone(shared),
             child: None,
             starts: 0,
         })
     }
 
+    /// Its processes are peers of others from now on.
+    pub fn among(&mut self, peers: Peer) {
+        self.peers = Some(peers);
+    }
+
     fn saw(&self, what: Signal) {
         self.shared.saw(Seen::Process { proxy: self.number, at: self.shared.now(), what });
     }
@@ -102,13 +149,21 @@
     /// What the process is told (DEPLOY, "What a client proxy is told").
     fn configuration(&self) -> Value {
         let seed = oakport_model::chance::seed_of(self.shared.seed ^ u64::from(self.starts), self.number);
-        json!({
+        let mut file = json!({
             "name": format!("n{}", self.number), "listen": self.address, "discovery": self.discovery,
             "seed": format!("{seed:016x}"),
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
             "known": self.agent.hand_over(),
             "settings": settings(&self.shared, self.number),
-        })
+        });
+        if let Some(peers) = &self.peers {
+            file["operator"] = json!(peers.operator);
+            file["peers"] = json!({
+                "address": peers.address, "advertise": peers.advertise, "seeds": peers.seeds, "fleet": "rig",
+                "zone": self.shared.day.zones[self.shared.zone(self.number)],
+            });
+        }
+        file
     }
 
     /// Starts a process beside the one that runs, which is returned.
--- a/crates/lab/src/rig/record.rs
+++ b/crates/lab/src/rig/record.rs
@@ -64,6 +64,30 @@
     pub end: TryEnd,
 }
 
+/// What a proxy says of its peers.
+#[derive(Clone, Debug)]
+pub struct Held {
+    /// The number of its view.
+    pub digest: u64,
+    /// Client proxies that it counts.
+    pub count: usize,
+    /// Bytes that it has sent to peers since its start.
+    pub bytes: u64,
+    /// The others: by number, their lives, and whether they are held to be there, or dead.
+    pub members: Vec<(usize, u64, Standing)>,
+}
+
+/// How a proxy holds another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Standing {
+    /// Present or suspected.
+    There,
+    /// It left.
+    Left,
+    /// It is held dead.
+    Dead,
+}
+
 /// Something that a party saw.
 #[derive(Clone, Debug)]
 pub enum Seen {
@@ -83,6 +107,8 @@
     Told { proxy: usize, at: Micros, entries: Vec<(usize, State)> },
     /// A process was met by a signal, or ended.
     Process { proxy: usize, at: Micros, what: Signal },
+    /// What a proxy says of its peers.
+    Held { proxy: usize, at: Micros, held: Held },
     /// Connections that servers held.
     Connections { at: Micros, open: usize },
 }
--- a/crates/lab/src/rig/site.rs
+++ b/crates/lab/src/rig/site.rs
@@ -48,6 +48,22 @@
     found
 }
 
+/// Which ways between two proxies an event meets.
+pub fn met_peers(day: &Scenario, event: &Trouble) -> Vec<(usize, usize)> {
+    let groups: Vec<Group> = event.cut.iter().filter_map(|text| Group::read(text, day)).collect();
+    let [one, other] = groups.as_slice() else { return Vec::new() };
+    let of = |group: &Group| {
+        let group = *group;
+        (0..day.balancers).filter(move |&p| group.has_proxy(p, p % day.zones.len()))
+    };
+    let mut found: Vec<(usize, usize)> = of(one).flat_map(|a| of(other).map(move |b| (a, b))).collect();
+    if !event.one_way {
+        found.extend(found.clone().into_iter().map(|(a, b)| (b, a)));
+    }
+    found.retain(|(a, b)| a != b);
+    found
+}
+
 /// All pairs that need a relay in this day.
 fn pairs(day: &Scenario) -> Vec<Pair> {
     let events = day.events.iter().filter(|e| matches!(e.what, What::Cut | What::Link));
--- a/crates/lab/tests/links.rs
+++ b/crates/lab/tests/links.rs
@@ -126,18 +126,18 @@
         let one = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
         let other = UdpSocket::bind("127.0.0.1:0").await.expect("a port");
         let ends = [&one, &other].map(|socket| socket.local_addr().expect("its address"));
-        let relay = Datagrams::start(seed, ends).await.expect("a relay");
-        relay.turn([spec, NONE]);
+        let relay = Datagrams::start(seed, ends.to_vec()).await.expect("a relay");
+        relay.turn([((0, 1), spec)].into());
         let asked = Instant::now();
         let (mut due, mut came, mut back, mut room) = (Vec::new(), Vec::new(), Vec::new(), [0; 8]);
         for number in 0..SENT {
-            one.send_to(&number.to_be_bytes(), relay.doors[0]).await.expect("a datagram");
-            other.send_to(&number.to_be_bytes(), relay.doors[1]).await.expect("a datagram");
-            due.extend(copies(&spec, seed, number).iter().map(|_| number));
+            one.send_to(&number.to_be_bytes(), relay.doors[1]).await.expect("a datagram");
+            other.send_to(&number.to_be_bytes(), relay.doors[0]).await.expect("a datagram");
+            due.extend(copies(&spec, seed ^ 1, number).iter().map(|_| number));
             tokio::time::sleep(Duration::from_millis(1)).await;
             // Left alone they would overrun the sockets' queues.
             while let Ok((_, from)) = other.try_recv_from(&mut room) {
-                assert_eq!(from, relay.doors[1], "{name}: it comes from the door of the other");
+                assert_eq!(from, relay.doors[0], "{name}: it comes from the door of the other");
                 came.push(u64::from_be_bytes(room));
             }
             while one.try_recv_from(&mut room).is_ok() {
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -25,6 +25,9 @@
     /// Zones over which servers and client proxies are spread.
     #[serde(default = "one_zone")]
     pub zones: Vec<String>,
+    /// Client proxies know of each other; on sockets only.
+    #[serde(default)]
+    pub peers: bool,
     /// What a server can do.
     #[serde(default)]
     pub server: ServerSpec,
@@ -377,6 +380,8 @@
     Surge,
     /// A share of the client proxies die at once and start again from nothing.
     Herd,
+    /// A share of the client proxies die at once, and start again one after the other over the time.
+    Kill,
     /// A share of the client proxies are stopped where they stand, and go on after it.
     Stall,
     /// A share of the client proxies are told to end, as for a planned restart, and start again.
@@ -398,8 +403,11 @@
 impl What {
     /// It is played on sockets only.
     pub fn on_sockets(self) -> bool {
-        use What::{Cut, Link, ListDiffers, ListSilent, ListUnavailable, Restart, Stall, Upgrade};
-        matches!(self, Stall | Restart | Upgrade | ListSilent | ListUnavailable | ListDiffers | Cut | Link)
+        use What::{Cut, Kill, Link, ListDiffers, ListSilent, ListUnavailable, Restart, Stall, Upgrade};
+        matches!(
+            self,
+            Kill | Stall | Restart | Upgrade | ListSilent | ListUnavailable | ListDiffers | Cut | Link
+        )
     }
 }
 
--- a/crates/proxy/src/config/document.rs
+++ b/crates/proxy/src/config/document.rs
@@ -27,6 +27,27 @@
     32
 }
 
+/// The other client proxies.
+#[derive(Clone, Debug, Deserialize, Serialize, JsonSchema)]
+pub struct PeersConfig {
+    /// Where this process sends and receives its datagrams, as ADDRESS:PORT.
+    #[schemars(with = "String", extend("format" = "socket-address"))]
+    pub address: SocketAddr,
+    /// Where the others reach it, if that is elsewhere, as ADDRESS:PORT.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(with = "Option<String>", extend("format" = "socket-address"))]
+    pub advertise: Option<SocketAddr>,
+    /// Addresses of some others, which are asked first.
+    #[serde(default)]
+    #[schemars(with = "Vec<String>")]
+    pub seeds: Vec<SocketAddr>,
+    /// The name of the fleet; datagrams of others are thrown away.
+    pub fleet: String,
+    /// The zone of this process, for people.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub zone: Option<String>,
+}
+
 /// The configuration of one client proxy.
 #[derive(Debug, Deserialize, Serialize, JsonSchema)]
 #[schemars(title = "oakport configuration")]
@@ -44,6 +65,9 @@
     #[serde(default, skip_serializing_if = "Option::is_none")]
     #[schemars(with = "Option<String>", extend("format" = "socket-address"))]
     pub operator: Option<SocketAddr>,
+    /// The other client proxies; without it nothing is opened, and their number is that of the settings.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<PeersConfig>,
     /// For random numbers: up to 16 hexadecimal digits, new with each start.
     #[schemars(regex(pattern = r"^\+?[0-9a-fA-F]+$"), length(max = 16))]
     pub seed: String,
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -7,7 +7,7 @@
 
 use crate::list::List;
 use document::Document;
-pub use document::Limits;
+pub use document::{Limits, PeersConfig};
 use faults::Fault;
 pub use faults::Faults;
 use oakport_core::settings::{self, Facts};
@@ -22,7 +22,7 @@
 const PARTS: [&[&str]; 5] =
     [&[], &["limits"], &["settings"], &["settings", "limits"], &["settings", "invariants"]];
 /// ... but for these, which a proxy does well without.
-const OPTIONAL: [&str; 2] = ["known", "operator"];
+const OPTIONAL: [&str; 3] = ["known", "operator", "peers"];
 
 /// A configuration that holds as a whole.
 #[derive(Debug)]
@@ -33,6 +33,10 @@
     pub discovery: SocketAddr,
     /// Where operators call; without it nothing is opened.
     pub operator: Option<SocketAddr>,
+    /// The name of this client proxy, if it has one.
+    pub name: Option<String>,
+    /// The others; without it nothing is opened.
+    pub peers: Option<PeersConfig>,
     /// For all random numbers of the decisions.
     pub seed: u64,
     /// What the process may use.
@@ -183,13 +187,26 @@
 }
 
 fn assemble(value: &Value) -> Result<Config, Fault> {
-    let Document { listen, discovery, operator, seed, limits, known, settings, .. } =
+    let Document { name, listen, discovery, operator, peers, seed, limits, known, settings } =
         Document::deserialize(value).map_err(|e| Fault::new("", e.to_string()))?;
     let seed = u64::from_str_radix(&seed, 16).map_err(|e| Fault::new("/seed", format!("{seed}: {e}")))?;
     let facts = settings::take(settings)
         .map_err(|odd| Fault::new(format!("{}{}", under("", "settings"), odd.pointer), odd.problem))?;
     let (defaulted, path, whole) = (Vec::new(), PathBuf::new(), Value::Null);
-    Ok(Config { listen, discovery, operator, seed, limits, known, facts, defaulted, path, whole })
+    Ok(Config {
+        name,
+        listen,
+        discovery,
+        operator,
+        peers,
+        seed,
+        limits,
+        known,
+        facts,
+        defaulted,
+        path,
+        whole,
+    })
 }
 
 /// What stands in `full` and was not given.
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -10,9 +10,10 @@
 use crate::message::{Answer, Begun, Ended, Intake, Request};
 use crate::pool::{Pool, Target};
 use crate::upstream;
-use oakport_core::settings::Facts;
+use oakport_core::settings::{Facts, Transport};
 use oakport_core::{
-    Action, Balancer, CallId, ClassId, Event, ListKind, Load, Micros, Note, Outcome, ServerId, State,
+    Action, Balancer, CallId, ClassId, Event, ListKind, Load, Micros, Note, Outcome, ServerId, Settings,
+    State,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -27,6 +28,11 @@
     hosts: Hosts,
     calls: Calls,
     max_open: usize,
+    /// The settings in force, and what the sockets go by.
+    settings: Settings,
+    transport: Transport,
+    /// Client proxies counted, where peers tell of them; it goes before the settings' number.
+    live: Option<u32>,
     /// New requests are taken.
     taking: bool,
     events: VecDeque<Event>,
@@ -47,15 +53,18 @@
 
 impl Driver {
     pub fn new(seed: u64, facts: Facts, clock: Clock, pool: Rc<Pool>, figures: Rc<Figures>) -> Self {
-        let max_open = facts.transport.max_open;
+        let transport = facts.transport;
         let (classes, settings) = Classes::new(facts);
         let core = Core {
-            balancer: Balancer::new(seed, settings),
+            balancer: Balancer::new(seed, settings.clone()),
+            settings,
+            transport,
+            live: None,
             calls: Calls::new(Rc::clone(&figures)),
             figures,
             classes,
             hosts: Hosts::default(),
-            max_open,
+            max_open: transport.max_open,
             taking: false,
             events: VecDeque::new(),
             actions: Vec::new(),
@@ -77,9 +86,25 @@
     pub fn retune(&self, facts: Facts) {
         let mut core = self.core.borrow_mut();
         core.max_open = facts.transport.max_open;
-        self.pool.retune(facts.transport, facts.settings.balancers);
-        let settings = core.classes.retune(facts);
+        core.transport = facts.transport;
+        core.settings = core.classes.retune(facts);
         drop(core);
+        self.settle();
+    }
+
+    /// So many client proxies are counted from now on.
+    pub fn live(&self, balancers: u32) {
+        self.core.borrow_mut().live = Some(balancers);
+        self.settle();
+    }
+
+    /// Puts the settings in force, with the number of client proxies that is counted.
+    fn settle(&self) {
+        let core = self.core.borrow();
+        let balancers = core.live.unwrap_or(core.settings.balancers);
+        let (settings, transport) = (Settings { balancers, ..core.settings.clone() }, core.transport);
+        drop(core);
+        self.pool.retune(transport, balancers);
         self.event(Event::Settings(Box::new(settings)));
     }
 
@@ -360,8 +385,6 @@
     use crate::descriptors::Descriptors;
     use bytes::Bytes;
     use hyper::http::{HeaderMap, Method, Uri};
-    use oakport_core::settings::Transport;
-    use oakport_core::Settings;
 
     fn driver() -> Driver {
         let clock = Clock::start();
--- a/crates/proxy/src/figures.rs
+++ b/crates/proxy/src/figures.rs
@@ -1,5 +1,6 @@
 //! The figures that operators read. Each fact is counted once, where it becomes final.
 
+use crate::peers::PeersReport;
 use oakport_core::ClassId;
 use serde::{Deserialize, Serialize};
 use std::cell::{Cell, RefCell};
@@ -33,7 +34,7 @@
 }
 
 /// All figures as they are now, in the form that is told.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
 pub struct Report {
     /// Requests answered, by class.
     pub calls: BTreeMap<String, Ends>,
@@ -49,6 +50,9 @@
     pub reconfig_ok: u64,
     /// Files turned down at SIGHUP.
     pub reconfig_failed: u64,
+    /// The other client proxies, where they are known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peers: Option<PeersReport>,
 }
 
 impl Figures {
@@ -90,6 +94,7 @@
             hosts_down: down,
             reconfig_ok,
             reconfig_failed,
+            peers: None,
         }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -18,12 +18,14 @@
 mod list;
 mod message;
 mod operator;
+mod peers;
 mod pool;
 mod server;
 mod upgrade;
 mod upstream;
 
-pub use config::{Checked, Config, Faults, Limits};
+pub use config::{Checked, Config, Faults, Limits, PeersConfig};
 pub use figures::{Ends, Report};
+pub use peers::{MemberReport, PeersReport};
 pub use server::{places, Server};
 pub use upgrade::inherited;
--- a/crates/proxy/src/operator.rs
+++ b/crates/proxy/src/operator.rs
@@ -1,8 +1,11 @@
 //! The operators' address: one line to a connection, answered from the figures. It changes nothing.
 
 use crate::driver::Driver;
+use crate::figures::Report;
+use crate::peers::Member;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -25,7 +28,7 @@
 const PAUSE: Duration = Duration::from_millis(50);
 
 /// Answers callers at `address` for as long as the program runs.
-pub async fn run(driver: Driver, address: SocketAddr) {
+pub async fn run(driver: Driver, peers: Option<Rc<Member>>, address: SocketAddr) {
     let listener = listen(address).await;
     if let Ok(address) = listener.local_addr() {
         info!(%address, "operators may call");
@@ -40,7 +43,7 @@
                     if longest.len() >= CALLERS {
                         longest.pop_front().iter().for_each(AbortHandle::abort);
                     }
-                    longest.push_back(callers.spawn_local(call(driver.clone(), stream)));
+                    longest.push_back(callers.spawn_local(call(driver.clone(), peers.clone(), stream)));
                 }
                 Err(_) => tokio::time::sleep(PAUSE).await,
             },
@@ -70,9 +73,9 @@
     }
 }
 
-async fn call(driver: Driver, mut stream: TcpStream) {
+async fn call(driver: Driver, peers: Option<Rc<Member>>, mut stream: TcpStream) {
     let answer = match tokio::time::timeout(LINE_TIME, line(&mut stream)).await {
-        Ok(Some(line)) => answer(&driver, &line),
+        Ok(Some(line)) => answer(&driver, peers.as_deref(), &line),
         Ok(None) => return,
         Err(_) => "NO not a whole line in time\n".to_owned(),
     };
@@ -104,14 +107,17 @@
     Some(line)
 }
 
-fn answer(driver: &Driver, line: &[u8]) -> String {
+fn answer(driver: &Driver, peers: Option<&Member>, line: &[u8]) -> String {
     match line {
         b"HEALTH" if driver.takes_clients() => "YES\n".to_owned(),
         b"HEALTH" => "NO clients are not taken any more\n".to_owned(),
-        b"DUMP" => match serde_json::to_string(&driver.report()) {
-            Ok(figures) => format!("{figures}\nEND\n"),
-            Err(fault) => format!("NO {fault}\n"),
-        },
+        b"DUMP" => {
+            let report = Report { peers: peers.and_then(Member::report), ..driver.report() };
+            match serde_json::to_string(&report) {
+                Ok(figures) => format!("{figures}\nEND\n"),
+                Err(fault) => format!("NO {fault}\n"),
+            }
+        }
         _ => "NO only HEALTH and DUMP are known\n".to_owned(),
     }
 }
--- /dev/null
+++ b/crates/proxy/src/peers/mod.rs
@@ -0,0 +1,176 @@
+//! The datagram socket and the timers of `oakport-fleet`. Without `peers` in the configuration nothing here runs.
+
+mod report;
+
+pub use report::{MemberReport, PeersReport};
+
+use crate::clock::Clock;
+use crate::config::PeersConfig;
+use crate::driver::Driver;
+use crate::upgrade::Heir;
+use oakport_fleet::{Config, Identity, News, Peers, Standing};
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::Notify;
+use tracing::{error, info, warn};
+
+/// Pause before the address is tried again: the process before this one has it until it ends.
+const PAUSE: Duration = Duration::from_millis(20);
+/// The longest datagram that is read whole; what is longer is none of ours.
+const ROOM: usize = 2_048;
+
+/// This process among its peers.
+pub struct Member {
+    config: PeersConfig,
+    name: String,
+    seed: u64,
+    clock: Clock,
+    heir: Heir,
+    /// None: the address is not to be had yet.
+    machine: RefCell<Option<Peers>>,
+    /// What the configuration says of the number of processes.
+    told: Cell<u32>,
+    leave: Notify,
+    gone: Notify,
+}
+
+impl Member {
+    /// Not yet among its peers.
+    pub fn new(config: PeersConfig, name: String, seed: u64, clock: Clock, balancers: u32) -> Rc<Self> {
+        Rc::new(Member {
+            config,
+            name,
+            seed,
+            clock,
+            heir: Heir::open(),
+            machine: RefCell::new(None),
+            told: Cell::new(balancers),
+            leave: Notify::new(),
+            gone: Notify::new(),
+        })
+    }
+
+    /// The configuration says another number of processes.
+    pub fn retell(&self, balancers: u32) {
+        self.told.set(balancers);
+        if let Some(machine) = self.machine.borrow_mut().as_mut() {
+            machine.retell(balancers as usize);
+        }
+    }
+
+    /// Says that this process leaves, unless another waits to take its address over. Returns when that is out.
+    pub async fn leave(&self) {
+        if self.machine.borrow().is_some() {
+            self.leave.notify_one();
+            self.gone.notified().await;
+        }
+    }
+
+    /// What operators are told.
+    pub fn report(&self) -> Option<PeersReport> {
+        let machine = self.machine.borrow();
+        machine.as_ref().map(|machine| PeersReport::new(machine, self.clock.now()))
+    }
+
+    /// Waits for the address.
+    async fn bind(&self) -> UdpSocket {
+        let address = self.config.address;
+        let mut told = false;
+        loop {
+            match UdpSocket::bind(address).await {
+                Ok(socket) => {
+                    self.heir.wait(false);
+                    return socket;
+                }
+                Err(fault) => {
+                    if !std::mem::replace(&mut told, true) {
+                        info!(%address, reason = %fault, "peers' address not to be had yet");
+                    }
+                    self.heir.wait(true);
+                }
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+    }
+
+    /// Is a peer until it leaves.
+    pub async fn run(self: Rc<Self>, driver: Driver) {
+        let socket = self.bind().await;
+        let Ok(bound) = socket.local_addr() else { return };
+        let address = self.config.advertise.unwrap_or(bound);
+        let now = self.clock.now();
+        let zone = self.config.zone.as_deref().unwrap_or_default();
+        let own = Identity::new(&self.name, address, now / 1_000, env!("CARGO_PKG_VERSION"), zone);
+        info!(%address, fleet = self.config.fleet, "among peers");
+        let config = Config {
+            fleet: self.config.fleet.clone(),
+            seeds: self.config.seeds.clone(),
+            balancers: self.told.get() as usize,
+        };
+        *self.machine.borrow_mut() = Some(Peers::new(now, self.seed, own, config));
+        let mut room = vec![0; ROOM];
+        loop {
+            let due = self.machine.borrow().as_ref().map_or(now, Peers::next_due);
+            tokio::select! {
+                came = socket.recv_from(&mut room) => if let Ok((length, _)) = came {
+                    self.with(|machine, now| machine.datagram(now, &room[..length]));
+                },
+                () = tokio::time::sleep_until(self.clock.instant(due)) => {}
+                () = self.leave.notified() => {
+                    // Whoever waits for the address is this member's next process.
+                    if !self.heir.waits() {
+                        self.with(|machine, now| machine.leave(now));
+                        self.post(&socket);
+                    }
+                    self.gone.notify_one();
+                    return;
+                }
+            }
+            self.with(|machine, now| machine.time(now));
+            self.post(&socket);
+            self.tell(&driver);
+        }
+    }
+
+    fn with(&self, act: impl FnOnce(&mut Peers, u64)) {
+        if let Some(machine) = self.machine.borrow_mut().as_mut() {
+            act(machine, self.clock.now());
+        }
+    }
+
+    fn post(&self, socket: &UdpSocket) {
+        let outbox = self.machine.borrow_mut().as_mut().map(Peers::outbox);
+        for (to, datagram) in outbox.into_iter().flatten() {
+            // A datagram may be lost; what matters is sent again.
+            let _ = socket.try_send_to(&datagram, to);
+        }
+    }
+
+    fn tell(&self, driver: &Driver) {
+        let news = self.machine.borrow_mut().as_mut().map(Peers::news);
+        for news in news.into_iter().flatten() {
+            match news {
+                News::Member(who, Standing::Present) => {
+                    info!(member = who.name, address = %who.address, zone = who.zone, release = who.release, "present");
+                }
+                News::Member(who, Standing::Suspected) => {
+                    info!(member = who.name, address = %who.address, "suspected")
+                }
+                News::Member(who, Standing::Left) => info!(member = who.name, address = %who.address, "left"),
+                News::Member(who, Standing::Dead) => warn!(member = who.name, address = %who.address, "dead"),
+                News::OneName(name, one, other) => {
+                    error!(name, %one, %other, "two members have one name; give each its own");
+                }
+                News::CameBack => warn!("held dead by others, back among them"),
+                News::Cut(true) => warn!("so many fell silent at once that it is taken for a cut"),
+                News::Cut(false) => info!("no longer taken for a cut"),
+                News::Count(count) => {
+                    info!(count, "client proxies counted");
+                    driver.live(u32::try_from(count).unwrap_or(u32::MAX));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/peers/report.rs
@@ -0,0 +1,88 @@
+//! What operators are told of the peers.
+
+use oakport_fleet::{Micros, Peers, Seen, Standing};
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// Who is present, as this process sees it.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize, Serialize)]
+pub struct PeersReport {
+    /// The name of this process.
+    pub name: String,
+    /// Where others reach it, as ADDRESS:PORT.
+    pub address: String,
+    /// Members that are there, this process included.
+    pub size: usize,
+    /// The same for those who hold the same members to be there.
+    pub digest: String,
+    /// How long the view has been as it is, in milliseconds.
+    pub age_ms: u64,
+    /// Share of the others that lately told the same digest, 0 to 1.
+    pub agreement: f64,
+    /// Client proxies counted, as the decisions go by it.
+    pub count: usize,
+    /// So many fell silent at once that it is taken for a cut.
+    pub cut: bool,
+    /// Bytes sent to peers since the start.
+    pub bytes_sent: u64,
+    /// Datagrams thrown away since the start, by why.
+    pub thrown_away: BTreeMap<String, u64>,
+    /// The others.
+    pub members: Vec<MemberReport>,
+}
+
+/// A member as this process sees it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct MemberReport {
+    /// Its name.
+    pub name: String,
+    /// Where it is reached, as ADDRESS:PORT.
+    pub address: String,
+    /// Its zone.
+    pub zone: String,
+    /// What it runs.
+    pub release: String,
+    /// When it started, in milliseconds of Unix time.
+    pub life: u64,
+    /// `present`, `suspected`, `left` or `dead`.
+    pub standing: String,
+    /// For how long, in milliseconds.
+    pub for_ms: u64,
+}
+
+impl PeersReport {
+    pub(super) fn new(machine: &Peers, now: Micros) -> Self {
+        let (own, view, count) = (machine.own(), machine.view(), machine.count());
+        PeersReport {
+            name: own.name.clone(),
+            address: own.address.to_string(),
+            size: view.size(),
+            digest: format!("{:08x}", view.digest()),
+            age_ms: view.age(now) / 1_000,
+            agreement: view.agreement(now),
+            count: count.get(),
+            cut: count.is_cut(),
+            bytes_sent: machine.bytes_sent,
+            thrown_away: machine.odd.iter().map(|(why, count)| ((*why).to_owned(), *count)).collect(),
+            members: view.members().map(|seen| member(seen, now)).collect(),
+        }
+    }
+}
+
+fn member(seen: &Seen, now: Micros) -> MemberReport {
+    let standing = match seen.standing {
+        Standing::Present => "present",
+        Standing::Suspected => "suspected",
+        Standing::Left => "left",
+        Standing::Dead => "dead",
+    };
+    MemberReport {
+        name: seen.who.name.clone(),
+        address: seen.who.address.to_string(),
+        zone: seen.who.zone.clone(),
+        release: seen.who.release.clone(),
+        life: seen.who.life,
+        standing: standing.to_owned(),
+        for_ms: now.saturating_sub(seen.since) / 1_000,
+    }
+}
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -9,6 +9,7 @@
 use crate::figures::Figures;
 use crate::front::{Front, Resting};
 use crate::operator;
+use crate::peers::Member;
 use crate::pool::Pool;
 use crate::upgrade::{self, Shared};
 use oakport_core::ListKind;
@@ -76,6 +77,7 @@
     memory: Rc<Memory>,
     figures: Rc<Figures>,
     driver: Driver,
+    peers: Option<Rc<Member>>,
     /// Version of the list that it starts from.
     index: Option<u64>,
     term: Signal,
@@ -115,9 +117,25 @@
         );
         let driver = Driver::new(config.seed, facts, clock, Rc::clone(&pool), Rc::clone(&figures));
         driver.start();
+        let balancers = config.facts.settings.balancers;
+        let name = config.name.clone().unwrap_or_else(|| config.listen.to_string());
+        let peers = config.peers.clone().map(|peers| Member::new(peers, name, config.seed, clock, balancers));
         let index = known.as_ref().map(|k| k.index);
         driver.members(ListKind::Cached, known.as_ref().map_or(&[], |k| &k.endpoints));
-        Ok(Server { config, listener, successor, room, pool, memory, figures, driver, index, term, hangup })
+        Ok(Server {
+            config,
+            listener,
+            successor,
+            room,
+            pool,
+            memory,
+            figures,
+            driver,
+            peers,
+            index,
+            term,
+            hangup,
+        })
     }
 
     /// Serves until SIGTERM, then finishes what is taken. To be called within a `LocalSet`.
@@ -125,7 +143,7 @@
     /// # Errors
     /// A part without which calls would stay unanswered has ended: better a crash that is seen.
     pub async fn serve(self) -> Result<(), String> {
-        let Server { config, listener, successor, room, pool, memory, figures, driver, .. } = self;
+        let Server { config, listener, successor, room, pool, memory, figures, driver, peers, .. } = self;
         let (moved, address) = watch::channel(config.discovery);
         let mut timers = {
             let driver = driver.clone();
@@ -138,7 +156,10 @@
             room.shared.clone(),
         ));
         if let Some(address) = config.operator {
-            tokio::task::spawn_local(operator::run(driver.clone(), address));
+            tokio::task::spawn_local(operator::run(driver.clone(), peers.clone(), address));
+        }
+        if let Some(peers) = &peers {
+            tokio::task::spawn_local(Rc::clone(peers).run(driver.clone()));
         }
         if let Ok(address) = listener.local_addr() {
             info!(%address, "listening");
@@ -155,6 +176,9 @@
         let mut term = self.term;
         let stop = async {
             term.recv().await;
+            if let Some(peers) = &peers {
+                peers.leave().await;
+            }
             if successor {
                 room.hand_over(&pool);
             }
@@ -164,7 +188,7 @@
             ended = &mut timers => Err(format!("the timers ended: {ended:?}")),
             ended = &mut watch => Err(format!("discovery ended: {ended:?}")),
             () = sweep(&room, &pool) => Ok(()),
-            () = reloads(self.hangup, config, &driver, &figures, &moved) => {
+            () = reloads(self.hangup, config, (&driver, peers.as_deref()), &figures, &moved) => {
                 Err("no more signals".to_owned())
             }
         }
@@ -212,7 +236,7 @@
 async fn reloads(
     mut hangup: Signal,
     mut config: Config,
-    driver: &Driver,
+    (driver, peers): (&Driver, Option<&Member>),
     figures: &Figures,
     moved: &watch::Sender<SocketAddr>,
 ) {
@@ -225,6 +249,9 @@
                 let (discovery, attempts) = (config.discovery, config.facts.settings.limits.max_attempts);
                 info!(%discovery, classes = %config.facts.classes.join(" "), attempts, "reloaded");
                 driver.retune(config.facts.clone());
+                if let Some(peers) = peers {
+                    peers.retell(config.facts.settings.balancers);
+                }
                 moved.send_if_modified(|at| std::mem::replace(at, config.discovery) != config.discovery);
             }
             Err(reason) => error!(%reason, "not reloaded, nothing changed"),
--- a/crates/proxy/src/upgrade.rs
+++ b/crates/proxy/src/upgrade.rs
@@ -48,6 +48,34 @@
     list: List,
 }
 
+/// Left by a process that waits to take an address over from the one before it.
+const HEIR: &str = "oakport-peers.heir";
+
+/// Whether another process of this proxy waits for the peers' address.
+#[derive(Debug)]
+pub struct Heir {
+    place: Option<PathBuf>,
+}
+
+impl Heir {
+    /// In `$TMPDIR`, if there is one; else nobody can wait.
+    pub fn open() -> Self {
+        Heir { place: std::env::var_os("TMPDIR").filter(|f| !f.is_empty()).map(|f| Path::new(&f).join(HEIR)) }
+    }
+
+    /// This process waits, or does so no longer.
+    pub fn wait(&self, waits: bool) {
+        let Some(place) = &self.place else { return };
+        // At worst the one before says that it leaves, and this one is a new member a moment later.
+        let _ = if waits { std::fs::write(place, []) } else { std::fs::remove_file(place) };
+    }
+
+    /// Another waits.
+    pub fn waits(&self) -> bool {
+        self.place.as_ref().is_some_and(|place| place.exists())
+    }
+}
+
 /// The folder that two processes of one proxy share.
 #[derive(Debug)]
 pub struct Shared {
