--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -26,7 +26,7 @@
 /// Gossip goes out this often, to so many.
 const GOSSIP: (Micros, usize) = (1_000_000, 1);
 /// Members held dead are asked this often, and so many at a time.
-const REVIVAL: (Micros, usize) = (500_000, 3);
+const REVIVAL: (Micros, usize) = (1_000_000, 1);
 /// Members are asked for more members this often.
 const MORE: Micros = 10_000_000;
 /// A process that is alone asks its seeds this often.
@@ -299,8 +299,10 @@
                     let standing = if who.leaving { Standing::Left } else { Standing::Dead };
                     self.stands(now, &who, standing);
                 }
+                // One that was not there is told of as up, if it is.
                 Told::Renamed(new) => {
-                    if let Some(standing) = self.view.get(new.address).map(|seen| seen.standing) {
+                    let standing = self.view.get(new.address).map(|seen| seen.standing);
+                    if let Some(standing) = standing.filter(|standing| standing.is_there()) {
                         self.stands(now, &new, standing);
                     }
                 }
