See that a panic of the rig and a leave of a peer are handled as they should

Neither had been played. Programs name the lab by which they are held, so that tests can play within their own process.

--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -68,6 +68,7 @@
                 )));
             }
         }
+        let lab = std::env::current_exe().map_err(|e| Stop::Bad(format!("this program: {e}")))?;
         let (name, day) = read(&self.scenario)?;
         println!("a: {name}: {}", day.purpose);
         let other = match &self.other {
@@ -82,7 +83,7 @@
         for number in 0..self.plays {
             let seed = self.seed + number;
             let play = |path: &PathBuf, day: &Scenario| {
-                let program = Program::oakport(path);
+                let program = Program::oakport(&lab, path);
                 played(&Play { day: day.clone(), seed, second: program.clone(), program, logs: None })
             };
             pairs.push(if number % 2 == 0 {
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -61,11 +61,8 @@
     pub fn found(&self) -> Result<[Program; 2], Stop> {
         let lab = std::env::current_exe().map_err(|e| Stop::Bad(format!("this program: {e}")))?;
         if self.forwarder {
-            let mut arguments = vec!["forward".to_owned()];
-            if let Some(broken) = self.broken.as_ref().and_then(clap::ValueEnum::to_possible_value) {
-                arguments.extend(["--broken".to_owned(), broken.get_name().to_owned()]);
-            }
-            let program = Program { path: lab, arguments, environment: Vec::new() };
+            let broken = self.broken.as_ref().and_then(clap::ValueEnum::to_possible_value);
+            let program = Program::forwarder(&lab, broken.as_ref().map(|broken| broken.get_name()));
             return Ok([program.clone(), program]);
         }
         let beside = lab.with_file_name("oakport");
@@ -77,7 +74,7 @@
                 return Err(Stop::Bad(format!("{}: no such program; {remedy}", path.display())));
             }
         }
-        Ok([first, second].map(|path| Program::oakport(&path)))
+        Ok([first, second].map(|path| Program::oakport(&lab, &path)))
     }
 }
 
--- a/crates/lab/src/overhead.rs
+++ b/crates/lab/src/overhead.rs
@@ -30,9 +30,7 @@
     pub fn run(&self) -> Result<(), Stop> {
         let lab = std::env::current_exe().map_err(|e| Stop::Bad(format!("this program: {e}")))?;
         let oakport = self.oakport.clone().unwrap_or_else(|| lab.with_file_name("oakport"));
-        let arguments = vec!["forward".to_owned()];
-        let forwarder = Program { path: lab, arguments, environment: Vec::new() };
-        let oakport = Program::oakport(&oakport);
+        let (oakport, forwarder) = (Program::oakport(&lab, &oakport), Program::forwarder(&lab, None));
         let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
         let runtime = runtime.map_err(|e| Stop::Bad(format!("runtime: {e}")))?;
         let measured = runtime.block_on(async {
--- a/crates/lab/src/rig/processes.rs
+++ b/crates/lab/src/rig/processes.rs
@@ -32,6 +32,8 @@
 /// A program that can be a proxy.
 #[derive(Clone, Debug)]
 pub struct Program {
+    /// The program `oakport-lab`, which becomes the file and dies with whoever started it.
+    pub lab: PathBuf,
     /// The file.
     pub path: PathBuf,
     /// Its arguments.
@@ -42,8 +44,18 @@
 
 impl Program {
     /// `oakport serve` at this path.
-    pub fn oakport(path: &Path) -> Self {
-        Program { path: path.to_owned(), arguments: vec!["serve".to_owned()], environment: Vec::new() }
+    pub fn oakport(lab: &Path, path: &Path) -> Self {
+        Program::of(lab, path, vec!["serve".to_owned()])
+    }
+
+    /// The lab's own forwarder, which may break a rule.
+    pub fn forwarder(lab: &Path, broken: Option<&str>) -> Self {
+        let broken = broken.into_iter().flat_map(|how| ["--broken".to_owned(), how.to_owned()]);
+        Program::of(lab, lab, ["forward".to_owned()].into_iter().chain(broken).collect())
+    }
+
+    fn of(lab: &Path, path: &Path, arguments: Vec<String>) -> Self {
+        Program { lab: lab.to_owned(), path: path.to_owned(), arguments, environment: Vec::new() }
     }
 }
 
@@ -175,15 +187,14 @@
         self.starts += 1;
         let file = self.folder.path().join(format!("config-{}.json", self.starts));
         std::fs::write(&file, self.configuration().to_string()).map_err(odd)?;
-        let lab = std::env::current_exe().map_err(odd)?;
         let mut command = if self.inherits {
             let mut command = Command::new("/bin/sh");
-            command.args(["-c", SCRIPT]).arg(&lab).env("RELAY_ACCEPT_FD", INHERITED);
+            command.args(["-c", SCRIPT]).arg(&program.lab).env("RELAY_ACCEPT_FD", INHERITED);
             let listener: OwnedFd = self.holder.try_clone().map_err(odd)?.into();
             command.stdin(listener);
             command
         } else {
-            let mut command = Command::new(&lab);
+            let mut command = Command::new(&program.lab);
             command.stdin(Stdio::null());
             command
         };
--- a/crates/lab/tests/leftovers.rs
+++ b/crates/lab/tests/leftovers.rs
@@ -2,6 +2,8 @@
 
 use nix::sys::signal::{kill, Signal};
 use nix::unistd::Pid;
+use oakport_lab::rig::{self, Play, Program, Progress};
+use oakport_model::scenario::Scenario;
 use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -40,7 +42,7 @@
     std::fs::create_dir_all(&own).expect("a folder");
     let mut command = Command::new(env!("CARGO_BIN_EXE_oakport-lab"));
     command.args(["fleet", "scenarios/fleet/small.toml", "--forwarder", "--logs"]).arg(&logs);
-    command.current_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../.."));
+    command.current_dir(lab_root());
     let lab =
         command.env("TMPDIR", &own).stdout(Stdio::null()).stderr(Stdio::null()).spawn().expect("it starts");
     until("three proxies", || children(lab.id()).len() == 3);
@@ -68,10 +70,54 @@
     let folder = tempfile::tempdir().expect("a folder");
     let mut command = Command::new(env!("CARGO_BIN_EXE_oakport-lab"));
     command.args(["fleet", "scenarios/fleet/small.toml", "--oakport", "/bin/false"]);
-    command.current_dir(Path::new(env!("CARGO_MANIFEST_DIR")).join("../.."));
+    command.current_dir(lab_root());
     let output = command.env("TMPDIR", folder.path()).output().expect("it starts");
     let errors = String::from_utf8_lossy(&output.stderr);
     assert_eq!(output.status.code(), Some(2), "{errors}");
     assert!(errors.contains("ended before it was ready"), "{errors}");
     assert_eq!(std::fs::read_dir(folder.path()).expect("the folder").count(), 0);
 }
+
+/// Descriptors that this process has open.
+fn descriptors() -> usize {
+    std::fs::read_dir("/proc/self/fd").expect("descriptors").count()
+}
+
+#[test]
+fn a_panic_of_the_rig_leaves_no_process_and_no_descriptor() {
+    let lab = Path::new(env!("CARGO_BIN_EXE_oakport-lab"));
+    let day = std::fs::read_to_string(lab_root().join("scenarios/fleet/small.toml")).expect("the small day");
+    let program = Program::forwarder(lab, None);
+    let day = Scenario::parse(&day).expect("a good day");
+    let play = Play { day, seed: 1, second: program.clone(), program, logs: None };
+    let before = descriptors();
+    let mut there = Vec::new();
+    for round in 0..2 {
+        let panics = |progress: Progress<'_>| {
+            if matches!(progress, Progress::Begun) {
+                panic!("on purpose");
+            }
+        };
+        let played = std::panic::catch_unwind(std::panic::AssertUnwindSafe(|| {
+            let runtime =
+                tokio::runtime::Builder::new_multi_thread().enable_all().build().expect("a runtime");
+            // Whoever panics takes all with it.
+            let _ = runtime.block_on(rig::play(&play, &panics));
+        }));
+        assert!(played.is_err(), "round {round}");
+        there.push(descriptors());
+    }
+    let own = std::process::id();
+    until("the proxies are gone", || children(own).iter().all(|pid| !is_lab(*pid)));
+    // What the runtime keeps for all of its life is there after the first round already.
+    assert_eq!(there[0], there[1], "{before} before");
+}
+
+/// A process of the lab's program.
+fn is_lab(pid: u32) -> bool {
+    std::fs::read_link(format!("/proc/{pid}/exe")).is_ok_and(|exe| exe.ends_with("oakport-lab"))
+}
+
+fn lab_root() -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../..")
+}
--- a/crates/lab/tests/membership.rs
+++ b/crates/lab/tests/membership.rs
@@ -13,5 +13,5 @@
     let output = output.expect("it starts");
     let (told, errors) = (String::from_utf8_lossy(&output.stdout), String::from_utf8_lossy(&output.stderr));
     assert_eq!(output.status.code(), Some(0), "{told}{errors}");
-    assert_eq!(told.matches("\nheld membership.").count(), 5, "{told}");
+    assert_eq!(told.matches("\nheld membership.").count(), 6, "{told}");
 }
