--- a/crates/lab/src/compare.rs
+++ b/crates/lab/src/compare.rs
@@ -1,6 +1,6 @@
 //! `oakport-lab compare`: two programs on the same day, play by play.
 
-use crate::fleet::{played, read, Stop};
+use crate::fleet::{played, read, Ended, Stop};
 use crate::rig::{Play, Program, Verdict};
 use clap::Args;
 use comfy_table::{presets, CellAlignment, Table};
@@ -42,23 +42,12 @@
     json: Option<PathBuf>,
 }
 
-/// How a comparison ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Compared {
-    /// `b` kept the rules.
-    Well,
-    /// It did not.
-    Broken,
-    /// A play could not be judged.
-    Late,
-}
-
 impl Compare {
     /// Plays all pairs and prints the table.
     ///
     /// # Errors
     /// The day or a program cannot be played.
-    pub fn run(&self) -> Result<Compared, Stop> {
+    pub fn run(&self) -> Result<Ended, Stop> {
         let b = self.b.as_ref().unwrap_or(&self.a);
         for path in [&self.a, b] {
             if !path.is_file() {
@@ -101,10 +90,10 @@
         }
         if pairs.iter().flatten().any(Verdict::too_late) {
             println!("a play was not judged: the rig itself was too late; give it idle cores");
-            return Ok(Compared::Late);
+            return Ok(Ended::Late);
         }
         let kept = pairs.iter().all(|[_, b]| b.rules.values().all(|broken| *broken == 0));
-        Ok(if kept { Compared::Well } else { Compared::Broken })
+        Ok(if kept { Ended::Well } else { Ended::Broken })
     }
 
     fn table(&self, pairs: &[[Verdict; 2]]) -> String {
--- a/crates/lab/src/demo.rs
+++ b/crates/lab/src/demo.rs
@@ -1,6 +1,6 @@
 //! `oakport-lab demo`: a small fleet in three zones while parts of it fail, shown live, with a report.
 
-use crate::fleet::{table, told, write, Programs, Stop};
+use crate::fleet::{table, told, write, Ended, Programs, Stop};
 use crate::report;
 use crate::rig::{Play, Progress};
 use clap::Args;
@@ -15,7 +15,9 @@
 
 /// A small fleet in three zones while parts of it fail.
 #[derive(Debug, Args)]
-#[command(after_help = "Exit status: 0 rules kept and expectations held, 1 not, 2 it cannot be played.")]
+#[command(
+    after_help = "Exit status: 0 rules kept, 1 not, 2 it cannot be played, 3 the rig was too late to judge."
+)]
 pub struct Demo {
     /// Take less than half of the time
     #[arg(long)]
@@ -31,11 +33,11 @@
 }
 
 impl Demo {
-    /// Plays it. True: rules kept and expectations held.
+    /// Plays it.
     ///
     /// # Errors
     /// It cannot be played, or the report not written.
-    pub fn run(&self) -> Result<bool, Stop> {
+    pub fn run(&self) -> Result<Ended, Stop> {
         let [program, second] = self.programs.found()?;
         let mut day = Scenario::parse(DAY).map_err(|odd| Stop::Bad(format!("the demo: {odd}")))?;
         if self.quick {
@@ -76,6 +78,6 @@
         print!("{}", table(&verdict, false));
         write(&self.out, &report::html("oakport demo", &play.day, self.seed, &verdict).map_err(Stop::Bad)?)?;
         println!("the report with its plots: {}", self.out.display());
-        Ok(verdict.holds())
+        Ok(Ended::of(&verdict))
     }
 }
--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -97,6 +97,17 @@
     Late,
 }
 
+impl Ended {
+    /// How a day with this verdict ended.
+    pub fn of(verdict: &Verdict) -> Self {
+        match () {
+            () if verdict.too_late() => Ended::Late,
+            () if verdict.holds() => Ended::Well,
+            () => Ended::Broken,
+        }
+    }
+}
+
 impl Fleet {
     /// Plays all days, one after the other.
     pub fn run(&self) -> Result<Ended, Stop> {
@@ -116,11 +127,7 @@
                 write(&folder.join(format!("{name}.html")), &page)?;
             }
             print!("{}", table(&verdict, self.seconds));
-            ended = ended.max(match () {
-                () if verdict.too_late() => Ended::Late,
-                () if verdict.holds() => Ended::Well,
-                () => Ended::Broken,
-            });
+            ended = ended.max(Ended::of(&verdict));
             all.push(json!({"day": name, "seed": self.seed, "verdict": verdict}));
         }
         if let Some(path) = &self.json {
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -1,7 +1,7 @@
 //! The program `oakport-lab`: tries oakport out.
 
 use clap::{Parser, Subcommand};
-use oakport_lab::compare::{Compare, Compared};
+use oakport_lab::compare::Compare;
 use oakport_lab::demo::Demo;
 use oakport_lab::fleet::{Ended, Fleet, Stop};
 use oakport_lab::overhead::Overhead;
@@ -67,17 +67,9 @@
     };
     let done = match Arguments::parse().command {
         Command::Sim(sim) => sim.run().map_err(|odd| (odd, 1)).map(|kept| u8::from(!kept)),
-        Command::Fleet(fleet) => fleet.run().map_err(stopped).map(|ended| match ended {
-            Ended::Well => 0,
-            Ended::Broken => 1,
-            Ended::Late => LATE,
-        }),
-        Command::Compare(compare) => compare.run().map_err(stopped).map(|ended| match ended {
-            Compared::Well => 0,
-            Compared::Broken => 1,
-            Compared::Late => LATE,
-        }),
-        Command::Demo(demo) => demo.run().map_err(stopped).map(|held| u8::from(!held)),
+        Command::Fleet(fleet) => fleet.run().map_err(stopped).map(status),
+        Command::Compare(compare) => compare.run().map_err(stopped).map(status),
+        Command::Demo(demo) => demo.run().map_err(stopped).map(status),
         Command::Overhead(overhead) => overhead.run().map(|()| 0).map_err(stopped),
         Command::Forward { broken } => forward(broken).map(|()| 0).map_err(|odd| (odd, 1)),
         Command::Hold { command } => Err((hold(&command), 1)),
@@ -91,6 +83,15 @@
     }
 }
 
+/// The status by which a play's end is told.
+fn status(ended: Ended) -> u8 {
+    match ended {
+        Ended::Well => 0,
+        Ended::Broken => 1,
+        Ended::Late => LATE,
+    }
+}
+
 fn forward(broken: Option<Broken>) -> Result<(), String> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
