Let the count fall by what was said or confirmed, and by no more

Departures are now counted: a leave at once, a death after 3 s in which a cut may show; all else waits for a minute of agreement.

--- a/crates/fleet/src/count.rs
+++ b/crates/fleet/src/count.rs
@@ -22,7 +22,11 @@
     count: usize,
     /// Members that fell silent of late, and when.
     silent: VecDeque<Micros>,
-    /// The count does not fall before this.
+    /// Deaths that count as such from then on, if no cut shows before.
+    deaths: VecDeque<Micros>,
+    /// Departures by which the count may fall at once.
+    departures: usize,
+    /// Before this the count does not fall by what was neither said nor confirmed.
     held: Micros,
     fell: Micros,
     cut: bool,
@@ -32,7 +36,8 @@
     /// Begins with what the configuration says.
     pub fn new(now: Micros, told: usize) -> Self {
         let told = told.max(1);
-        Count { told, count: told, silent: VecDeque::new(), held: now + HOLD, fell: now, cut: false }
+        let (silent, deaths) = (VecDeque::new(), VecDeque::new());
+        Count { told, count: told, silent, deaths, departures: 0, held: now + HOLD, fell: now, cut: false }
     }
 
     /// How many are counted.
@@ -58,36 +63,48 @@
         }
         if self.silent.len() as f64 >= self.count as f64 * CUT {
             (self.cut, self.held) = (true, now + HOLD);
+            self.deaths.clear();
+        }
+    }
+
+    /// A member left and said so, or is confirmed dead: then others may yet be silent with it.
+    pub fn departed(&mut self, now: Micros, said: bool) {
+        if said {
+            self.departures += 1;
+            return;
+        }
+        self.held = self.held.max(now + HOLD);
+        if !self.cut {
+            self.deaths.push_back(now + TOGETHER);
         }
     }
 
     /// Looks at the view: so many are there, this process included, of whom so many are not suspected, and the others
     /// agree or not.
     pub fn look(&mut self, now: Micros, there: usize, sure: usize, agreed: bool) {
-        if there <= 1 {
-            // Alone it serves as a process without peers does.
-            self.count = self.count.max(self.told);
-            return;
+        // Alone it serves as a process without peers does.
+        let there = if there <= 1 { self.told } else { there };
+        while self.deaths.front().is_some_and(|at| *at <= now) {
+            self.deaths.pop_front();
+            self.departures += 1;
+        }
+        if !agreed {
+            // Who disagrees may know of some that are not seen from here.
+            self.held = self.held.max(now + HOLD);
         }
         if there >= self.count {
-            self.count = there;
+            (self.count, self.departures) = (there, 0);
             self.cut &= sure < there;
             return;
         }
-        if !agreed && !self.cut {
-            // Who disagrees may know of some that are not seen from here.
-            self.held = self.held.max(now + STEP);
-        }
-        if now >= self.held && now >= self.fell + STEP {
-            let step = ((self.count as f64 * FALL) as usize).max(1);
-            (self.count, self.fell, self.cut) = (self.count.saturating_sub(step).max(there), now, false);
-        }
-    }
-
-    /// A member left and said so, or is confirmed dead: then others may yet be silent with it.
-    pub fn departed(&mut self, now: Micros, said: bool) {
-        if !self.cut {
-            self.held = if said { now } else { now + TOGETHER };
+        let missing = self.count - there;
+        self.departures = self.departures.min(missing);
+        let may = if now >= self.held { missing } else { self.departures };
+        if may > 0 && now >= self.fell + STEP {
+            let step = ((self.count as f64 * FALL) as usize).max(1).min(may);
+            (self.count, self.fell) = (self.count - step, now);
+            self.departures = self.departures.saturating_sub(step);
+            self.cut &= now < self.held;
         }
     }
 }
--- a/crates/fleet/tests/fleet.rs
+++ b/crates/fleet/tests/fleet.rs
@@ -1,6 +1,6 @@
 //! Many processes in virtual time: deaths, leaves, cuts, losses, wrong names, foreign datagrams.
 
-use oakport_fleet::{Config, Identity, Micros, News, Peers, Standing};
+use oakport_fleet::{Config, Count, Identity, Micros, News, Peers, Standing};
 use rand_pcg_next::rand_core::{Rng, SeedableRng};
 use rand_pcg_next::Pcg64;
 use std::collections::BTreeMap;
@@ -352,3 +352,40 @@
     net.processes[0].peers.time(now);
     net.processes[0].peers.outbox().pop().expect("it pings").1
 }
+
+/// Looks each second for so long, with all that are there in agreement.
+fn looks(count: &mut Count, from: u64, to: u64, there: usize) -> usize {
+    (from..to).for_each(|second| count.look(second * SECOND, there, there, true));
+    count.get()
+}
+
+#[test]
+fn the_count_falls_by_what_was_said_or_confirmed_and_by_no_more() {
+    // Fewer are there than were told of: a leave is one departure and no word on the others.
+    let mut count = Count::new(0, 60);
+    count.departed(SECOND, true);
+    assert_eq!(looks(&mut count, 2, 50, 11), 59);
+    assert_eq!(looks(&mut count, 50, 60, 11), 59, "until the view has agreed for a minute");
+    assert_eq!(looks(&mut count, 60, 120, 11), 11);
+    // A death, a leave, and then the rest of a third within the same three seconds: a cut.
+    let mut count = Count::new(0, 30);
+    looks(&mut count, 0, 100, 30);
+    for (silent, at) in (0..10).zip(101..) {
+        count.fell_silent(101 * SECOND + silent * 200 * MILLI);
+        if silent < 2 {
+            count.departed(at * SECOND + MILLI, false);
+        }
+    }
+    count.departed(103 * SECOND, true);
+    assert!(count.is_cut());
+    assert_eq!(looks(&mut count, 103, 150, 19), 29, "the one that said so");
+    assert_eq!(looks(&mut count, 200, 240, 19), 19);
+    // Alone it goes back to what it was told of, no lower, and not at once.
+    assert_eq!(looks(&mut count, 240, 260, 1), 30);
+    let mut count = Count::new(0, 4);
+    looks(&mut count, 0, 100, 20);
+    count.departed(100 * SECOND, false);
+    assert_eq!(looks(&mut count, 100, 103, 1), 20);
+    assert_eq!(looks(&mut count, 103, 150, 1), 19);
+    assert_eq!(looks(&mut count, 160, 260, 1), 4);
+}
