Exchange views that differ, and look at the members twice a second only

The exchange of differing views never ran: each timer put its moment off. And each datagram looked through all members, which is not flat in their number. Both have a beat of 500 ms of their own now, and only who differs 300 ms after the last change is asked. A name that two have is told once, also after suspicions; the count in force is told however many news wait.

--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -260,10 +260,13 @@
                 }
             }
         }
-        let due = now >= self.looked + LOOK;
+        if now < self.looked + LOOK {
+            return;
+        }
+        self.looked = now;
         self.look(now);
         // Views that differ come together by being exchanged; news alone go along only so often.
-        let dissenter = self.view.dissenter(now).filter(|_| due && !self.left);
+        let dissenter = self.view.dissenter(now).filter(|_| !self.left);
         if let Some(who) = dissenter.cloned() {
             let mut wanted = Wanted::default();
             // It can only fail to encode, which is tried again.
@@ -284,7 +287,8 @@
     }
 
     fn tell(&mut self, news: News) {
-        if self.news.len() < NEWS_MOST {
+        // What is in force is told in any case.
+        if self.news.len() < NEWS_MOST || matches!(news, News::Count(_) | News::Cut(_)) {
             self.news.push(news);
         }
     }
@@ -339,7 +343,8 @@
         if matches!(standing, Standing::Left | Standing::Dead) {
             self.count.departed(now, standing == Standing::Left);
         }
-        if standing == Standing::Present {
+        // One that was suspected meanwhile has been told of.
+        if standing == Standing::Present && !old.is_some_and(Standing::is_there) {
             let same = |seen: &&crate::Seen| {
                 seen.who.name == who.name
                     && seen.who.address != who.address
@@ -356,7 +361,6 @@
 
     /// Takes suspicions in, and brings the count up to date.
     fn look(&mut self, now: Micros) {
-        self.looked = now;
         let states: Vec<(Identity, foca::State)> =
             self.foca.iter_membership_state().map(|m| (m.id().clone(), m.state())).collect();
         for (who, state) in states {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -7,6 +7,10 @@
 
 /// What another said of its view counts for so long.
 const HEARD: Micros = 10_000_000;
+/// News need so long to go round; who differs within it will know soon by itself.
+const SPREAD: Micros = 300_000;
+/// Who told another digest longer ago may have changed its mind.
+const DISSENT: Micros = 2_000_000;
 /// A member that has left or died is told of for so long.
 const REMEMBERED: Micros = 600_000_000;
 
@@ -127,11 +131,12 @@
         now.saturating_sub(self.changed)
     }
 
-    /// One that is there and lately told another digest: the last to do so.
+    /// One that is there and has told another digest since this view last changed: the last to do so.
     pub(crate) fn dissenter(&self, now: Micros) -> Option<&Identity> {
         let there = self.members.values().filter(|seen| seen.standing.is_there());
         let lately = there.filter_map(|seen| Some((seen.heard?, &seen.who)));
-        let others = lately.filter(|((digest, at), _)| *digest != self.digest && now <= at + HEARD);
+        let since = (self.changed + SPREAD).max(now.saturating_sub(DISSENT));
+        let others = lately.filter(|((digest, at), _)| *digest != self.digest && *at >= since);
         others.max_by_key(|((_, at), _)| *at).map(|(_, who)| who)
     }
 
