Open a broken watch anew at once, and catch up with the agent before watching again

Ruled out: the way from list to module (a list that came was obeyed: no breach after it), may_start, names and starts (the servers breached were all in the list that was late). Change: where lists are pushed the client keeps up with its own agent: a catch-up call at once, another beside it each quarter of the drain window, and watches of 4 s, so that silence shows before it counts. Where they are asked for, a watch that broke is opened anew spread over 1 s; a service that fails is asked by the module's pause as before, a silent call made anew within 6 s. Odd lists change nothing. Terms and budget in docs/discovery.md.

--- /dev/null
+++ b/crates/cli/tests/list_terms.rs
@@ -0,0 +1,186 @@
+//! Nothing new goes to a host that was announced as leaving, however the change is told (`docs/discovery.md`): a dozen
+//! processes of the program, each beside its own agent, with faults of the agents and requests all the while. The judge
+//! stands outside: it goes by when each request came to a host and by when the agents told.
+
+mod peers;
+
+use peers::agent::{Agent, Noting};
+use peers::*;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+use std::thread::{self, JoinHandle};
+use std::time::{Duration, Instant};
+
+const PROCESSES: usize = 12;
+const HOSTS: usize = 8;
+/// Those that leave: a quarter.
+const LEAVING: usize = 2;
+/// The shortest window that any given site has.
+const WINDOW: Duration = Duration::from_millis(500);
+/// Longer by this for all that binds on sockets.
+const SLACK: Duration = Duration::from_millis(50);
+
+struct Fleet {
+    agents: Vec<Agent>,
+    hosts: Vec<Noting>,
+    proxies: Vec<Proxy>,
+    stop: Arc<AtomicBool>,
+    clients: Vec<JoinHandle<usize>>,
+}
+
+fn id(process: usize) -> String {
+    format!("{process:08x}")
+}
+
+/// Entries of some hosts, with this status.
+fn entries(hosts: &[Noting], status: &str) -> Vec<(String, String)> {
+    let entry = |host: &Noting| {
+        let name = format!("s-{}", host.host.address.port());
+        let text = entry(&name, host.host.address, status, 0);
+        (name, text)
+    };
+    hosts.iter().map(entry).collect()
+}
+
+fn text(agent: &Agent, hosts: &[Noting]) -> String {
+    let known: Vec<String> = entries(hosts, "up").into_iter().map(|(_, text)| text).collect();
+    let text = config("127.0.0.1:0".parse().expect("an address"), agent.address, 1_024, &known);
+    text.replace(r#""discovery":"ask","#, r#""discovery":"push","#)
+        .replace(r#""balancers":1"#, r#""balancers":300"#)
+        .replace(r#""tip_after_us""#, r#""drain_grace_us":500000,"tip_after_us""#)
+        .replace(r#""ask_every_us":1600000"#, r#""ask_every_us":10000000"#)
+}
+
+impl Fleet {
+    fn start() -> Fleet {
+        let hosts: Vec<Noting> = (0..HOSTS).map(|_| Noting::start()).collect();
+        let agents: Vec<Agent> = (0..PROCESSES).map(|_| Agent::start(&entries(&hosts, "up"))).collect();
+        let proxies: Vec<Proxy> = agents.iter().map(|agent| Proxy::with(&text(agent, &hosts))).collect();
+        agents.iter().for_each(Agent::watched);
+        let stop = Arc::new(AtomicBool::new(false));
+        let client = |(number, proxy): (usize, &Proxy)| {
+            let (mut client, stop) = (proxy.client(), Arc::clone(&stop));
+            thread::spawn(move || {
+                let mut served = 0;
+                while !stop.load(Ordering::SeqCst) {
+                    client.send_as(&id(number), "safe", "2000m");
+                    served += usize::from(client.answer().is_some_and(|a| a.status() == 200));
+                    thread::sleep(Duration::from_millis(15));
+                }
+                served
+            })
+        };
+        let clients = proxies.iter().enumerate().map(client).collect();
+        let fleet = Fleet { agents, hosts, proxies, stop, clients };
+        let asked = Instant::now();
+        while (0..PROCESSES).any(|process| fleet.sent_to_leaving(process).is_empty()) {
+            assert!(asked.elapsed() < LONG, "each process sends to those that will leave");
+            thread::sleep(SHORT / 30);
+        }
+        fleet
+    }
+
+    /// When this process sent to those that leave.
+    fn sent_to_leaving(&self, process: usize) -> Vec<Instant> {
+        self.hosts[..LEAVING].iter().flat_map(|host| host.of(&id(process))).collect()
+    }
+
+    /// All agents get the word that some hosts leave.
+    fn leave(&self) -> Instant {
+        let leaving = entries(&self.hosts[..LEAVING], "draining");
+        self.agents.iter().for_each(|agent| agent.change(&leaving));
+        Instant::now()
+    }
+
+    /// Plays on until what was told at the latest of these moments has been told for a while, and gives the longest that
+    /// any process still sent after it was told.
+    fn judge(mut self, told: &[Instant]) -> Duration {
+        let last = told.iter().max().expect("a process");
+        thread::sleep((*last + WINDOW * 2).saturating_duration_since(Instant::now()));
+        self.stop.store(true, Ordering::SeqCst);
+        for client in std::mem::take(&mut self.clients) {
+            assert!(client.join().expect("no panic") > 0, "the others serve");
+        }
+        let mut latest = Duration::ZERO;
+        for (process, told) in told.iter().enumerate() {
+            let after =
+                self.sent_to_leaving(process).iter().map(|at| at.saturating_duration_since(*told)).max();
+            latest = latest.max(after.unwrap_or_default());
+        }
+        latest
+    }
+}
+
+fn all(told: Instant) -> Vec<Instant> {
+    vec![told; PROCESSES]
+}
+
+/// Watches fall silent once, and hosts drain right after.
+#[test]
+fn watches_that_fell_silent() {
+    let fleet = Fleet::start();
+    let told: Vec<Instant> = fleet.agents.iter().map(Agent::hush).collect();
+    fleet.leave();
+    let latest = fleet.judge(&told);
+    assert!(latest <= WINDOW + SLACK, "{latest:?}");
+}
+
+/// All watches are reset just before a drain: what an agent has counts as told, whether or not a watch is open.
+#[test]
+fn watches_that_were_reset() {
+    let fleet = Fleet::start();
+    fleet.agents.iter().for_each(Agent::reset);
+    let told = fleet.leave();
+    let latest = fleet.judge(&all(told));
+    assert!(latest <= WINDOW + SLACK, "{latest:?}");
+}
+
+/// Agents are silent for a while; at their return they have a change at once.
+#[test]
+fn agents_that_were_silent() {
+    let fleet = Fleet::start();
+    fleet.agents.iter().for_each(|agent| agent.down(true));
+    fleet.agents.iter().for_each(|agent| _ = agent.hush());
+    thread::sleep(Duration::from_secs(8));
+    let told = fleet.leave();
+    fleet.agents.iter().for_each(|agent| agent.down(false));
+    let calls: usize = fleet.agents.iter().map(Agent::calls).sum();
+    assert!(calls < PROCESSES * 120, "{calls} calls in 8 s: some eight a second each");
+    let latest = fleet.judge(&all(told));
+    assert!(latest <= WINDOW + SLACK, "{latest:?}");
+}
+
+/// After SIGHUP the old agent tells nothing more; the new one has a change, and is silent at first.
+#[test]
+fn agents_that_moved() {
+    for silent in [false, true] {
+        let fleet = Fleet::start();
+        let mut now = entries(&fleet.hosts, "up");
+        now[..LEAVING].clone_from_slice(&entries(&fleet.hosts[..LEAVING], "draining"));
+        let new: Vec<Agent> = fleet.agents.iter().map(|_| Agent::start(&now)).collect();
+        new.iter().for_each(|agent| agent.down(silent));
+        if silent {
+            fleet.agents.iter().for_each(|agent| _ = agent.hush());
+        }
+        let signalled = Instant::now();
+        for (proxy, agent) in fleet.proxies.iter().zip(&new) {
+            proxy.reload(&text(agent, &fleet.hosts));
+        }
+        thread::sleep(Duration::from_millis(1_500));
+        fleet.agents.iter().for_each(Agent::reset);
+        thread::sleep(Duration::from_millis(2_000));
+        new.iter().for_each(|agent| agent.down(false));
+        let latest = fleet.judge(&all(signalled + Duration::from_secs(4)));
+        assert!(latest <= WINDOW + SLACK, "{latest:?}, silent {silent}");
+    }
+}
+
+/// The judge finds a client that is late, whatever it is late for.
+#[test]
+fn a_list_that_is_taken_late_is_found() {
+    let fleet = Fleet::start();
+    fleet.agents.iter().for_each(|agent| agent.late(WINDOW * 2));
+    let told = fleet.leave();
+    let latest = fleet.judge(&all(told));
+    assert!(latest > WINDOW + SLACK, "{latest:?}");
+}
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -1,6 +1,8 @@
 //! Small stub peers on loopback sockets: hosts, discovery and a client, and the program between them.
 #![allow(dead_code)]
 
+pub mod agent;
+
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -87,6 +89,11 @@
 impl Host {
     /// A host that answers its requests by `script`, given their number from 0.
     pub fn start(script: impl Fn(usize) -> Reply + Send + Sync + 'static) -> Host {
+        Host::reading(move |number, _| script(number))
+    }
+
+    /// One whose script also sees the requests.
+    pub fn reading(script: impl Fn(usize, &Message) -> Reply + Send + Sync + 'static) -> Host {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("its address");
         let (sender, seen) = channel();
@@ -132,14 +139,14 @@
 fn serve(
     number: usize,
     stream: TcpStream,
-    script: &dyn Fn(usize) -> Reply,
+    script: &dyn Fn(usize, &Message) -> Reply,
     count: &AtomicUsize,
     sender: &Sender<Seen>,
 ) {
     let _ = sender.send(Seen::Opened(number));
     let mut stream = BufReader::new(stream);
     while let Some(message) = read(&mut stream) {
-        let reply = script(count.fetch_add(1, Ordering::SeqCst));
+        let reply = script(count.fetch_add(1, Ordering::SeqCst), &message);
         let last = matches!(reply, Reply::WriteAndClose(_));
         if let (true, Reply::WriteAndClose(text)) = (last, &reply) {
             let _ = stream.get_mut().write_all(text.as_bytes());
@@ -433,8 +440,13 @@
 
 impl Client {
     pub fn send(&mut self, class: &str, time: &str) {
+        self.send_as("9b1f03aa", class, time);
+    }
+
+    /// With this id.
+    pub fn send_as(&mut self, id: &str, class: &str, time: &str) {
         let text = format!(
-            "POST /{class}?q=1 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: 9b1f03aa\r\n\
+            "POST /{class}?q=1 HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {id}\r\n\
              X-Timeout: {time}\r\nIdempotency-Key: 5c0f\r\nContent-Length: 4\r\n\r\nbody"
         );
         self.write(&text);
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -12,8 +12,8 @@
 use crate::upstream;
 use oakport_core::settings::{Facts, Transport};
 use oakport_core::{
-    Action, Balancer, CallId, ClassId, Event, ListKind, Load, Micros, Note, Outcome, ServerId, Settings,
-    State,
+    Action, Balancer, CallId, ClassId, Event, ListKind, Load, Micros, Note, Outcome, Rules, ServerId,
+    Settings, State,
 };
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
@@ -48,6 +48,8 @@
     /// For when the timers sleep; None: until they are told.
     asleep_until: Rc<Cell<Option<Micros>>>,
     timer_sooner: Rc<Notify>,
+    /// The module wants the list, and has not been heard yet.
+    wants_list: Rc<Cell<bool>>,
     subscribe: Rc<Notify>,
 }
 
@@ -69,13 +71,16 @@
             events: VecDeque::new(),
             actions: Vec::new(),
         };
-        let (asleep_until, timer_sooner, subscribe) = <(_, Rc<Notify>, _)>::default();
-        Driver { core: Rc::new(RefCell::new(core)), clock, pool, asleep_until, timer_sooner, subscribe }
+        let core = Rc::new(RefCell::new(core));
+        let (asleep_until, timer_sooner, wants_list, subscribe) = <(_, Rc<Notify>, _, _)>::default();
+        Driver { core, clock, pool, asleep_until, timer_sooner, wants_list, subscribe }
     }
 
     /// Waits until the module asks for the list.
     pub async fn subscribed(&self) {
-        self.subscribe.notified().await;
+        while !self.wants_list.take() {
+            self.subscribe.notified().await;
+        }
     }
 
     pub fn start(&self) {
@@ -203,7 +208,10 @@
         }
         let count = |state| entries.iter().filter(|e| e.state == state).count();
         let (up, draining, gone) = (count(State::Ready), count(State::Draining), count(State::Gone));
-        info!(?kind, up, draining, gone, "list taken");
+        // Most watches end without news.
+        if kind != ListKind::Delta || !entries.is_empty() {
+            info!(?kind, up, draining, gone, "list taken");
+        }
         self.event(Event::Members { kind, entries });
     }
 
@@ -212,8 +220,15 @@
         self.core.borrow().hosts.list(index)
     }
 
-    /// Asking for the list failed, or the watch broke.
+    /// Whether lists are asked for, and the rules' figures, by the settings in force.
+    pub fn list_rules(&self) -> (bool, Rules) {
+        let core = self.core.borrow();
+        (core.settings.ask, core.settings.rules)
+    }
+
+    /// Asking for the list failed: the module says when to ask again. What it said before is overtaken.
     pub fn members_failed(&self) {
+        self.wants_list.set(false);
         self.event(Event::Members { kind: ListKind::Failed, entries: Vec::new() });
     }
 
@@ -261,7 +276,10 @@
                 core.events.extend(core.calls.outcome(now, call, attempt, Outcome::CalledOff.into()));
             }
             Action::Wake { after } => core.calls.wake(now.saturating_add(after)),
-            Action::Subscribe => self.subscribe.notify_one(),
+            Action::Subscribe => {
+                self.wants_list.set(true);
+                self.subscribe.notify_one();
+            }
             // Where the site allows no probes the module asks for none.
             Action::Probe { server } => core.events.push_back(Event::Probed {
                 server,
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -4,7 +4,7 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::descriptors::Descriptors;
-use crate::discovery;
+use crate::discovery::Watcher;
 use crate::driver::Driver;
 use crate::figures::Figures;
 use crate::front::{Front, Resting};
@@ -149,12 +149,9 @@
             let driver = driver.clone();
             tokio::task::spawn_local(async move { driver.timers().await })
         };
-        let mut watch: JoinHandle<()> = tokio::task::spawn_local(discovery::run(
-            driver.clone(),
-            address,
-            self.index,
-            room.shared.clone(),
-        ));
+        let mut watch: JoinHandle<()> = tokio::task::spawn_local(
+            Watcher::new(driver.clone(), address, self.index, room.shared.clone(), config.seed).run(),
+        );
         if let Some(address) = config.operator {
             tokio::task::spawn_local(operator::run(driver.clone(), peers.clone(), address));
         }
