Take a whole list in with work that grows with its length, not its square

Need: lists of 1,024 hosts and more. hosts.rs news() looked through the whole list for each host ever named, and gave up the connections of hosts long gone again at each whole list. Change: the names are hashed, and only hosts that were listed are noted as gone. Tests of hosts.rs as before; the cost is measured with the issue on the list's terms.

--- a/crates/proxy/src/hosts.rs
+++ b/crates/proxy/src/hosts.rs
@@ -2,7 +2,7 @@
 
 use crate::list::{Endpoint, List};
 use oakport_core::{settings, CellId, Entry, ListKind, Micros, ServerId, State};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 /// A host, and what discovery last told of it.
@@ -54,8 +54,9 @@
     pub fn news(&mut self, kind: ListKind, list: &[Endpoint]) -> (Vec<Entry>, Vec<Outdated>) {
         let (mut entries, mut outdated) = (Vec::new(), Vec::new());
         if matches!(kind, ListKind::Full | ListKind::Cached) {
+            let named: HashSet<&str> = list.iter().map(|e| e.name.as_str()).collect();
             for (host, number) in self.hosts.iter_mut().zip(0..) {
-                if !list.iter().any(|e| e.name == host.told.name) {
+                if host.state != State::Gone && !named.contains(host.told.name.as_str()) {
                     host.state = State::Gone;
                     host.generation += 1;
                     outdated.push(Outdated { server: ServerId(number), generation: host.generation });
