See that odd lists change nothing, and six in ten replaced and late connections keep the window

Need: bad input of a list leaves the last good one in force with one line that names address and reason; a reason that differs from the last one told was left out of the log. Change: the line is told for each reason of a row once; tests with nine odd lists, lists that are indented, a byte at a time, with an entry nobody can reach or without end, and with 12 processes whose hosts are replaced in steps or whose connection comes up only when its host drains.

--- a/crates/cli/tests/list_terms.rs
+++ b/crates/cli/tests/list_terms.rs
@@ -12,9 +12,9 @@
 use std::time::{Duration, Instant};
 
 const PROCESSES: usize = 12;
-const HOSTS: usize = 8;
-/// Those that leave: a quarter.
-const LEAVING: usize = 2;
+const HOSTS: usize = 10;
+/// Those that leave, in steps of two where not at once: six in ten.
+const LEAVING: usize = 6;
 /// The shortest window that any given site has.
 const WINDOW: Duration = Duration::from_millis(500);
 /// Longer by this for all that binds on sockets.
@@ -85,27 +85,37 @@
         self.hosts[..LEAVING].iter().flat_map(|host| host.of(&id(process))).collect()
     }
 
-    /// All agents get the word that some hosts leave.
+    /// All agents get the word that hosts leave.
     fn leave(&self) -> Instant {
-        let leaving = entries(&self.hosts[..LEAVING], "draining");
-        self.agents.iter().for_each(|agent| agent.change(&leaving));
+        self.tell(&entries(&self.hosts[..LEAVING], "draining"))
+    }
+
+    fn tell(&self, entries: &[(String, String)]) -> Instant {
+        self.agents.iter().for_each(|agent| agent.change(entries));
         Instant::now()
     }
 
-    /// Plays on until what was told at the latest of these moments has been told for a while, and gives the longest that
-    /// any process still sent after it was told.
-    fn judge(mut self, told: &[Instant]) -> Duration {
-        let last = told.iter().max().expect("a process");
+    /// Plays on until what was told at the latest of these moments, one for each process, has been told for a while.
+    fn judge(self, told: &[Instant]) -> Duration {
+        let all = (0..LEAVING).map(|host| (host, told.to_vec())).collect::<Vec<_>>();
+        self.judge_each(&all)
+    }
+
+    /// The longest that any process still sent to a host that leaves, after that was told.
+    fn judge_each(mut self, told: &[(usize, Vec<Instant>)]) -> Duration {
+        let last = told.iter().flat_map(|(_, told)| told).max().expect("a process");
         thread::sleep((*last + WINDOW * 2).saturating_duration_since(Instant::now()));
         self.stop.store(true, Ordering::SeqCst);
         for client in std::mem::take(&mut self.clients) {
             assert!(client.join().expect("no panic") > 0, "the others serve");
         }
         let mut latest = Duration::ZERO;
-        for (process, told) in told.iter().enumerate() {
-            let after =
-                self.sent_to_leaving(process).iter().map(|at| at.saturating_duration_since(*told)).max();
-            latest = latest.max(after.unwrap_or_default());
+        for (host, told) in told {
+            for (process, told) in told.iter().enumerate() {
+                let came = self.hosts[*host].of(&id(process));
+                let after = came.iter().map(|at| at.saturating_duration_since(*told)).max();
+                latest = latest.max(after.unwrap_or_default());
+            }
         }
         latest
     }
@@ -175,6 +185,51 @@
     }
 }
 
+/// Six in ten hosts are replaced within 7 s, and watches fall silent under it.
+#[test]
+fn hosts_that_are_replaced() {
+    let fleet = Fleet::start();
+    let mut told = Vec::new();
+    for step in 0..LEAVING / 2 {
+        let hosts = step * 2..step * 2 + 2;
+        let silent: Vec<Instant> = match step {
+            1 => fleet.agents.iter().map(Agent::hush).collect(),
+            _ => all(Instant::now()),
+        };
+        let news = fleet.tell(&entries(&fleet.hosts[hosts.clone()], "draining"));
+        told.extend(hosts.map(|host| (host, silent.iter().map(|silent| news.max(*silent)).collect())));
+        thread::sleep(Duration::from_millis(2_300));
+        let gone = entries(&fleet.hosts[step * 2..step * 2 + 2], "removed");
+        fleet.tell(&gone);
+    }
+    let latest = fleet.judge_each(&told);
+    assert!(latest <= WINDOW + SLACK, "{latest:?}");
+}
+
+/// A connection that comes up only when its host drains by then carries nothing, and its request goes elsewhere.
+#[test]
+fn a_connection_that_comes_up_late() {
+    let (deaf, other) = (Deaf::start(), Noting::start());
+    let up = |status| vec![("s-1".to_owned(), entry("s-1", deaf.address, status, 0))];
+    let agent = Agent::start(&up("up"));
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let text = config(listen, agent.address, 1_024, &[up("up")[0].1.clone()])
+        .replace(r#""discovery":"ask","#, r#""discovery":"push","#)
+        .replace(r#""connect_timeout_us":1000000"#, r#""connect_timeout_us":60000000"#);
+    let proxy = Proxy::with(&text);
+    agent.watched();
+    let mut client = proxy.client();
+    client.send("unsafe", "30000m");
+    // Nothing tells from outside that the connection is on its way; nor does it matter if it is not yet.
+    thread::sleep(SHORT);
+    agent.change(&up("draining"));
+    agent.change(&entries(std::slice::from_ref(&other), "up"));
+    agent.watched();
+    assert_eq!(deaf.take_all(), 0, "bytes on the connection that came up late");
+    assert_eq!(client.answer().expect("an answer").status(), 200);
+    assert_eq!(other.of("9b1f03aa").len(), 1);
+}
+
 /// The judge finds a client that is late, whatever it is late for.
 #[test]
 fn a_list_that_is_taken_late_is_found() {
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -9,7 +9,7 @@
 use std::path::Path;
 use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::mpsc::{channel, Receiver, RecvTimeoutError, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
@@ -211,6 +211,29 @@
     }
 }
 
+impl Deaf {
+    /// Takes those that wait and whoever comes up after them, and counts the bytes that strangers bring.
+    pub fn take_all(self) -> usize {
+        let known: Vec<_> = self.waiting.iter().map(|w| w.local_addr().expect("an address")).collect();
+        let (mut strangers, mut taken) = (Vec::new(), 0);
+        self.listener.set_nonblocking(true).expect("a listener");
+        let asked = std::time::Instant::now();
+        // A connection that waits is tried anew after 1 s and 2 s more.
+        while asked.elapsed() < SHORT * 12 {
+            match self.listener.accept() {
+                Ok((stream, from)) if !known.contains(&from) => strangers.push(stream),
+                Ok(_) => {}
+                Err(_) => thread::sleep(SHORT / 30),
+            }
+            for stream in &mut strangers {
+                let _ = stream.set_nonblocking(true);
+                taken += stream.read(&mut [0; 4096]).unwrap_or(0);
+            }
+        }
+        taken
+    }
+}
+
 /// Discovery: the test sees each question and gives each answer.
 pub struct Discovery {
     pub address: SocketAddr,
@@ -227,11 +250,18 @@
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
                 let mut stream = BufReader::new(stream);
+                let _ = stream.get_mut().set_nodelay(true);
                 while let Some(message) = read(&mut stream) {
                     let line = message.head.lines().next().unwrap_or_default().to_owned();
                     let Ok(()) = question.send(line) else { return };
                     let Ok(text) = given.lock().expect("one thread").recv() else { return };
-                    if stream.get_mut().write_all(text.as_bytes()).is_err() || text.is_empty() {
+                    // A bar: what follows comes a byte at a time.
+                    let (at_once, bytes) = text.split_once('|').unwrap_or((&text, ""));
+                    let sent = stream.get_mut().write_all(at_once.as_bytes());
+                    let sent = sent.and_then(|()| {
+                        bytes.as_bytes().chunks(1).try_for_each(|byte| stream.get_mut().write_all(byte))
+                    });
+                    if sent.is_err() || text.is_empty() {
                         break;
                     }
                 }
@@ -376,6 +406,27 @@
         }
     }
 
+    /// Waits for a line of the log that begins its message so; it gives this reason.
+    pub fn log_tells(&mut self, begins: &str, reason: &str) {
+        // A line that never comes would be waited for without end: the process ends first.
+        let (found, came) = channel::<()>();
+        let process = self.child.id().to_string();
+        thread::spawn(move || {
+            if came.recv_timeout(LONG).is_err_and(|e| e == RecvTimeoutError::Timeout) {
+                let _ = Command::new("kill").args(["-KILL", &process]).status();
+            }
+        });
+        loop {
+            let mut line = String::new();
+            assert!(self.log.read_line(&mut line).expect("text") > 0, "it ended before {begins} {reason}");
+            if line.contains(begins) {
+                assert!(line.contains(reason), "{line} without {reason}");
+                drop(found);
+                return;
+            }
+        }
+    }
+
     /// Where operators call, from the line that tells it.
     pub fn operator(&mut self) -> SocketAddr {
         loop {
--- a/crates/cli/tests/proxy.rs
+++ b/crates/cli/tests/proxy.rs
@@ -350,6 +350,62 @@
     assert!(discovery.asked().contains("index=42&"));
 }
 
+/// The last good list stays in force, a line names the address and the reason, and the list is asked for again.
+#[test]
+fn odd_lists_change_nothing() {
+    let (discovery, host, other) = (Discovery::start(), Host::serving("1"), Host::serving("2"));
+    let mut proxy = Proxy::start(&discovery, &[up("s-1", &host)]);
+    let good = list(42, true, &[up("s-2", &other)]);
+    let odd = [
+        (good[..good.len() - 9].to_owned(), "EOF while parsing"),
+        ("<html>".to_owned(), "expected value"),
+        (good.replace(r#""index":42,"#, ""), "missing field `index`"),
+        (good.replace(r#""name":"s-2","#, ""), "missing field `name`"),
+        (good.replace("\"index\":42", "\"index\":-1"), "invalid value"),
+        (list(42, true, &[up("s-2", &other), up("s-2", &host)]), "s-2 twice"),
+        (format!("{good}{}", " ".repeat(5 << 20)), "length limit exceeded"),
+        (list(40, true, &[up("s-2", &other)]), "version 40 after 41"),
+        // Asked for the whole list.
+        (list(42, false, &[up("s-2", &other)]), "changes where the whole list was asked for"),
+    ];
+    let mut whole = false;
+    for (text, reason) in odd {
+        let question = discovery.asked();
+        assert_eq!(question.contains("index=41&"), !whole, "{question} before {reason}");
+        discovery.tell(&text);
+        proxy.log_tells(&format!("discovery failed address={}", discovery.address), reason);
+        assert_eq!(proxy.call("safe", "2000m").body, b"1", "{reason}");
+        // What a service that has begun anew has is asked for whole.
+        whole |= reason.starts_with("version");
+    }
+    discovery.asked();
+    discovery.tell(&list(40, true, &[up("s-2", &other)]));
+    assert!(discovery.asked().contains("index=40&"));
+    assert_eq!(proxy.call("safe", "2000m").body, b"2", "a whole list is taken whatever its version");
+}
+
+/// Indented, a byte at a time, with entries that nothing can go to: what can be used of it is.
+#[test]
+fn lists_that_come_in_odd_ways_are_taken() {
+    let (discovery, host, other) = (Discovery::start(), Host::serving("1"), Host::serving("2"));
+    let proxy = Proxy::start(&discovery, &[up("s-1", &host)]);
+    let drained = entry("s-1", host.address, "draining", 0);
+    let nowhere = entry("s-0", host.address, "up", 0).replace(&host.address.to_string(), "nowhere");
+    let indented = list(42, false, &[nowhere, drained, up("s-2", &other)])
+        .replace(',', ",\r\n    ")
+        .replace(':', ": ")
+        .replace("127.0.0.1: ", "127.0.0.1:");
+    discovery.asked();
+    let text = answer("200 OK", "", &indented);
+    discovery.say(text.replace("\r\n\r\n", "\r\n\r\n|"));
+    assert!(discovery.asked().contains("index=42&"));
+    assert!((0..20).all(|_| proxy.call("safe", "2000m").body == b"2"));
+    // One that never ends is given up; what it knows stands.
+    discovery.say(text[..text.len() - 9].to_owned());
+    assert!(discovery.asked().contains("index=42&"));
+    assert_eq!(proxy.call("safe", "2000m").body, b"2");
+}
+
 #[test]
 fn a_hangup_moves_the_watch_to_where_discovery_is_now() {
     let (old, new) = (Discovery::start(), Discovery::start());
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -52,6 +52,8 @@
     /// When the list was last confirmed, and from what age on the next line tells that it may be old.
     confirmed: Instant,
     tell_at: Option<Duration>,
+    /// What was last told to have failed, since the list was confirmed.
+    fault: Option<String>,
 }
 
 impl Watcher {
@@ -74,6 +76,7 @@
             begun: None,
             confirmed: now,
             tell_at: None,
+            fault: None,
         }
     }
 
@@ -247,6 +250,7 @@
             info!(age_s = self.confirmed.elapsed().as_secs(), "list confirmed again");
         }
         self.confirmed = Instant::now();
+        self.fault = None;
         Ok(news)
     }
 
@@ -263,14 +267,17 @@
         Instant::now() + terms.spread(self.random.gen())
     }
 
-    /// A call or a watch has failed. The first of a row is told; the others would only repeat it.
+    /// A call or a watch has failed. The same again and again is told once.
     fn failed(&mut self, fault: &str) {
         let address = *self.address.borrow();
         if self.tell_at.is_none() {
             self.tell_at = Some(self.terms().age_most());
-            warn!(%address, reason = fault, "discovery failed");
-        } else {
+        }
+        if self.fault.as_deref() == Some(fault) {
             debug!(%address, reason = fault, "discovery failed");
+        } else {
+            warn!(%address, reason = fault, "discovery failed");
+            self.fault = Some(fault.to_owned());
         }
     }
 
