Play lists that fail on the rig, and judge them by when a change counts as told

Need: the rig counted a change as told when it was written to the proxy, so a client that asks late was never found.

--- a/crates/lab/src/rig/discovery.rs
+++ b/crates/lab/src/rig/discovery.rs
@@ -9,6 +9,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -18,6 +19,11 @@
 /// Longest that a call may wait (PROTOCOL, "Discovery").
 const LONGEST_WAIT: u64 = 60_000;
 
+/// What a watch that fell silent misses counts as told so long after that, and not before so long after its wait
+/// (PROTOCOL, "Figures").
+const SILENCE: Micros = 6_000_000;
+const AFTER_WAIT: Micros = 2_000_000;
+
 /// What an agent does when it is asked.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Mode {
@@ -50,6 +56,13 @@
     index: u64,
     /// By the server's number, with the version at which it last changed.
     members: BTreeMap<usize, (Member, u64)>,
+    /// The version up to which all is told.
+    told: u64,
+    /// Watches that are open, and when the longest wait among them is over.
+    watches: usize,
+    over: Micros,
+    /// While the watches are silent and none has come since: when what they miss counts as told.
+    told_at: Option<Micros>,
 }
 
 /// The agent of one proxy.
@@ -60,6 +73,10 @@
     known: Mutex<Known>,
     version: watch::Sender<u64>,
     mode: watch::Sender<Mode>,
+    /// Counts the times that all open watches fell silent.
+    hushed: watch::Sender<u64>,
+    /// It is on the proxy's own machine: nothing comes between, and what it has counts as told.
+    near: AtomicBool,
     shared: Arc<Shared>,
 }
 
@@ -73,6 +90,8 @@
             known: Mutex::default(),
             version: watch::Sender::new(0),
             mode: watch::Sender::default(),
+            hushed: watch::Sender::default(),
+            near: AtomicBool::new(true),
             shared: Arc::clone(shared),
         });
         tokio::spawn(Arc::clone(&agent).accept(listener));
@@ -107,11 +126,42 @@
         let index = known.index;
         known.members.insert(server, (member, index));
         self.version.send_replace(index);
+        self.count(known);
     }
 
     /// What it does when it is asked, from now on.
     pub fn turn(&self, mode: Mode) {
         self.mode.send_replace(mode);
+        self.count(&mut self.known());
+    }
+
+    /// A relay is between it and its proxy: only what is written there counts as told.
+    pub fn far(&self) {
+        self.near.store(false, Ordering::Relaxed);
+    }
+
+    /// All open watches fall silent, for ever.
+    pub fn hush(&self) {
+        let mut known = self.known();
+        if known.watches > 0 {
+            known.told_at = Some((self.shared.now() + SILENCE).max(known.over + AFTER_WAIT));
+        }
+        self.hushed.send_modify(|times| *times += 1);
+    }
+
+    /// Counts as told what it has, while it answers: at once, or when silent watches were to be noticed.
+    fn count(&self, known: &mut Known) {
+        if *self.mode.borrow() != Mode::Well || !self.near.load(Ordering::Relaxed) {
+            return;
+        }
+        let new = known.members.iter().filter(|(_, (_, index))| *index > known.told);
+        let entries: Vec<(usize, State)> = new.map(|(&server, (member, _))| (server, member.state)).collect();
+        known.told = known.index;
+        if !entries.is_empty() {
+            let now = self.shared.now();
+            let at = known.told_at.map_or(now, |at| at.max(now));
+            self.shared.saw(Seen::Told { proxy: self.proxy, at, entries });
+        }
     }
 
     /// What it holds, as a whole list, or as changes since a version; and what that tells.
@@ -179,10 +229,16 @@
             let since = figure("index");
             if let Some(since) = since {
                 let wait = Duration::from_millis(figure("wait").unwrap_or(0).min(LONGEST_WAIT));
-                let mut version = self.version.subscribe();
-                tokio::select! {
-                    _ = tokio::time::timeout(wait, version.wait_for(|v| *v > since)) => {}
+                let (mut version, mut hushed) = (self.version.subscribe(), self.hushed.subscribe());
+                let _watch = Watch::open(&self, wait);
+                let silent = tokio::select! {
+                    _ = tokio::time::timeout(wait, version.wait_for(|v| *v > since)) => false,
+                    _ = hushed.changed() => true,
                     () = http::closed(&stream) => return,
+                };
+                if silent {
+                    http::closed(&stream).await;
+                    return;
                 }
             }
             let mode = {
@@ -200,6 +256,8 @@
                 _ if !path.starts_with("/catalog/members") => (http::answer(404, "", ""), Vec::new()),
                 _ => {
                     let (list, told) = self.list(since);
+                    // Whoever asks has noticed that its watch was silent.
+                    self.known().told_at = None;
                     (http::answer(200, "Content-Type: application/json\r\n", &list.to_string()), told)
                 }
             };
@@ -210,3 +268,25 @@
         }
     }
 }
+
+/// A watch that is open.
+struct Watch<'a>(&'a Agent);
+
+impl<'a> Watch<'a> {
+    fn open(agent: &'a Agent, wait: Duration) -> Self {
+        let mut known = agent.known();
+        known.watches += 1;
+        known.over = known.over.max(agent.shared.now() + wait.as_micros() as Micros);
+        Watch(agent)
+    }
+}
+
+impl Drop for Watch<'_> {
+    fn drop(&mut self) {
+        let mut known = self.0.known();
+        known.watches -= 1;
+        if known.watches == 0 {
+            known.over = 0;
+        }
+    }
+}
--- a/crates/lab/src/rig/events.rs
+++ b/crates/lab/src/rig/events.rs
@@ -74,6 +74,10 @@
                 self.site.shared.until(end).await;
                 met.iter().for_each(|&proxy| self.site.agents[proxy].turn(Mode::Well));
             }
+            What::WatchesSilent => {
+                let met = self.site.met_proxies(&Trouble { zone: None, ..event.clone() });
+                met.iter().for_each(|&proxy| self.site.agents[proxy].hush());
+            }
             What::ListDiffers => {
                 let met = self.site.met_proxies(&Trouble { zone: None, ..event.clone() });
                 let hidden = self.site.met_servers(&event);
--- a/crates/lab/src/rig/judge.rs
+++ b/crates/lab/src/rig/judge.rs
@@ -108,6 +108,8 @@
     tries: Vec<Try>,
     done: Vec<(usize, Micros, TryEnd)>,
     told: HashMap<(usize, usize), Vec<(Micros, State)>>,
+    /// How long after that was told the last attempt of a proxy went to a server that left.
+    after_told: BTreeMap<(usize, usize), Micros>,
     signals: HashMap<usize, Vec<(Micros, Signal)>>,
     rules: BTreeMap<&'static str, u64>,
     stories: Vec<String>,
@@ -129,6 +131,7 @@
         tries: Vec::new(),
         done: Vec::new(),
         told: HashMap::new(),
+        after_told: BTreeMap::new(),
         signals: HashMap::new(),
         rules: RULES.map(|rule| (rule, 0)).into(),
         stories: Vec::new(),
@@ -142,6 +145,8 @@
     for seen in seen {
         evidence.sort(seen, &mut later);
     }
+    // What a silent watch misses is noted ahead of when it counts.
+    evidence.told.values_mut().for_each(|told| told.sort_by_key(|(at, _)| *at));
     for (rule, at, story) in later {
         evidence.broke(rule, at, story);
     }
@@ -346,6 +351,8 @@
     fn places(&mut self) {
         let grace = self.shared.day.discovery.drain_grace + SLACK;
         let mut found = Vec::new();
+        let left = self.told.iter().filter(|(_, told)| told.iter().any(|(_, state)| *state != State::Ready));
+        self.after_told = left.map(|(pair, _)| (*pair, 0)).collect();
         for attempt in self.attempts.values() {
             let proxy = self.shared.arrivals[attempt.request].proxy;
             let told = self.told.get(&(proxy, attempt.server)).map_or(&[][..], Vec::as_slice);
@@ -361,6 +368,9 @@
             let late = since.map(|since| {
                 (attempt.first - since).saturating_sub(self.stalled(proxy, since, attempt.first))
             });
+            if let (Some(late), Some(most)) = (late, self.after_told.get_mut(&(proxy, attempt.server))) {
+                *most = late.max(*most);
+            }
             if let Some(late) = late.filter(|late| *late > grace) {
                 let story =
                     format!("{name}: {:.3} s after word that it drains or is gone", late as f64 / 1e6);
@@ -476,6 +486,15 @@
         if let Some(recover) = self.recover(&seconds) {
             put("recover.s", recover as f64);
         }
+        let mut after: Vec<Micros> = self.after_told.values().copied().collect();
+        after.sort_unstable();
+        let quantile =
+            |q: f64| after.get(((after.len() as f64 * q) as usize).min(after.len().saturating_sub(1)));
+        for (name, q) in [("p50", 0.5), ("p99", 0.99), ("most", 1.0)] {
+            if let Some(&after) = quantile(q) {
+                put(&format!("list.told_to_last_{name}_ms"), after as f64 / 1e3);
+            }
+        }
         put("rig.late_p99_ms", self.late.by.value_at_quantile(0.99) as f64 / 1e3);
         put("rig.unjudged", self.unjudged as f64);
         put("rig.late_max_ms", self.late.by.max() as f64 / 1e3);
--- a/crates/lab/src/rig/site.rs
+++ b/crates/lab/src/rig/site.rs
@@ -93,6 +93,11 @@
         }
         let luck = Mutex::new(chance::stream(shared.seed, Part::Faults));
         let site = Site { machines: Mutex::new(machines), relays, agents, luck, shared: Arc::clone(shared) };
+        for (proxy, agent) in site.agents.iter().enumerate() {
+            if site.relays.contains_key(&(proxy, None)) {
+                agent.far();
+            }
+        }
         for machine in site.machines().iter() {
             for (proxy, agent) in site.agents.iter().enumerate() {
                 agent.news(machine.number, site.member(proxy, machine, State::Ready));
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -392,6 +392,8 @@
     ListSilent,
     /// Discovery answers 503 to a share of the client proxies.
     ListUnavailable,
+    /// The open watches of a share of the client proxies fall silent; new ones are answered.
+    WatchesSilent,
     /// A share of the client proxies are told that the servers of a zone, or a tenth of all, are gone, though they serve.
     ListDiffers,
     /// Nothing passes between two groups.
@@ -403,10 +405,18 @@
 impl What {
     /// It is played on sockets only.
     pub fn on_sockets(self) -> bool {
-        use What::{Cut, Kill, Link, ListDiffers, ListSilent, ListUnavailable, Restart, Stall, Upgrade};
+        use What::*;
         matches!(
             self,
-            Kill | Stall | Restart | Upgrade | ListSilent | ListUnavailable | ListDiffers | Cut | Link
+            Kill | Stall
+                | Restart
+                | Upgrade
+                | ListSilent
+                | ListUnavailable
+                | WatchesSilent
+                | ListDiffers
+                | Cut
+                | Link
         )
     }
 }
