See that lists of a thousand hosts are taken within the least memory, at a linear cost

Need: no cap under 1,024 on servers, and cost and memory of long lists known. Audit of all crates that run builds: no cap on servers or processes; a list may hold 4 MiB, 4 KiB an entry for 1,024.

--- a/crates/cli/tests/list_terms.rs
+++ b/crates/cli/tests/list_terms.rs
@@ -230,6 +230,58 @@
     assert_eq!(other.of("9b1f03aa").len(), 1);
 }
 
+/// Lists of a thousand and more are taken within the least memory and the fewest descriptors that a configuration may
+/// state, and a change of one entry among them is obeyed. With `--nocapture` it prints what they cost.
+#[test]
+fn lists_of_a_thousand() {
+    const TIMES: u64 = 60;
+    let (host, listen) = (Noting::start(), "127.0.0.1:0".parse().expect("an address"));
+    for hosts in [10, 300, 1_024, 2_048] {
+        let absent = nobody();
+        let named = |place: usize| format!("s-{place:08x}");
+        let others = |since| -> Vec<(String, String)> {
+            (1..hosts).map(|p| (named(p), entry(&named(p), absent, "draining", since))).collect()
+        };
+        let own = |status| vec![(named(0), entry(&named(0), host.host.address, status, 0))];
+        let agent = Agent::start(&[own("up"), others(0)].concat());
+        let text = config(listen, agent.address, 256, &[])
+            .replace(r#""discovery":"ask","#, r#""discovery":"push","#)
+            .replace(r#""memory_mb":192"#, r#""memory_mb":32"#);
+        let proxy = Proxy::with(&text);
+        agent.watched();
+        let process = format!("/proc/{}", proxy.child.id());
+        let ticks = || -> u64 {
+            let stat = std::fs::read_to_string(format!("{process}/stat")).expect("it runs");
+            let fields = stat.rsplit(')').next().unwrap_or_default().split_whitespace();
+            fields.skip(11).take(2).map(|t| t.parse::<u64>().expect("ticks")).sum()
+        };
+        let cost = |changes: &dyn Fn(u64) -> Vec<(String, String)>| {
+            let before = ticks();
+            for time in 1..=TIMES {
+                agent.change(&changes(time));
+                agent.watched();
+            }
+            (ticks() - before) as f64 * 10.0 / TIMES as f64
+        };
+        let whole = cost(&others);
+        let one = cost(&|time| others(time + TIMES).into_iter().take(1).collect());
+        assert_eq!(proxy.call("safe", "2000m").status(), 200);
+        agent.change(&own("draining"));
+        agent.watched();
+        let before = host.of("9b1f03aa").len();
+        assert_ne!(proxy.call("safe", "300m").status(), 200, "one entry among {hosts}");
+        assert_eq!(host.of("9b1f03aa").len(), before);
+        let status = std::fs::read_to_string(format!("{process}/status")).expect("it runs");
+        let most: u64 = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmHWM:")?.trim().strip_suffix("kB")?.trim().parse().ok())
+            .expect("its memory");
+        let open = std::fs::read_dir(format!("{process}/fd")).expect("it runs").count();
+        println!("{hosts} hosts: {most} kB, {open} descriptors, ms: all changed {whole:.2}, one {one:.2}");
+        assert!(most < 32 << 10 && open < 32, "{most} kB, {open} descriptors with {hosts}");
+    }
+}
+
 /// The judge finds a client that is late, whatever it is late for.
 #[test]
 fn a_list_that_is_taken_late_is_found() {
--- a/crates/cli/tests/peers/agent.rs
+++ b/crates/cli/tests/peers/agent.rs
@@ -19,8 +19,8 @@
     /// Counts the times that all open calls were swallowed or reset.
     hushed: u64,
     reset: u64,
-    /// Open watches: when each was made, and its wait.
-    open: Vec<(Instant, Duration)>,
+    /// Open watches: when each was made, its wait, and the version that it knows.
+    open: Vec<(Instant, Duration, u64)>,
     calls: usize,
     /// Every answer comes so much late: as a client that is late would look from outside.
     late: Duration,
@@ -81,7 +81,7 @@
             has.hushed += 1;
             std::mem::take(&mut has.open)
         });
-        let after = |(at, wait)| at + wait + Duration::from_secs(2);
+        let after = |(at, wait, _)| at + wait + Duration::from_secs(2);
         open.into_iter().map(after).fold(now + Duration::from_secs(6), Instant::max)
     }
 
@@ -97,7 +97,7 @@
     /// Waits until a watch is open that knows the newest version.
     pub fn watched(&self) {
         let mut has = self.has();
-        while has.open.is_empty() {
+        while !has.open.iter().any(|(_, _, index)| *index == has.index) {
             has = self.has.1.wait_timeout(has, super::LONG).expect("no panic holds it").0;
         }
     }
@@ -132,7 +132,8 @@
         let hushed = has.hushed;
         let watch = index == Some(has.index) && !has.down && wait > Duration::from_millis(100);
         if watch {
-            has.open.push((asked, wait));
+            let knows = has.index;
+            has.open.push((asked, wait, knows));
             self.has.1.notify_all();
         }
         loop {
@@ -149,7 +150,7 @@
             has = self.has.1.wait_timeout(has, left).expect("no panic holds it").0;
         }
         if watch {
-            has.open.retain(|w| *w != (asked, wait));
+            has.open.retain(|w| (w.0, w.1) != (asked, wait));
         }
         let (version, late) = (has.index, has.late);
         let news = has.entries.values().filter(|(at, _)| index.is_none_or(|index| *at > index));
