--- a/crates/lab/src/rig/discovery.rs
+++ b/crates/lab/src/rig/discovery.rs
@@ -219,6 +219,7 @@
     async fn connection(self: Arc<Self>, mut stream: TcpStream) {
         let mut buffer = BytesMut::new();
         while let Ok(message) = http::read(&mut stream, &mut buffer, Side::Asks).await {
+            self.shared.saw(Seen::Asked);
             let path = message.first.1;
             let figure = |key: &str| {
                 let (_, query) = path.split_once('?')?;
--- a/crates/lab/src/rig/judge.rs
+++ b/crates/lab/src/rig/judge.rs
@@ -110,6 +110,7 @@
     told: HashMap<(usize, usize), Vec<(Micros, State)>>,
     /// How long after that was told the last attempt of a proxy went to a server that left.
     after_told: BTreeMap<(usize, usize), Micros>,
+    list_calls: u64,
     signals: HashMap<usize, Vec<(Micros, Signal)>>,
     rules: BTreeMap<&'static str, u64>,
     stories: Vec<String>,
@@ -132,6 +133,7 @@
         done: Vec::new(),
         told: HashMap::new(),
         after_told: BTreeMap::new(),
+        list_calls: 0,
         signals: HashMap::new(),
         rules: RULES.map(|rule| (rule, 0)).into(),
         stories: Vec::new(),
@@ -194,6 +196,7 @@
                     self.told.entry((proxy, server)).or_default().push((at, state));
                 }
             }
+            Seen::Asked => self.list_calls += 1,
             Seen::Process { proxy, at, what } => {
                 if what == Signal::Crashed {
                     later.push(("no_crash", at, format!("proxy {proxy} ended by itself")));
@@ -495,6 +498,7 @@
                 put(&format!("list.told_to_last_{name}_ms"), after as f64 / 1e3);
             }
         }
+        put("list.calls_per_proxy", self.list_calls as f64 / day.balancers as f64);
         put("rig.late_p99_ms", self.late.by.value_at_quantile(0.99) as f64 / 1e3);
         put("rig.unjudged", self.unjudged as f64);
         put("rig.late_max_ms", self.late.by.max() as f64 / 1e3);
--- a/crates/lab/src/rig/record.rs
+++ b/crates/lab/src/rig/record.rs
@@ -105,6 +105,8 @@
     Extra { proxy: usize, at: Micros },
     /// The list was told to a proxy.
     Told { proxy: usize, at: Micros, entries: Vec<(usize, State)> },
+    /// A proxy called for the list.
+    Asked,
     /// A process was met by a signal, or ended.
     Process { proxy: usize, at: Micros, what: Signal },
     /// What a proxy says of its peers.
