Ask an agent that answers 503 with the module's pause, as it speaks for a full service

Change: a refusal is told apart from silence, a reset and an odd list; after it the module says when to ask again.

--- a/crates/cli/tests/list_terms.rs
+++ b/crates/cli/tests/list_terms.rs
@@ -180,6 +180,27 @@
     assert!(latest <= WINDOW + SLACK, "{latest:?}");
 }
 
+/// Agents that answer 503 speak for a service that is full: they are asked with a pause, and followed again afterwards.
+#[test]
+fn agents_that_are_full() {
+    let fleet = Fleet::start();
+    let calls = || -> usize { fleet.agents.iter().map(Agent::calls).sum() };
+    let before = calls();
+    fleet.agents.iter().for_each(|agent| agent.full(true));
+    fleet.agents.iter().for_each(Agent::reset);
+    thread::sleep(Duration::from_secs(3));
+    let asked = calls() - before;
+    assert!(
+        (PROCESSES..PROCESSES * 4).contains(&asked),
+        "{asked} calls in 3 s, where a silent agent gets 24 each"
+    );
+    fleet.agents.iter().for_each(|agent| agent.full(false));
+    fleet.leave();
+    fleet.agents.iter().for_each(Agent::watched);
+    let latest = fleet.judge(&all(Instant::now()));
+    assert!(latest <= WINDOW + SLACK, "{latest:?}");
+}
+
 /// After SIGHUP the old agent tells nothing more; the new one has a change, and is silent at first.
 #[test]
 fn agents_that_moved() {
--- a/crates/cli/tests/peers/agent.rs
+++ b/crates/cli/tests/peers/agent.rs
@@ -16,6 +16,8 @@
     entries: BTreeMap<String, (u64, String)>,
     /// Calls are swallowed: neither now nor later does an answer come.
     down: bool,
+    /// Calls are answered 503.
+    full: bool,
     /// Counts the times that all open calls were swallowed or reset.
     hushed: u64,
     reset: u64,
@@ -70,6 +72,10 @@
         self.with(|has| has.down = down);
     }
 
+    pub fn full(&self, full: bool) {
+        self.with(|has| has.full = full);
+    }
+
     pub fn late(&self, late: Duration) {
         self.with(|has| has.late = late);
     }
@@ -125,7 +131,8 @@
                 while read(&mut stream).is_some() {}
                 return;
             }
-            let _ = stream.get_mut().write_all(answer("200 OK", "", &text).as_bytes());
+            let status = if self.has().full { "503 Service Unavailable" } else { "200 OK" };
+            let _ = stream.get_mut().write_all(answer(status, "", &text).as_bytes());
         }
     }
 
--- a/crates/proxy/src/discovery/call.rs
+++ b/crates/proxy/src/discovery/call.rs
@@ -15,6 +15,30 @@
 /// Most bytes of a list: 4 KiB an entry, ten times what an indented one takes, for 1,024 entries.
 const LIST_MOST: usize = 4 << 20;
 
+/// Why a call brought no list.
+#[derive(Debug)]
+pub enum Fault {
+    /// The service answers that it has none to give now: it is full.
+    Refused(StatusCode),
+    /// All else, in words.
+    Failed(String),
+}
+
+impl From<String> for Fault {
+    fn from(reason: String) -> Self {
+        Fault::Failed(reason)
+    }
+}
+
+impl std::fmt::Display for Fault {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Fault::Refused(status) => write!(f, "answered {status}"),
+            Fault::Failed(reason) => f.write_str(reason),
+        }
+    }
+}
+
 /// A connection to discovery.
 pub struct Link {
     address: SocketAddr,
@@ -52,7 +76,7 @@
     }
 
     /// Asks for what is newer than this version, and waits so long for it; without one, for the whole list.
-    pub async fn ask(&mut self, index: Option<u64>, wait: Duration) -> Result<List, String> {
+    pub async fn ask(&mut self, index: Option<u64>, wait: Duration) -> Result<List, Fault> {
         let path = match index {
             Some(index) => format!("/catalog/members?index={index}&wait={}", wait.as_millis()),
             None => "/catalog/members".to_owned(),
@@ -61,9 +85,9 @@
         let request = request.map_err(|e| e.to_string())?;
         let answer = self.sender.send_request(request).await.map_err(|e| e.to_string())?;
         if answer.status() != StatusCode::OK {
-            return Err(format!("answered {}", answer.status()));
+            return Err(Fault::Refused(answer.status()));
         }
         let body = Limited::new(answer.into_body(), LIST_MOST).collect().await.map_err(|e| e.to_string())?;
-        serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("odd list: {e}"))
+        Ok(serde_json::from_slice(&body.to_bytes()).map_err(|e| format!("odd list: {e}"))?)
     }
 }
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -7,7 +7,7 @@
 use crate::driver::Driver;
 use crate::list::List;
 use crate::upgrade::Shared;
-use call::Link;
+use call::{Fault, Link};
 use oakport_core::ListKind;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg32;
@@ -32,7 +32,7 @@
 
 /// An answer with the connection it came on.
 type Caught = (Link, List);
-type Call = Pin<Box<dyn Future<Output = Result<Caught, String>>>>;
+type Call = Pin<Box<dyn Future<Output = Result<Caught, Fault>>>>;
 
 /// The discovery client of one process.
 pub struct Watcher {
@@ -120,7 +120,7 @@
                     }
                     Err(fault) => fault,
                 },
-                Ok(Err(fault)) => fault,
+                Ok(Err(fault)) => fault.to_string(),
                 Err(_) => "no answer".to_owned(),
             };
             return self.broke(&fault, terms, opened.elapsed() < terms.patience());
@@ -142,6 +142,7 @@
         // has swallowed the first and come back since.
         let mut calls: [Option<Call>; 2] = [None, None];
         let mut next = Instant::now();
+        let mut full = false;
         if let Some(begun) = self.begun {
             next = next.max(begun + self.terms().pace(self.random.gen()));
         }
@@ -153,9 +154,22 @@
                 }
                 answer = either(&mut calls) => match answer {
                     Ok(caught) => return Some(caught),
-                    Err(fault) => self.failed(&fault),
+                    Err(fault) => {
+                        self.failed(&fault.to_string());
+                        if let Fault::Refused(_) = fault {
+                            // It speaks for a service that is full, which calls at this pace would keep full. The module
+                            // says when to ask again.
+                            full = true;
+                            calls = [None, None];
+                            self.driver.members_failed();
+                        }
+                    }
                 },
-                () = sleep_until(next) => {
+                () = self.driver.subscribed(), if full => {
+                    full = false;
+                    next = Instant::now();
+                }
+                () = sleep_until(next), if !full => {
                     let terms = self.terms();
                     if !terms.pushed {
                         self.due = Some(next);
@@ -193,7 +207,7 @@
         };
         match answer {
             Ok(caught) => return Some(caught),
-            Err(fault) => self.failed(&fault),
+            Err(fault) => self.failed(&fault.to_string()),
         }
         self.tell_age(terms);
         if begun < self.keen_until {
@@ -206,14 +220,17 @@
     }
 
     /// A call for what is there already, on a connection of its own.
-    fn catch_up(&self, terms: Terms) -> impl Future<Output = Result<Caught, String>> + 'static {
+    fn catch_up(&self, terms: Terms) -> impl Future<Output = Result<Caught, Fault>> + 'static {
         let (address, index) = (*self.address.borrow(), self.index);
         let call = async move {
             let mut link = Link::open(address).await?;
             let list = link.ask(index, NO_WAIT).await?;
             Ok((link, list))
         };
-        async move { timeout(terms.patience(), call).await.unwrap_or_else(|_| Err("no answer".to_owned())) }
+        async move {
+            let silent = |_| Err(Fault::Failed("no answer".to_owned()));
+            timeout(terms.patience(), call).await.unwrap_or_else(silent)
+        }
     }
 
     fn terms(&self) -> Terms {
@@ -292,7 +309,7 @@
 }
 
 /// The answer of whichever call ends first; its place is free then.
-async fn either(calls: &mut [Option<Call>; 2]) -> Result<Caught, String> {
+async fn either(calls: &mut [Option<Call>; 2]) -> Result<Caught, Fault> {
     poll_fn(|cx| {
         for place in calls.iter_mut() {
             if let Some(Poll::Ready(answer)) = place.as_mut().map(|call| call.as_mut().poll(cx)) {
