Spare a shared service the catch-up call but after silence, and pause where it refuses

A watch refused after 2 s in the queue was opened anew within 1 s as if broken. Change: where lists are asked for, a catch-up call goes out only after silence; a refusal always leads to the module's pause.

--- a/crates/proxy/src/classes.rs
+++ b/crates/proxy/src/classes.rs
@@ -14,7 +14,7 @@
 impl Classes {
     /// As the first settings name them, with those settings for the module.
     pub fn new(facts: Facts) -> (Self, Settings) {
-        let settings = on_sockets(facts.settings);
+        let settings = facts.settings;
         let specs = settings.classes.clone();
         (Classes { names: facts.classes, specs, tenants: facts.tenants }, settings)
     }
@@ -32,7 +32,7 @@
             }
         }
         self.tenants = facts.tenants;
-        on_sockets(Settings { classes: self.specs.clone(), ..facts.settings })
+        Settings { classes: self.specs.clone(), ..facts.settings }
     }
 
     /// The class of this name, if the settings in force have one.
@@ -55,11 +55,6 @@
     }
 }
 
-/// On sockets the list comes by a watch at every site: the module says when to ask again of a service that fails.
-fn on_sockets(settings: Settings) -> Settings {
-    Settings { ask: true, ..settings }
-}
-
 fn place(all: &[String], name: &str) -> Option<usize> {
     all.iter().position(|n| n == name)
 }
--- a/crates/proxy/src/discovery/call.rs
+++ b/crates/proxy/src/discovery/call.rs
@@ -20,6 +20,8 @@
 pub enum Fault {
     /// The service answers that it has none to give now: it is full.
     Refused(StatusCode),
+    /// No answer in its time.
+    Silent,
     /// All else, in words.
     Failed(String),
 }
@@ -34,6 +36,7 @@
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
             Fault::Refused(status) => write!(f, "answered {status}"),
+            Fault::Silent => f.write_str("no answer"),
             Fault::Failed(reason) => f.write_str(reason),
         }
     }
--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -47,6 +47,8 @@
     due: Option<Instant>,
     /// Until then a shared service that fails is asked again by `due`.
     keen_until: Instant,
+    /// What failed last was silence: a call that may wait would not tell it from no news.
+    silent: bool,
     /// When an agent was last begun to be asked.
     begun: Option<Instant>,
     /// When the list was last confirmed, and from what age on the next line tells that it may be old.
@@ -73,6 +75,7 @@
             random: Pcg32::seed_from_u64(seed),
             due: Some(now),
             keen_until: now,
+            silent: false,
             begun: None,
             confirmed: now,
             tell_at: None,
@@ -90,7 +93,7 @@
             if let Some((link, list)) = caught {
                 match self.take(list) {
                     Ok(_) => self.watch(link).await,
-                    Err(fault) => self.broke(&fault, terms, true),
+                    Err(fault) => self.broke(&fault.into(), terms, true),
                 }
             }
         }
@@ -118,20 +121,22 @@
                         }
                         continue;
                     }
-                    Err(fault) => fault,
+                    Err(fault) => fault.into(),
                 },
-                Ok(Err(fault)) => fault.to_string(),
-                Err(_) => "no answer".to_owned(),
+                Ok(Err(fault)) => fault,
+                Err(_) => Fault::Silent,
             };
             return self.broke(&fault, terms, opened.elapsed() < terms.patience());
         }
     }
 
-    /// A watch broke. A shared service whose watches break as soon as they are open is one that fails.
-    fn broke(&mut self, fault: &str, terms: Terms, at_once: bool) {
-        self.failed(fault);
-        self.due = (!at_once).then(|| self.spread(terms));
-        if at_once && !terms.pushed {
+    /// A watch broke. A shared service that refuses, or whose watches break as soon as they are open, is one that fails.
+    fn broke(&mut self, fault: &Fault, terms: Terms, at_once: bool) {
+        self.failed(&fault.to_string());
+        let fails = at_once || matches!(fault, Fault::Refused(_));
+        self.due = (!fails).then(|| self.spread(terms));
+        self.silent = matches!(fault, Fault::Silent);
+        if fails && !terms.pushed {
             self.driver.members_failed();
         }
     }
@@ -142,7 +147,6 @@
         // has swallowed the first and come back since.
         let mut calls: [Option<Call>; 2] = [None, None];
         let mut next = Instant::now();
-        let mut full = false;
         if let Some(begun) = self.begun {
             next = next.max(begun + self.terms().pace(self.random.gen()));
         }
@@ -154,22 +158,9 @@
                 }
                 answer = either(&mut calls) => match answer {
                     Ok(caught) => return Some(caught),
-                    Err(fault) => {
-                        self.failed(&fault.to_string());
-                        if let Fault::Refused(_) = fault {
-                            // It speaks for a service that is full, which calls at this pace would keep full. The module
-                            // says when to ask again.
-                            full = true;
-                            calls = [None, None];
-                            self.driver.members_failed();
-                        }
-                    }
+                    Err(fault) => self.failed(&fault.to_string()),
                 },
-                () = self.driver.subscribed(), if full => {
-                    full = false;
-                    next = Instant::now();
-                }
-                () = sleep_until(next), if !full => {
+                () = sleep_until(next) => {
                     let terms = self.terms();
                     if !terms.pushed {
                         self.due = Some(next);
@@ -178,7 +169,7 @@
                     self.begun = Some(next);
                     self.tell_age(terms);
                     next = Instant::now() + terms.pace(self.random.gen());
-                    calls[usize::from(calls[0].is_some())] = Some(Box::pin(self.catch_up(terms)));
+                    calls[usize::from(calls[0].is_some())] = Some(Box::pin(self.catch_up(NO_WAIT, terms)));
                 }
             }
         }
@@ -197,7 +188,9 @@
         }
         let begun = Instant::now();
         self.due = None;
-        let call = self.catch_up(terms);
+        // Each call costs a shared service: only after silence is what it has asked for ahead of the next watch.
+        let wait = if self.silent { NO_WAIT } else { terms.wait() };
+        let call = self.catch_up(wait, terms);
         let answer = tokio::select! {
             answer = call => answer,
             () = moved(&mut self.address) => {
@@ -205,32 +198,46 @@
                 return None;
             }
         };
-        match answer {
-            Ok(caught) => return Some(caught),
-            Err(fault) => self.failed(&fault.to_string()),
-        }
+        let fault = match answer {
+            Ok(caught) => {
+                self.silent = false;
+                return Some(caught);
+            }
+            Err(fault) => fault,
+        };
         self.tell_age(terms);
+        if !self.silent && begun.elapsed() >= wait {
+            self.broke(&fault, terms, false);
+            return None;
+        }
+        self.failed(&fault.to_string());
+        self.silent = matches!(fault, Fault::Silent);
         if begun < self.keen_until {
             self.due = Some(self.spread(terms));
-        } else if begun.elapsed() >= terms.patience() {
+        } else if self.silent {
             self.due = Some(begun + terms.after_silence(self.random.gen()));
         }
         self.driver.members_failed();
         None
     }
 
-    /// A call for what is there already, on a connection of its own.
-    fn catch_up(&self, terms: Terms) -> impl Future<Output = Result<Caught, Fault>> + 'static {
+    /// A call for what is new, on a connection of its own; with the shortest wait it catches up.
+    fn catch_up(
+        &self,
+        wait: Duration,
+        terms: Terms,
+    ) -> impl Future<Output = Result<Caught, Fault>> + 'static {
         let (address, index) = (*self.address.borrow(), self.index);
+        let patience = match index {
+            Some(_) if wait > NO_WAIT => wait + terms::LATE,
+            _ => terms.patience(),
+        };
         let call = async move {
             let mut link = Link::open(address).await?;
-            let list = link.ask(index, NO_WAIT).await?;
+            let list = link.ask(index, wait).await?;
             Ok((link, list))
         };
-        async move {
-            let silent = |_| Err(Fault::Failed("no answer".to_owned()));
-            timeout(terms.patience(), call).await.unwrap_or_else(silent)
-        }
+        async move { timeout(patience, call).await.unwrap_or(Err(Fault::Silent)) }
     }
 
     fn terms(&self) -> Terms {
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -31,8 +31,6 @@
     /// The settings in force, and what the sockets go by.
     settings: Settings,
     transport: Transport,
-    /// Lists are asked for of one service, not pushed to an agent of one's own.
-    asked: bool,
     /// Client proxies counted, where peers tell of them; it goes before the settings' number.
     live: Option<u32>,
     /// New requests are taken.
@@ -58,13 +56,11 @@
 impl Driver {
     pub fn new(seed: u64, facts: Facts, clock: Clock, pool: Rc<Pool>, figures: Rc<Figures>) -> Self {
         let transport = facts.transport;
-        let asked = facts.settings.ask;
         let (classes, settings) = Classes::new(facts);
         let core = Core {
             balancer: Balancer::new(seed, settings.clone()),
             settings,
             transport,
-            asked,
             live: None,
             calls: Calls::new(Rc::clone(&figures)),
             figures,
@@ -96,7 +92,6 @@
         let mut core = self.core.borrow_mut();
         core.max_open = facts.transport.max_open;
         core.transport = facts.transport;
-        core.asked = facts.settings.ask;
         core.settings = core.classes.retune(facts);
         drop(core);
         self.settle();
@@ -228,7 +223,7 @@
     /// Whether lists are asked for, and the rules' figures, by the settings in force.
     pub fn list_rules(&self) -> (bool, Rules) {
         let core = self.core.borrow();
-        (core.asked, core.settings.rules)
+        (core.settings.ask, core.settings.rules)
     }
 
     /// Asking for the list failed: the module says when to ask again. What it said before is overtaken.
