Begin no repeat after the window in which servers drop it

Cause: the module looks at the window (`balance/retry.rs`, `may_go`) when it decides; the attempt may begin as late as its connection comes up, up to `connect_timeout_us` after that, and `Calls::may_start` asked only for its time and its host. Ruled out: the class in force, which a call keeps from its arrival. Change: `Action::Send` says by when an attempt must have been sent (`by`), and `may_start` obeys.

--- a/crates/adapter/src/main.rs
+++ b/crates/adapter/src/main.rs
@@ -186,7 +186,7 @@
 fn command(proxy: i64, instance: &mut Instance, action: Action) -> Option<Command> {
     let word = |id: CallId, names: &HashMap<CallId, Name>| names.get(&id).map(|n| n.word.clone());
     Some(match action {
-        Action::Send { call, server, until } => {
+        Action::Send { call, server, until, .. } => {
             let name = instance.names.get_mut(&call)?;
             name.out += 1;
             Command::Route { proxy, call: name.word.clone(), host: server.0, stop_at_us: until }
--- a/crates/core/examples/recorded.rs
+++ b/crates/core/examples/recorded.rs
@@ -107,7 +107,7 @@
 
     fn act(&mut self, action: Action) {
         match action {
-            Action::Send { call, server, until } => {
+            Action::Send { call, server, until, .. } => {
                 let attempt = self.attempts.entry(call).or_default();
                 let number = *attempt;
                 *attempt += 1;
--- a/crates/core/src/api.rs
+++ b/crates/core/src/api.rs
@@ -434,6 +434,8 @@
         server: ServerId,
         /// When the attempt times out (a moment); `None`: with the client's patience.
         until: Option<Micros>,
+        /// It must have been sent before this moment, if at all: later servers no longer drop it as a repeat.
+        by: Option<Micros>,
     },
     /// End the call unserved; it may safely come again.
     Refuse {
--- a/crates/core/src/balance/retry.rs
+++ b/crates/core/src/balance/retry.rs
@@ -22,6 +22,12 @@
         }
     }
 
+    /// Until when may another attempt be sent, where a server drops repeats for a while only?
+    pub(super) fn window_end(&self, tick: Micros) -> Option<Micros> {
+        let Repeat::Guarded { window, .. } = self.class.repeat else { return None };
+        self.binding().map(|first| first.sent.saturating_add(window).saturating_sub(tick))
+    }
+
     pub(super) fn may_be_refused(&self) -> bool {
         let harmless = matches!(self.class.repeat, Repeat::Free | Repeat::Guarded { scope: Scope::All, .. });
         harmless || self.binding().is_none()
--- a/crates/core/src/balance/route.rs
+++ b/crates/core/src/balance/route.rs
@@ -177,7 +177,9 @@
         server.in_flight += 1;
         server.in_hand += 1.0;
         server.budget.trial_out |= trial;
+        let tick = self.settings.tick;
         let Some(call) = self.calls.get_mut(id) else { return };
+        let by = call.window_end(tick);
         let (server, zone, cell) = (server.id, server.zone, server.cell);
         let (flows, effect) = (false, Effect::Out);
         call.attempts.push(Attempt { server, zone, cell, sent: self.now, trial, crowd, flows, effect });
@@ -186,7 +188,7 @@
         let (aim, arrived) = (call.aim_at(), call.arrived);
         let (deadline, usual) = (call.deadline, self.classes.usual(class_id, self.calls[id].class.aim));
         let until = (aim < deadline && aim as f64 > self.now as f64 + usual).then_some(aim);
-        self.actions.push(Action::Send { call: id, server, until });
+        self.actions.push(Action::Send { call: id, server, until, by });
         // A second copy as late as can be in time, but not before the first is slow.
         let copy_at = (aim as f64 - SPARE_TIMES * usual).max(arrived as f64 + 1.5 * usual);
         let copy = copies == 1
--- a/crates/model/src/policy.rs
+++ b/crates/model/src/policy.rs
@@ -198,7 +198,7 @@
         }
         let Some(call) = self.calls.get_mut(&id).filter(|c| c.deadline > now) else { return };
         call.attempts.push((server, None));
-        actions.push(Action::Send { call: id, server, until: None });
+        actions.push(Action::Send { call: id, server, until: None, by: None });
     }
 
     fn give_up(&mut self, id: CallId, actions: &mut Vec<Action>) {
--- a/crates/model/src/world/proxies.rs
+++ b/crates/model/src/world/proxies.rs
@@ -42,7 +42,7 @@
 
     pub(super) fn act(&mut self, proxy: usize, action: Action) {
         match action {
-            Action::Send { call, server, until } => self.send(proxy, call, server, until),
+            Action::Send { call, server, until, .. } => self.send(proxy, call, server, until),
             Action::Refuse { call, retry_after } => self.answer(proxy, call, Some(retry_after)),
             Action::Fail { call } => self.answer(proxy, call, None),
             Action::Cancel { call, attempt } => {
--- a/crates/model/tests/days.rs
+++ b/crates/model/tests/days.rs
@@ -100,7 +100,7 @@
                     "what may have run goes again" if !self.met.contains(&call) => {
                         self.met.push(call);
                         let server = self.last.unwrap_or(ServerId(0));
-                        *action = Action::Send { call, server, until: None };
+                        *action = Action::Send { call, server, until: None, by: None };
                     }
                     _ => {}
                 },
--- a/crates/proxy/src/calls.rs
+++ b/crates/proxy/src/calls.rs
@@ -14,6 +14,8 @@
     server: ServerId,
     sent: Micros,
     until: Micros,
+    /// It may not begin from then on.
+    by: Micros,
     /// Its first byte may have been written.
     started: bool,
     /// None once its outcome is in.
@@ -132,14 +134,14 @@
         now: Micros,
         id: CallId,
         server: ServerId,
-        until: Option<Micros>,
+        (until, by): (Option<Micros>, Option<Micros>),
     ) -> Option<Outgoing> {
         let call = self.calls.get_mut(&id)?;
         let number = call.attempts.len() as u32;
         let timed = call.deadline < Micros::MAX;
         let until = until.filter(|&u| u > 0 && timed).unwrap_or(Micros::MAX).min(call.deadline);
-        let (started, begun) = (false, false);
-        call.attempts.push(Attempt { server, sent: now, until, started, task: None, out: true, begun });
+        let (by, started, begun) = (by.unwrap_or(Micros::MAX), false, false);
+        call.attempts.push(Attempt { server, sent: now, until, by, started, task: None, out: true, begun });
         let wanted = call.answer.is_some() && until > now;
         Some(Outgoing { number, request: Rc::clone(&call.request), until, wanted })
     }
@@ -165,7 +167,7 @@
         let call = self.calls.get_mut(&id).filter(|c| c.answer.is_some());
         let attempt = call.and_then(|c| c.attempts.get_mut(number as usize)).filter(|a| a.out);
         let Some(attempt) = attempt else { return false };
-        attempt.started = now < attempt.until && ready(attempt.server);
+        attempt.started = now < attempt.until.min(attempt.by) && ready(attempt.server);
         attempt.started
     }
 
@@ -276,7 +278,15 @@
 
     fn request(time: Micros) -> Request {
         let (uri, headers) = (Uri::from_static("/a"), HeaderMap::new());
-        Request { method: Method::GET, uri, headers, body: Bytes::new(), rest: None, length: Some(0), time }
+        Request {
+            method: Method::GET,
+            uri,
+            headers,
+            body: Bytes::new(),
+            rest: None,
+            length: Some(0),
+            time,
+        }
     }
 
     /// The module ends each call by itself; should it ever forget one, the client still gets its answer.
@@ -298,7 +308,7 @@
         for (begins, wanted) in [(false, Outcome::NoConnection), (true, Outcome::TimedOut)] {
             let mut calls = Calls::new(Rc::default());
             let (call, _answer) = calls.add(0, ClassId(0), request(9_000));
-            let outgoing = calls.send(0, call, ServerId(3), Some(5_000)).expect("an open call");
+            let outgoing = calls.send(0, call, ServerId(3), (Some(5_000), None)).expect("an open call");
             assert!(outgoing.wanted && outgoing.timed());
             calls.timers.insert((5_000, Due::Attempt(call, 0)));
             assert!(!calls.may_start(0, call, 0, |_| false), "its host drains");
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -267,7 +267,7 @@
 
     fn act(&self, core: &mut Core, now: Micros, action: Action) {
         match action {
-            Action::Send { call, server, until } => self.send(core, now, (call, server, until)),
+            Action::Send { call, server, until, by } => self.send(core, now, (call, server), (until, by)),
             Action::Refuse { call, retry_after } => {
                 core.calls.close(call, Some(Answer::Refused { retry_after }));
             }
@@ -291,8 +291,14 @@
         }
     }
 
-    fn send(&self, core: &mut Core, now: Micros, (id, server, until): (CallId, ServerId, Option<Micros>)) {
-        let Some(outgoing) = core.calls.send(now, id, server, until) else { return };
+    fn send(
+        &self,
+        core: &mut Core,
+        now: Micros,
+        (id, server): (CallId, ServerId),
+        (until, by): (Option<Micros>, Option<Micros>),
+    ) {
+        let Some(outgoing) = core.calls.send(now, id, server, (until, by)) else { return };
         let number = outgoing.number;
         let target = core
             .hosts
@@ -312,7 +318,9 @@
             let left =
                 || if timed { outgoing.until.saturating_sub(driver.clock.now()) } else { request.time };
             let begin = |begun| driver.begin(id, number, begun);
-            let may_start = || driver.may_start(id, number, target.generation);
+            let may_start = || {
+                driver.may_start(id, number, target.generation)
+            };
             let ended = upstream::attempt(&driver.pool, target, request, left, may_start, begin).await;
             guard.ended = Some(ended);
         });
@@ -416,7 +424,15 @@
     fn request() -> Request {
         let (uri, headers) = (Uri::from_static("/a"), HeaderMap::new());
         let (body, time) = (Bytes::new(), 60_000_000);
-        Request { method: Method::GET, uri, headers, body, rest: None, length: Some(0), time }
+        Request {
+            method: Method::GET,
+            uri,
+            headers,
+            body,
+            rest: None,
+            length: Some(0),
+            time,
+        }
     }
 
     /// More than the settings allow are turned away before the module sees them.
