Let a host's connection rest before it is used again, and keep the time of one not used

Cause: `Pool::checkout` gives out what came back in the same moment; what comes while a connection is idle ends it. Change: a connection rests for 20 ms; before it is used the system, not the runtime, is asked whether anything came. One that was taken out and not used keeps the moment since which it has been idle: `keep` made it fresh, so that it could be used past its host's idle time.

--- a/crates/proxy/src/link.rs
+++ b/crates/proxy/src/link.rs
@@ -4,6 +4,7 @@
 use crate::bodies::{Handover, Sending, BUFFER_MOST};
 use crate::descriptors::Descriptor;
 use crate::figures::Figures;
+use crate::socket::Socket;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use oakport_core::Micros;
@@ -17,24 +18,20 @@
 
 /// A stream that notes whether all that was to be written has been handed to the socket.
 struct Watched {
-    stream: TcpStream,
+    socket: Socket,
     handover: Rc<Handover>,
 }
 
 impl AsyncRead for Watched {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut ReadBuf<'_>,
-    ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(cx, buf)
+    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        self.socket.poll_read(cx, buf).map_ok(drop)
     }
 }
 
 impl AsyncWrite for Watched {
     // Not vectored: head and body are laid together and go out in one write.
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let written = self.socket.poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = written {
             self.handover.emptied.set(count == buf.len());
         }
@@ -42,18 +39,19 @@
         written
     }
 
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+    fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_shutdown(cx)
+    fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Poll::Ready(self.socket.shut())
     }
 }
 
 pub struct Link {
     pub sender: SendRequest<Sending>,
     connection: Connection<TokioIo<Watched>, Sending>,
+    socket: Socket,
     /// The connection has ended, and is not to be polled again.
     ended: bool,
     pub handover: Rc<Handover>,
@@ -64,15 +62,27 @@
 
 impl Link {
     /// Makes a connection of a stream. None: it has ended already.
-    pub async fn open(stream: TcpStream, generation: u64, descriptor: Descriptor) -> Option<Self> {
-        let _ = stream.set_nodelay(true);
-        let handover = Rc::<Handover>::default();
-        let io = TokioIo::new(Watched { stream, handover: Rc::clone(&handover) });
+    pub async fn open(
+        stream: TcpStream,
+        generation: u64,
+        descriptor: Descriptor,
+        now: Micros,
+    ) -> Option<Self> {
+        let (socket, handover) = (Socket::new(stream), Rc::<Handover>::default());
+        let io = TokioIo::new(Watched { socket: socket.clone(), handover: Rc::clone(&handover) });
         let made = http1::Builder::new().max_buf_size(BUFFER_MOST).handshake(io).await;
         let (sender, connection) = made.ok()?;
-        let (idle_since, ended) = (0, false);
-        let mut link =
-            Link { sender, connection, ended, handover, idle_since, generation, _descriptor: descriptor };
+        let (idle_since, ended) = (now, false);
+        let mut link = Link {
+            sender,
+            connection,
+            socket,
+            ended,
+            handover,
+            idle_since,
+            generation,
+            _descriptor: descriptor,
+        };
         link.alive().await.then_some(link)
     }
 
@@ -84,6 +94,12 @@
         !self.ended && self.sender.is_ready()
     }
 
+    /// Has anything come on it while it was idle? No answer is owed then: it is the connection's end, or what belongs to
+    /// an answer that was given before, and would be taken for the next one's.
+    pub fn stirs(&self) -> bool {
+        self.socket.stirs()
+    }
+
     /// Drives the connection until `work` on it is done. None: the connection ended first, and `work` needs it.
     pub async fn drive<T>(
         &mut self,
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -19,6 +19,9 @@
 const SPARES_OF_ALL: usize = 60;
 const SPARES: (usize, usize) = (4, 16);
 
+/// A host may add to an answer some milliseconds after it (FLEET, "join+mass"). What comes while the connection is idle
+/// ends it; what came after the next request would be taken for that one's answer. So a connection rests for this long.
+const SETTLES: Micros = 20_000;
 /// The system's word for no descriptor left: in all, and for this process.
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
@@ -115,12 +118,18 @@
         }
     }
 
-    /// The idle connection used last, if it is still open.
+    /// The idle connection used last of those that have rested, if it is still open.
     pub async fn checkout(&self, target: &Target) -> Option<Link> {
         loop {
-            let mut link = self.idle.borrow_mut().get_mut(&target.server)?.pop()?;
-            let fresh = link.idle_since + self.limits.get().idle_most > self.clock.now();
-            if fresh && link.generation == target.generation && link.alive().await {
+            let now = self.clock.now();
+            let mut link = {
+                let mut idle = self.idle.borrow_mut();
+                let links = idle.get_mut(&target.server)?;
+                let rested = links.iter().rposition(|l| l.idle_since + SETTLES <= now)?;
+                links.remove(rested)
+            };
+            let fresh = link.idle_since + self.limits.get().idle_most > now;
+            if fresh && link.generation == target.generation && !link.stirs() && link.alive().await {
                 return Some(link);
             }
         }
@@ -143,19 +152,27 @@
             }
             _ => return Err(Outcome::NoConnection),
         };
-        let link = Link::open(stream, target.generation, descriptor).await;
+        let link = Link::open(stream, target.generation, descriptor, self.clock.now()).await;
         link.ok_or(Outcome::NoConnection)
     }
 
+    /// Takes a connection back after an answer.
     pub async fn keep(&self, server: ServerId, mut link: Link) {
+        link.idle_since = self.clock.now();
+        self.put_back(server, link).await;
+    }
+
+    /// Takes back one that has carried nothing: to its host it has been idle all the while.
+    pub async fn put_back(&self, server: ServerId, mut link: Link) {
         let old = self.current.borrow().get(&server).is_some_and(|&current| link.generation < current);
         if old || !link.alive().await {
             return;
         }
-        link.idle_since = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let links = idle.entry(server).or_default();
-        links.push(link);
+        // The one that has been idle longest comes first.
+        let place = links.partition_point(|other| other.idle_since <= link.idle_since);
+        links.insert(place, link);
         if links.len() > self.limits.get().spares {
             links.remove(0);
         }
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -91,7 +91,7 @@
         },
     };
     if !may_start() {
-        pool.keep(target.server, link).await;
+        pool.put_back(target.server, link).await;
         return Outcome::NotSent.into();
     }
     let claimed = request.rest.as_ref().is_none_or(|rest| rest.claim());
