Ask a shared service that failed again in time for an answer within 6 s

Cause: the module's pause grows with the number of proxies, to 5 to 15 s at 300 (balance/members.rs), and the call after a failure could wait `ask_every_us` itself, so that one that was swallowed was given up after 10.5 s. Ruled out: agents, which are asked each quarter of the window. Change: from the beginning of a call that failed to the next it is 2 s to 3.5 s, whatever the module says (it may ask sooner), and after any failure the next call asks for what is there. The module is as it was. A watch that is reset costs one more.

--- a/crates/proxy/src/discovery/mod.rs
+++ b/crates/proxy/src/discovery/mod.rs
@@ -43,12 +43,12 @@
     /// What is learned is left here for the next process.
     shared: Option<Rc<RefCell<Shared>>>,
     random: Pcg32,
-    /// When a shared service is asked again, whatever the module says.
+    /// When a shared service is asked again at the latest, whatever the module says.
     due: Option<Instant>,
     /// Until then a shared service that fails is asked again by `due`.
     keen_until: Instant,
-    /// What failed last was silence: a call that may wait would not tell it from no news.
-    silent: bool,
+    /// The last call failed: one that may wait would not tell silence from no news.
+    failing: bool,
     /// When an agent was last begun to be asked.
     begun: Option<Instant>,
     /// When the list was last confirmed, and from what age on the next line tells that it may be old.
@@ -75,7 +75,7 @@
             random: Pcg32::seed_from_u64(seed),
             due: Some(now),
             keen_until: now,
-            silent: false,
+            failing: false,
             begun: None,
             confirmed: now,
             tell_at: None,
@@ -134,8 +134,8 @@
     fn broke(&mut self, fault: &Fault, terms: Terms, at_once: bool) {
         self.failed(&fault.to_string());
         let fails = at_once || matches!(fault, Fault::Refused(_));
-        self.due = (!fails).then(|| self.spread(terms));
-        self.silent = matches!(fault, Fault::Silent);
+        self.due = Some(if fails { Instant::now() + self.again(terms) } else { self.spread(terms) });
+        self.failing = true;
         if fails && !terms.pushed {
             self.driver.members_failed();
         }
@@ -188,8 +188,8 @@
         }
         let begun = Instant::now();
         self.due = None;
-        // Each call costs a shared service: only after silence is what it has asked for ahead of the next watch.
-        let wait = if self.silent { NO_WAIT } else { terms.wait() };
+        // Each call costs a shared service: only after a failure is what it has asked for ahead of the next watch.
+        let wait = if self.failing { NO_WAIT } else { terms.wait() };
         let call = self.catch_up(wait, terms);
         let answer = tokio::select! {
             answer = call => answer,
@@ -200,23 +200,20 @@
         };
         let fault = match answer {
             Ok(caught) => {
-                self.silent = false;
+                self.failing = false;
                 return Some(caught);
             }
             Err(fault) => fault,
         };
         self.tell_age(terms);
-        if !self.silent && begun.elapsed() >= wait {
+        if !self.failing && begun.elapsed() >= wait {
             self.broke(&fault, terms, false);
             return None;
         }
         self.failed(&fault.to_string());
-        self.silent = matches!(fault, Fault::Silent);
-        if begun < self.keen_until {
-            self.due = Some(self.spread(terms));
-        } else if self.silent {
-            self.due = Some(begun + terms.after_silence(self.random.gen()));
-        }
+        self.failing = true;
+        self.due = Some(if begun < self.keen_until { self.spread(terms) } else { begun + self.again(terms) });
+        // Where few ask, the module has it asked sooner.
         self.driver.members_failed();
         None
     }
@@ -287,6 +284,10 @@
         self.keen_until = Instant::now() + terms::MOVE;
     }
 
+    fn again(&mut self, terms: Terms) -> Duration {
+        terms.again(self.random.gen())
+    }
+
     fn spread(&mut self, terms: Terms) -> Instant {
         Instant::now() + terms.spread(self.random.gen())
     }
