Wait for an address that the process before still holds, and tell the front of a stop first

Cause, by reading: a process that is started while the one before still takes clients (450 ms after SIGTERM) failed to bind and exited, which counts as a crash; and at SIGTERM the front heard of the stop only once peers had been told. Change: the address is tried again each 20 ms for up to 25 s, with a line that says so; peers are told beside the stop, and the process waits for that at its end.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -43,7 +43,7 @@
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|e| format!("runtime: {e}"))?;
     tokio::task::LocalSet::new().block_on(&runtime, async {
-        let server = Server::open(config, listener)?;
+        let server = Server::open(config, listener).await?;
         tokio::select! {
             done = server.serve() => done,
             () = bounds.tell() => Ok(()),
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -20,8 +20,9 @@
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::signal::unix::{signal, Signal, SignalKind};
-use tokio::sync::watch;
+use tokio::sync::{watch, Notify};
 use tokio::task::JoinHandle;
+use tokio::time::Instant;
 use tracing::{error, info};
 
 /// Descriptors kept out of the count: standard streams, the runtime's own, the listeners, discovery, operators'
@@ -32,6 +33,10 @@
 const RESERVE_REFUSED: usize = 16;
 /// Connections waiting to be accepted.
 const BACKLOG: u32 = 1_024;
+/// An address that another process holds is tried again after this, and given up after that: a process that is not ready
+/// within 30 s counts as crashed (FLEET, "The gate"), and its log should say why before.
+const HELD_PAUSE: Duration = Duration::from_millis(20);
+const HELD_MOST: Duration = Duration::from_secs(25);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -92,13 +97,13 @@
     ///
     /// # Errors
     /// Says which socket or signal cannot be had, and why.
-    pub fn open(mut config: Config, inherited: Option<std::net::TcpListener>) -> Result<Self, String> {
+    pub async fn open(mut config: Config, inherited: Option<std::net::TcpListener>) -> Result<Self, String> {
         let term = signal(SignalKind::terminate()).map_err(|e| format!("signals: {e}"))?;
         let hangup = signal(SignalKind::hangup()).map_err(|e| format!("signals: {e}"))?;
         let successor = inherited.is_some();
         let listener = match inherited {
             Some(listener) => TcpListener::from_std(listener),
-            None => listen(config.listen),
+            None => listen(config.listen).await,
         };
         let listener = listener.map_err(|e| format!("listen on {}: {e}", config.listen))?;
         // Where the platform holds the listener, two processes serve for a while and share what is allowed.
@@ -174,18 +179,23 @@
             resting: Rc::<Resting>::default(),
             memory,
         });
-        let mut term = self.term;
+        let (mut term, stopped) = (self.term, Notify::new());
         let stop = async {
             term.recv().await;
-            if let Some(peers) = &peers {
-                peers.leave().await;
-            }
+            stopped.notify_one();
             if successor {
                 room.hand_over(&pool);
             }
         };
+        // Peers are told beside that: clients do not wait for a word to them.
+        let leave = async {
+            stopped.notified().await;
+            if let Some(peers) = &peers {
+                peers.leave().await;
+            }
+        };
         tokio::select! {
-            () = front.serve(listener, successor, stop) => Ok(()),
+            ((), ()) = async { tokio::join!(front.serve(listener, successor, stop), leave) } => Ok(()),
             ended = &mut timers => Err(format!("the timers ended: {ended:?}")),
             ended = &mut watch => Err(format!("discovery ended: {ended:?}")),
             () = sweep(&room, &pool) => Ok(()),
@@ -217,11 +227,25 @@
     (most_clients(counted(sockets)), beyond_clients(counted(sockets)))
 }
 
-fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = TcpSocket::new_v4()?;
-    socket.set_reuseaddr(true)?;
-    socket.bind(address)?;
-    socket.listen(BACKLOG)
+/// Opens the listener. The process before this one may hold its address for as long as it takes clients.
+async fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let (asked, mut told) = (Instant::now(), false);
+    loop {
+        let listener = TcpSocket::new_v4().and_then(|socket| {
+            socket.set_reuseaddr(true)?;
+            socket.bind(address)?;
+            socket.listen(BACKLOG)
+        });
+        match listener {
+            Err(fault) if fault.kind() == io::ErrorKind::AddrInUse && asked.elapsed() < HELD_MOST => {
+                if !std::mem::replace(&mut told, true) {
+                    info!(%address, "waiting for the address: another process listens there");
+                }
+                tokio::time::sleep(HELD_PAUSE).await;
+            }
+            done => return done,
+        }
+    }
 }
 
 /// Closes what has been idle for too long, and sees when the other process has ended.
