Wait for a connection that has yet to rest, rather than open another

Change: the rest is 10 ms, and where no rested connection is there, one that has yet to rest is waited for.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -185,7 +185,7 @@
 fn rest(stream: &mut TcpStream) -> Result<Vec<u8>, ErrorKind> {
     let mut bytes = Vec::new();
     stream.read_to_end(&mut bytes).map_err(|e| e.kind())?;
-    thread::sleep(RESTED);
+    thread::sleep(SHORT / 6);
     match stream.take_error().expect("a socket") {
         None => Ok(bytes),
         Some(fault) => Err(fault.kind()),
@@ -209,7 +209,7 @@
         assert_eq!(stream.read(&mut [0; 9]).expect("an orderly end"), 0);
         stream.write_all(head("safe", "2000m", 0).as_bytes()).expect("the other way is open");
     }
-    thread::sleep(RESTED);
+    thread::sleep(SHORT / 6);
     for client in &mut clients {
         assert_eq!(rest(client.stream.get_mut()), Ok(Vec::new()), "no reset");
     }
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -16,8 +16,6 @@
 
 /// Longest wait for anything that must come: far beyond what it takes.
 pub const LONG: Duration = Duration::from_secs(20);
-/// A connection to a host is used again once it has rested for 20 ms: nothing more of its last answer came by then.
-pub const RESTED: Duration = Duration::from_millis(40);
 /// Wait in which something that must not come would have come.
 pub const SHORT: Duration = Duration::from_millis(300);
 
--- a/crates/cli/tests/proxy.rs
+++ b/crates/cli/tests/proxy.rs
@@ -45,7 +45,6 @@
         // An unsafe call written to the dead connection would fail: nothing could prove that it never ran.
         assert_eq!(proxy.call("unsafe", "2000m").status(), 200);
         assert_eq!(host.request().0, wanted, "the connection used");
-        std::thread::sleep(RESTED);
     }
 }
 
@@ -327,7 +326,8 @@
     assert_eq!(slow.answer().expect("an answer").status(), 200);
     assert_eq!(host.request().0, 0);
     for _ in 0..3 {
-        std::thread::sleep(RESTED);
+        // One that has just come back rests for 10 ms first, and the other would go before it.
+        std::thread::sleep(SHORT / 6);
         assert_eq!(proxy.call("unsafe", "2000m").status(), 200);
         assert_eq!(host.request().0, 0, "it came back last");
     }
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -21,7 +21,7 @@
 
 /// A host may add to an answer some milliseconds after it (FLEET, "join+mass"). What comes while the connection is idle
 /// ends it; what came after the next request would be taken for that one's answer. So a connection rests for this long.
-const SETTLES: Micros = 20_000;
+const SETTLES: Micros = 10_000;
 /// The system's word for no descriptor left: in all, and for this process.
 const ENFILE: i32 = 23;
 const EMFILE: i32 = 24;
@@ -118,15 +118,25 @@
         }
     }
 
-    /// The idle connection used last of those that have rested, if it is still open.
+    /// The idle connection used last of those that have rested, if it is still open. Where there is none but one that has
+    /// yet to rest, that is waited for: a new one would take as long, and cost its host work.
     pub async fn checkout(&self, target: &Target) -> Option<Link> {
         loop {
             let now = self.clock.now();
-            let mut link = {
+            let rests_until = {
                 let mut idle = self.idle.borrow_mut();
                 let links = idle.get_mut(&target.server)?;
-                let rested = links.iter().rposition(|l| l.idle_since + SETTLES <= now)?;
-                links.remove(rested)
+                match links.iter().rposition(|l| l.idle_since + SETTLES <= now) {
+                    Some(rested) => Ok(links.remove(rested)),
+                    None => Err(links.first()?.idle_since + SETTLES),
+                }
+            };
+            let mut link = match rests_until {
+                Ok(link) => link,
+                Err(until) => {
+                    tokio::time::sleep_until(self.clock.instant(until)).await;
+                    continue;
+                }
             };
             let fresh = link.idle_since + self.limits.get().idle_most > now;
             if fresh && link.generation == target.generation && !link.stirs() && link.alive().await {
