Bound what many balancers send to cold servers where few or none are warm

Cause: the chance of a cold server to be drawn is its share of what the fleet can do at present (route.rs, cold_draw). Where all are cold that is all of them, and where none is warm a balancer of little traffic sends there besides: 300 balancers send 8 to 40 servers that start together up to 2.08 of the budget N. Ruled out, by a thousand random worlds: 2 to 30 balancers, 1 to 60 in a hundred cold, one with five times the traffic, overload, storms of clients' retries marked or not, second copies, word of the start up to 1 s late; none of these passed N + 2 root of N + 2. Change: the chance is bounded by what two thirds of fall_multiple allow at a load that the fleet bears warm, and many balancers send to cold servers by that lot alone, repeats never.

--- a/crates/core/src/balance/route.rs
+++ b/crates/core/src/balance/route.rs
@@ -6,6 +6,9 @@
 
 /// Chance of a cold server to be drawn for a call, over its present share of the fleet's capacity.
 const COLD_DUTY: f64 = 1.2;
+/// ... and at the most so much of what a cold server may get, at a load that all servers bear when warm: where many are
+/// cold their present share grows, and the load does not fall with what they can do.
+const COLD_BUDGET: f64 = 2.0 / 3.0;
 /// Servers that a balancer keeps to: enough for two rounds of asking.
 const SUBSET: usize = 2 * ASK_MOST;
 /// Longest aims after which a server's own times count less than those of its kind.
@@ -68,7 +71,8 @@
         // Cold ones if there is no other, or if none has room and even parts of all are not too much.
         let all = |s: &Server| (f64::from(s.in_flight) + 0.5) * f64::from(settings.balancers);
         let even = |s: &Server| all(s) <= START_CONCURRENCY * s.warmth(self.now, &settings.rules);
-        let helps = |p: usize| no_warm || sets.room.is_empty() && !self.sparse() && even(&servers[p]);
+        // Each of many balancers would send its own: they have the lot alone.
+        let helps = |p: usize| !self.sparse() && (no_warm || sets.room.is_empty() && even(&servers[p]));
         let cold = |p: usize| helps(p) && self.has_room(p) && fits(p);
         if self.sparse() {
             return self.pick_of_few(id, fits, cold, random);
@@ -132,7 +136,9 @@
         }
         let (cold, grown) = (sets.cold.total(), sets.cold_ages(self.now) / rules.cold_time.max(1) as f64);
         let present = cold * rules.cold_share + grown * (1.0 - rules.cold_share);
-        if lot * (sets.listed.total() - cold + present) >= COLD_DUTY * present {
+        let all = sets.listed.total();
+        let chance = (COLD_DUTY / (all - cold + present)).min(COLD_BUDGET * rules.fall_multiple / all);
+        if lot >= chance * present {
             return None;
         }
         let warmth = |p: usize| self.servers[p].warmth(self.now, &rules);
