--- a/crates/core/src/balance/route.rs
+++ b/crates/core/src/balance/route.rs
@@ -6,8 +6,8 @@
 
 /// Chance of a cold server to be drawn for a call, over its present share of the fleet's capacity.
 const COLD_DUTY: f64 = 1.2;
-/// ... and at the most so much of what a cold server may get, at a load that all servers bear when warm: where
-/// many are cold their present share grows, and the load does not fall with what they can do.
+/// ... and at the most so much of what a cold server may get, at a load that all servers bear when warm:
+/// where many are cold their present share grows, and the load does not fall with what they can do.
 const COLD_BUDGET: f64 = 2.0 / 3.0;
 /// Servers that a balancer keeps to: enough for two rounds of asking.
 const SUBSET: usize = 2 * ASK_MOST;
