Take the memory for a held body at once, and refuse where there is none in time

Cause, found by reading and then forced: Reader::begin took memory piece by piece, so that bodies of which each had come half could hold all of it and wait for each other for ever; a client that left was not seen behind its unread bytes either. Ruled out: descriptors, 488 places for 450 clients. Change: the memory for all of a held body is taken at once, in turn, and waited for an eighth of the client's time; then the request is refused.

--- a/crates/cli/tests/crowds.rs
+++ b/crates/cli/tests/crowds.rs
@@ -128,6 +128,44 @@
     }
 }
 
+/// Bodies of which each has come half fill the memory; then all go on. Each request is answered in its time: bodies that had
+/// some of the memory and waited for the rest would wait for each other for ever.
+#[test]
+fn bodies_that_fill_the_memory_do_not_wait_for_each_other() {
+    const HALF: usize = 30_000;
+    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
+    let known = [entry("s-1", host.address, "up", 0)];
+    let text =
+        config(any(), discovery.address, 1_024, &known).replace(r#""memory_mb":192"#, r#""memory_mb":32"#);
+    let proxy = Proxy::with(&text);
+    let half = vec![b'x'; HALF];
+    let mut clients: Vec<Client> = (0..450)
+        .map(|_| {
+            let mut client = proxy.client();
+            client.write(&format!(
+                "POST /safe HTTP/1.1\r\nHost: x\r\nX-Request-ID: 9b1f03aa\r\nX-Timeout: 2000m\r\n\
+                 Content-Length: {}\r\n\r\n",
+                HALF * 2
+            ));
+            client.stream.get_mut().write_all(&half).expect("room for what it writes");
+            client
+        })
+        .collect();
+    for client in &mut clients {
+        client.stream.get_mut().write_all(&half).expect("room for what it writes");
+    }
+    let asked = Instant::now();
+    let mut served = 0;
+    for client in &mut clients {
+        let status = client.answer().expect("a final answer").status();
+        assert!([200, 502, 503, 504].contains(&status), "{status}");
+        served += usize::from(status == 200);
+    }
+    println!("{served} of 450 served, all answered after {:?}", asked.elapsed());
+    assert!(asked.elapsed() < Duration::from_millis(2_500), "{:?}", asked.elapsed());
+    assert!(served > 0);
+}
+
 /// Waits until clients would be sent here, and tells how long that took.
 fn ready(address: SocketAddr, since: Instant) -> Duration {
     loop {
--- a/crates/proxy/src/bodies/memory.rs
+++ b/crates/proxy/src/bodies/memory.rs
@@ -34,10 +34,15 @@
         Rc::new(Memory(Arc::new(Semaphore::new(kib))))
     }
 
+    /// Does a body of this size cost no more than its connection does anyway?
+    pub fn is_free(size: usize) -> bool {
+        size <= FREE
+    }
+
     /// How much a part must grow for a body of this size.
     fn missing(part: &Part, size: usize) -> u32 {
         let size = if size > WHOLE_MOST { PASSING } else { size };
-        let kib = if size <= FREE { 0 } else { size.div_ceil(KIB) };
+        let kib = if Memory::is_free(size) { 0 } else { size.div_ceil(KIB) };
         kib.saturating_sub(part.kib) as u32
     }
 
--- a/crates/proxy/src/bodies/upload.rs
+++ b/crates/proxy/src/bodies/upload.rs
@@ -29,6 +29,8 @@
     Halted,
     /// It is larger than any that occurs.
     TooLarge,
+    /// There was no memory for it in time.
+    NoRoom,
 }
 
 impl fmt::Display for Fault {
@@ -37,6 +39,7 @@
             Fault::Broken => "the body broke off",
             Fault::Halted => "the body came to a halt",
             Fault::TooLarge => "the body is too large",
+            Fault::NoRoom => "no memory for the body",
         })
     }
 }
@@ -105,15 +108,27 @@
         poll_fn(|cx| self.poll_piece(cx)).await
     }
 
-    /// The body if it is no larger than may be held, or its beginning, and whether that is all.
-    pub async fn begin(&mut self, part: &mut Part, memory: &Memory) -> Result<(Bytes, bool), Fault> {
-        if self.length().is_some_and(|length| length > BODY_MOST) {
+    /// The body if it is no larger than may be held, or its beginning, and whether that is all. Memory for it is waited for
+    /// as long as `patience`, and taken at once for all of it: bodies that each had some and waited for more would
+    /// wait for each other.
+    pub async fn begin(
+        &mut self,
+        part: &mut Part,
+        memory: &Memory,
+        patience: Duration,
+    ) -> Result<(Bytes, bool), Fault> {
+        let length = self.length();
+        if length.is_some_and(|length| length > BODY_MOST) {
             return Err(Fault::TooLarge);
         }
+        let all = length.map_or(WHOLE_MOST, |length| length.min(WHOLE_MOST as u64) as usize);
         let mut whole = BytesMut::new();
         while let Some(piece) = self.piece().await {
             let piece = piece?;
-            memory.grow(part, whole.len() + piece.len()).await;
+            if !Memory::is_free(whole.len() + piece.len()) {
+                let room = tokio::time::timeout(patience, memory.grow(part, all));
+                room.await.map_err(|_| Fault::NoRoom)?;
+            }
             whole.extend_from_slice(&piece);
             if whole.len() > WHOLE_MOST {
                 return Ok((whole.freeze(), false));
--- a/crates/proxy/src/front/answers.rs
+++ b/crates/proxy/src/front/answers.rs
@@ -1,6 +1,7 @@
 //! What a client is answered, in the protocol's words.
 
 use super::visit::Open;
+use super::COME_BACK;
 use crate::bodies::{Fault, Passing};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -47,6 +48,7 @@
     match fault {
         Fault::Broken => improper(StatusCode::BAD_REQUEST, "broken body"),
         Fault::TooLarge => improper(StatusCode::PAYLOAD_TOO_LARGE, "body over 40 MiB"),
+        Fault::NoRoom => refused(COME_BACK),
         Fault::Halted => improper(StatusCode::REQUEST_TIMEOUT, "the body did not come in time"),
     }
 }
--- a/crates/proxy/src/front/mod.rs
+++ b/crates/proxy/src/front/mod.rs
@@ -3,7 +3,7 @@
 mod answers;
 mod visit;
 
-use crate::bodies::{Memory, Part, Passing, Reader, Upload, WHOLE_MOST};
+use crate::bodies::{Fault, Memory, Part, Passing, Reader, Upload, WHOLE_MOST};
 use crate::descriptors::{Descriptor, Descriptors};
 use crate::driver::Driver;
 use crate::message::{Answer, Begun, Intake, Request};
@@ -37,6 +37,8 @@
 const TIME_MOST: Micros = 600_000_000;
 /// Most bytes of a request's head.
 const HEAD_MOST: usize = 32 * 1024;
+/// Memory for a body is waited for this part of the client's time: it does not know of that wait.
+const MEMORY_PART: Micros = 8;
 /// Advice to a client that finds no place here: by then some connection has rested for long enough.
 const COME_BACK: Micros = 250_000;
 /// At a stop without a successor, connections are accepted for at least this long.
@@ -256,9 +258,16 @@
         let mut part = Part::default();
         let mut reader = Reader::new(body, open.body_time());
         let length = reader.length();
-        let (body, whole) = match reader.begin(&mut part, &self.memory).await {
+        let patience = Duration::from_micros(time / MEMORY_PART);
+        let (body, whole) = match reader.begin(&mut part, &self.memory, patience).await {
             Ok(begun) => begun,
-            Err(fault) => return not_whole(fault),
+            Err(fault) => {
+                if fault == Fault::NoRoom {
+                    self.driver.turned_back(class);
+                    discard(Upload::new(reader, Part::default(), length), open);
+                }
+                return not_whole(fault);
+            }
         };
         if whole {
             open.whole();
