Let two processes of one proxy keep to one limit of descriptors

Seen, 256 descriptors and an idle crowd on the listener that both hold: 289 open together. Cause: the next process took three fifths of all from its first moment, while the one before, which was told of it only by SIGTERM, kept all. Change: the next process holds a lock by which the one before sees it, within 250 ms, and which goes with it however it ends; the two share what is left after the reserve of each, two and three fifths; for its first second the next one takes a tenth.

--- a/crates/proxy/src/descriptors.rs
+++ b/crates/proxy/src/descriptors.rs
@@ -25,6 +25,11 @@
         self.limit.set(limit);
     }
 
+    /// How many are open beyond the limit.
+    pub fn excess(&self) -> usize {
+        self.open.get().saturating_sub(self.limit.get())
+    }
+
     /// Counts one more in, if there is room.
     pub fn take(self: &Rc<Self>) -> Option<Descriptor> {
         (self.open.get() < self.limit.get()).then(|| {
--- a/crates/proxy/src/server.rs
+++ b/crates/proxy/src/server.rs
@@ -39,37 +39,71 @@
 const HELD_MOST: Duration = Duration::from_secs(25);
 /// How often idle connections are looked through.
 const SWEEP: Duration = Duration::from_millis(250);
+/// A process has noticed the next one by then, and made room for it.
+const NOTICED: Duration = SWEEP.saturating_mul(4);
 
 /// What this process may hold open, alone or beside another process of the same proxy.
 struct Room {
     descriptors: Rc<Descriptors>,
-    all: usize,
-    /// Beside another process. That one holds what its last requests need; nearly all clients are here by then.
-    part: usize,
+    sockets: usize,
     shared: Option<Rc<RefCell<Shared>>>,
-    alone: Cell<bool>,
+    beside: Cell<Beside>,
+}
+
+/// Another process of the same proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Beside {
+    Nobody,
+    /// The next one is there.
+    Successor,
+    /// The one before is, and may not have noticed this one before that moment.
+    Predecessor(Instant),
 }
 
 impl Room {
     fn new(sockets: usize, shared: Option<Rc<RefCell<Shared>>>) -> Self {
         let alone = shared.as_ref().is_none_or(|shared| shared.borrow_mut().alone());
-        let all = counted(sockets);
-        let part = (all * 3 / 5).max(8);
-        let descriptors = Descriptors::new(if alone { all } else { part });
-        Room { descriptors, all, part, shared, alone: Cell::new(alone) }
+        let beside = if alone { Beside::Nobody } else { Beside::Predecessor(Instant::now() + NOTICED) };
+        let room = Room { descriptors: Descriptors::new(0), sockets, shared, beside: Cell::new(beside) };
+        room.descriptors.allow(room.part());
+        room
     }
 
-    /// Takes the whole room once the other process has ended.
-    fn settle(&self) {
-        if let (false, Some(shared)) = (self.alone.get(), &self.shared) {
-            self.alone.set(shared.borrow_mut().alone());
-            self.descriptors.allow(if self.alone.get() { self.all } else { self.part });
+    /// Descriptors for clients and hosts. The two share what is left after the reserve of each: the one before holds what
+    /// its last requests need, and nearly all clients are at the next one by then. Until it has been noticed that one
+    /// takes a part that the other is sure to leave.
+    fn part(&self) -> usize {
+        let both = self.sockets.saturating_sub(2 * RESERVE);
+        let part = match self.beside.get() {
+            Beside::Nobody => counted(self.sockets),
+            Beside::Successor => both * 2 / 5,
+            Beside::Predecessor(noticed) if Instant::now() < noticed => both / 10,
+            Beside::Predecessor(_) => both * 3 / 5,
+        };
+        part.max(8)
+    }
+
+    /// Sees whether the other process is there, and keeps to this one's part.
+    fn settle(&self, pool: &Pool, resting: &Resting) {
+        let Some(shared) = &self.shared else { return };
+        let mut shared = shared.borrow_mut();
+        self.beside.set(match self.beside.get() {
+            Beside::Predecessor(noticed) if !shared.alone() => Beside::Predecessor(noticed),
+            _ if shared.followed() => Beside::Successor,
+            _ => Beside::Nobody,
+        });
+        self.descriptors.allow(self.part());
+        for _ in 0..self.descriptors.excess() {
+            if !pool.evict() && !resting.make_room() {
+                break;
+            }
         }
     }
 
     /// Leaves the next process its part.
     fn hand_over(&self, pool: &Pool) {
-        self.descriptors.allow(self.part);
+        self.beside.set(Beside::Successor);
+        self.descriptors.allow(self.part());
         while pool.evict() {}
     }
 }
@@ -169,14 +203,15 @@
         if let Ok(address) = listener.local_addr() {
             info!(%address, "listening");
         }
+        let resting = Rc::<Resting>::default();
         let front = Rc::new(Front {
             driver: driver.clone(),
             pool: Rc::clone(&pool),
             descriptors: Rc::clone(&room.descriptors),
             uncounted: Descriptors::new(RESERVE_REFUSED),
-            most: most_clients(room.all),
-            beyond: beyond_clients(room.all),
-            resting: Rc::<Resting>::default(),
+            most: most_clients(counted(room.sockets)),
+            beyond: beyond_clients(counted(room.sockets)),
+            resting: Rc::clone(&resting),
             memory,
         });
         let (mut term, stopped) = (self.term, Notify::new());
@@ -198,7 +233,7 @@
             ((), ()) = async { tokio::join!(front.serve(listener, successor, stop), leave) } => Ok(()),
             ended = &mut timers => Err(format!("the timers ended: {ended:?}")),
             ended = &mut watch => Err(format!("discovery ended: {ended:?}")),
-            () = sweep(&room, &pool) => Ok(()),
+            () = sweep(&room, &pool, &resting) => Ok(()),
             () = reloads(self.hangup, config, (&driver, peers.as_deref()), &figures, &moved) => {
                 Err("no more signals".to_owned())
             }
@@ -249,11 +284,11 @@
 }
 
 /// Closes what has been idle for too long, and sees when the other process has ended.
-async fn sweep(room: &Room, pool: &Pool) {
+async fn sweep(room: &Room, pool: &Pool, resting: &Resting) {
     loop {
         tokio::time::sleep(SWEEP).await;
         pool.sweep();
-        room.settle();
+        room.settle(pool, resting);
     }
 }
 
