Turn absurd counts and windows down with their place and remedy

A count of 0 balancers or open requests, and a window or time-out of 0 or over an hour, were taken as they stood: a connect time-out of 0 serves nobody. Now check, start and SIGHUP of the form for people tell each with file, place and remedy (command_line__absurd.toml.snap).

--- a/crates/cli/tests/command_line.rs
+++ b/crates/cli/tests/command_line.rs
@@ -85,6 +85,13 @@
             "bounds.toml",
             GOOD.replace("\"2s\"", "0").replace("free", "sometimes").replace("127.0.0.1:8500", "here"),
         ),
+        (
+            "absurd.toml",
+            format!(
+                "settings.balancers = 0\n{GOOD}\n[settings.invariants]\ndrain_grace_us = 0\n\
+                 tip_after_us = \"2h\"\n[settings.limits]\nconnect_timeout_us = 0\nmax_open = 0\n"
+            ),
+        ),
         ("missing.toml", GOOD.replace("name = \"fare-charge\"\n", "").replace("discovery", "#")),
         ("twice.toml", GOOD.replace("journey-lookup", "fare-charge")),
         (
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -9,10 +9,14 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+/// No window or time-out of these is longer, in microseconds: what is was meant in another unit.
+const HOUR: u64 = 3_600_000_000;
+
 /// What the site has settled: classes of requests, limits, rules, prices.
 #[derive(Debug, Deserialize, Serialize, JsonSchema)]
 pub struct SettingsFile {
     /// How many client proxies send to these servers, this one included.
+    #[schemars(range(min = 1))]
     balancers: u32,
     /// The classes of requests; the first part of a request's path names its class.
     #[schemars(length(min = 1))]
@@ -135,10 +139,13 @@
     /// Attempts that one connection carries at a time; 0: not told.
     max_streams: u32,
     /// Requests that may be open at once; more are turned away.
+    #[schemars(range(min = 1))]
     max_open: usize,
     /// Servers close a connection that has been idle for this long, in microseconds.
+    #[schemars(range(min = 1, max = HOUR))]
     conn_idle_us: u64,
     /// A connection that is not up by then has failed, in microseconds.
+    #[schemars(range(min = 1, max = HOUR))]
     connect_timeout_us: u64,
 }
 
@@ -167,15 +174,18 @@
     /// And is warm after this at the latest, in microseconds.
     cold_us: u64,
     /// A cold server that is sent too much for this long falls over, in microseconds.
+    #[schemars(range(min = 1, max = HOUR))]
     tip_after_us: u64,
     /// Too much is this multiple of what it can then do.
     #[serde(skip_serializing_if = "Option::is_none")]
     fall_multiple: Option<f64>,
     /// Latest that requests may still go to a server after word that it drains or is gone, in microseconds.
     #[serde(skip_serializing_if = "Option::is_none")]
+    #[schemars(range(min = 1, max = HOUR))]
     drain_grace_us: Option<u64>,
     /// Longest that a client proxy may go without asking for the list, in microseconds.
     #[serde(default = "ask_every")]
+    #[schemars(range(min = 1, max = HOUR))]
     ask_every_us: u64,
 }
 
