Yield after bytes that came ahead, not before they are waited for

Found by reading: each request that waits woke its task once for nothing. Ruled out: that a flood then keeps others from their time, as each read yields after it; the tests of floods pass (tests/crossings.rs, crowds.rs).

--- a/crates/proxy/src/front/visit.rs
+++ b/crates/proxy/src/front/visit.rs
@@ -198,9 +198,9 @@
 
     /// Reads some of what comes behind a request that waits.
     pub async fn read_ahead(&self) {
+        self.socket.read_some(|bytes| self.came_ahead(bytes)).await;
         // A flood must leave others their time.
         tokio::task::yield_now().await;
-        self.socket.read_some(|bytes| self.came_ahead(bytes)).await;
     }
 
     /// Has the client closed its side, as far as can be known now? What hides that is read first.
