Make a stub's large answer before its head is sent

whoever_takes_nothing_holds_the_other_side_up_and_no_memory failed five times in a row while the machine's load was over 30: the stub made 24 MB between its head and its body, longer than the client's 2 s, and the client was refused, rightly. Now the bytes are there before; what the test asserts is unchanged.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -284,9 +284,11 @@
 fn whoever_takes_nothing_holds_the_other_side_up_and_no_memory() {
     let written = Arc::new(AtomicUsize::new(0));
     let count = Arc::clone(&written);
+    // Made before the first request: between a head and its body it would take longer than the client waits.
+    let all = pattern(LARGE);
     let host = host(move |_, stream| {
         say(stream, format!("HTTP/1.1 200 OK\r\nContent-Length: {LARGE}\r\n\r\n").as_bytes());
-        for part in pattern(LARGE).chunks(16_384) {
+        for part in all.chunks(16_384) {
             if !say(stream, part) {
                 return;
             }
