--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -457,3 +457,62 @@
         }
     }
 }
+
+/// New settings let a class be repeated, or forbid it, while its first attempt is out: the call goes by what was in force when
+/// it came.
+#[test]
+fn a_repeat_goes_by_the_settings_that_were_there_when_its_call_came() {
+    for (class, wanted) in [("unsafe", 1), ("safe", 2)] {
+        let ((arrived, came), (open, gate)) = (channel(), channel::<()>());
+        let gate = Mutex::new(gate);
+        let first = Host::start(move |n| {
+            if n == 0 {
+                let _ = arrived.send(());
+                let _ = gate.lock().expect("one call").recv();
+            }
+            Reply::WriteAndClose(String::new())
+        });
+        let (discovery, second) = (Discovery::start(), Host::serving("ok"));
+        let before = text(&discovery, &[up("s-1", &first)]);
+        let (free, once) = (r#""idempotency":"free""#, r#""idempotency":"single_shot""#);
+        let after = before.replace(free, "FREE").replace(once, free).replace("FREE", once);
+        let mut proxy = Proxy::with(&before);
+        let operator = proxy.operator();
+        discovery.asked();
+        let mut client = proxy.client();
+        client.send(class, "2900m");
+        came.recv_timeout(LONG).expect("the first attempt");
+        proxy.reload(&after);
+        comes_to(operator, "/reconfig_ok", 1);
+        discovery.tell(&list(42, false, &[up("s-2", &second)]));
+        assert!(discovery.asked().contains("index=42&"));
+        open.send(()).expect("the host waits");
+        let status = client.answer().expect("a final answer").status();
+        let attempts = 1 + first.further_requests().saturating_sub(1) + second.further_requests();
+        assert_eq!((attempts, status == 200), (wanted, wanted == 2), "{class}: {status}");
+    }
+}
+
+/// The signal to end comes at any moment of the start: the process ends, and holds its address no longer.
+#[test]
+fn a_stop_may_come_at_any_moment_of_the_start() {
+    let (discovery, host) = (Discovery::start(), Host::serving("ok"));
+    for step in 0..30 {
+        let (mut child, path) = spawn(&text(&discovery, &[up("s-1", &host)]), None);
+        thread::sleep(Duration::from_millis(step * 2));
+        let told = std::process::Command::new("kill").args(["-TERM", &child.id().to_string()]).status();
+        assert!(told.expect("kill").success());
+        let asked = Instant::now();
+        let status = loop {
+            match child.try_wait().expect("a child") {
+                Some(status) => break status,
+                None => assert!(asked.elapsed() < LONG, "it goes on after {step}"),
+            }
+            thread::sleep(Duration::from_millis(2));
+        };
+        // By the signal itself before it is heard for, and of its own accord from then on.
+        let by_signal = std::os::unix::process::ExitStatusExt::signal(&status) == Some(15);
+        assert!(by_signal || status.success(), "{status} after {step}");
+        let _ = std::fs::remove_file(path);
+    }
+}
