Name the test of a broken attempt by what it forces

With the abort of attempts taken out the test passed still: its first attempt ends by its host's side, not by being given up. One that times out is its call's last (retry.rs, again), so no other follows on it. Name, comments and the row say so now; the assertion is the same.

--- a/crates/cli/tests/crossings.rs
+++ b/crates/cli/tests/crossings.rs
@@ -350,9 +350,10 @@
     }
 }
 
-/// Where no request may have two attempts out, one that is given up has closed its connection when the next is written.
+/// Where no request may have two attempts out, one whose host has ended its side has closed its own when the next is
+/// written. One that is given up for its time is its call's last.
 #[test]
-fn an_attempt_given_up_is_closed_before_the_next_begins() {
+fn an_attempt_that_broke_is_closed_before_the_next_begins() {
     // The first one's connection stays open here; whoever sees the next request looks at that.
     let first = Arc::new(Mutex::new(None::<TcpStream>));
     let (verdict, told) = channel();
@@ -384,14 +385,13 @@
     });
     let discovery = Discovery::start();
     let known = [entry("s-1", hosts[0], "up", 0), entry("s-2", hosts[1], "up", 0)];
-    // An answer by the aim is not to be had; the call goes again after that only where a late one is worth something.
     let text = text(&discovery, &known)
         .replace(r#""objective_us":1500000,"#, r#""objective_us":400000,"late_value":0.5,"#)
         .replace(r#""conn_idle_us""#, r#""max_streams":1,"conn_idle_us""#);
     let proxy = Proxy::with(&text);
     let mut client = proxy.client();
     client.send("safe", "2500m");
-    // The host that has the first attempt drains away: it is reset by its own end, so the proxy goes again.
+    // The first one's host ends its side and keeps the other: the proxy goes again.
     let held = Instant::now();
     while first.lock().expect("no panic holds it").is_none() {
         assert!(held.elapsed() < LONG);
