Lay out the scale test: sizes, slopes and bounds of each role

Cause: no figure tells what a role of a process costs by the size of the fleet, and so what to build first for 6,300. The roles themselves stand empty and say 'not run' until each is built.

--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -6,4 +6,5 @@
 pub mod overhead;
 pub mod report;
 pub mod rig;
+pub mod scale;
 pub mod sim;
--- a/crates/lab/src/main.rs
+++ b/crates/lab/src/main.rs
@@ -6,6 +6,7 @@
 use oakport_lab::fleet::{Ended, Fleet, Stop};
 use oakport_lab::overhead::Overhead;
 use oakport_lab::rig::forwarder::{self, Broken};
+use oakport_lab::scale::Scale;
 use oakport_lab::sim::Sim;
 use std::ffi::OsString;
 use std::os::unix::process::CommandExt;
@@ -37,6 +38,8 @@
     Compare(Compare),
     /// Measure what a hop through oakport costs
     Overhead(Overhead),
+    /// Measure what each role of a process costs by the size of the fleet
+    Scale(Scale),
     /// Play days in virtual time, with several policies side by side
     Sim(Sim),
     /// Serve as a proxy that picks at random, by the platform's environment
@@ -71,6 +74,7 @@
         Command::Compare(compare) => compare.run().map_err(stopped).map(status),
         Command::Demo(demo) => demo.run().map_err(stopped).map(status),
         Command::Overhead(overhead) => overhead.run().map(|()| 0).map_err(stopped),
+        Command::Scale(scale) => scale.run().map(|held| u8::from(!held)).map_err(stopped),
         Command::Forward { broken } => forward(broken).map(|()| 0).map_err(|odd| (odd, 1)),
         Command::Hold { command } => Err((hold(&command), 1)),
     };
--- /dev/null
+++ b/crates/lab/src/scale/calls.rs
@@ -0,0 +1,10 @@
+//! Stands for the role until it is built.
+
+use super::point::{Figures, Part, Point, Stopped};
+
+/// The role.
+pub const PART: Part = Part { name: "calls", counts: "hops", sizes: &[1, 4, 8, 17], bounds: &[], play };
+
+fn play(_point: &Point) -> Result<Figures, Stopped> {
+    Err(Stopped::NotRun("not built yet".to_owned()))
+}
