Draw a page's tables from the figures that the scale test wrote

Cause: a table that is written by hand drifts from the runs behind it. Tests: drawing again changes nothing, what is asked for in vain is told with its line.

--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -4,6 +4,7 @@
 pub mod decisions;
 pub mod fit;
 pub mod list;
+pub mod page;
 pub mod peers;
 pub mod point;
 pub mod settings;
@@ -12,14 +13,13 @@
 use clap::{Args, ValueEnum};
 use comfy_table::{presets, CellAlignment, Table};
 use fit::Fit;
-use point::{Figures, Part, Point, Stopped};
+use page::short;
+use point::{Figures, Part, Point, Stopped, PLANNED};
 use serde_json::{json, Map, Value};
 use std::collections::BTreeMap;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// The size that the operators plan with.
-pub const PLANNED: usize = 6_300;
 /// A cost that grows with a higher power of the size than this grows faster than the size.
 const FASTER: f64 = 1.1;
 
@@ -52,6 +52,9 @@
     /// Write all figures there, as JSON
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
+    /// Play nothing, but draw the tables of this page anew from the JSON files it names
+    #[arg(long, value_name = "FILE", conflicts_with_all = ["roles", "sizes", "sockets", "json"])]
+    page: Option<PathBuf>,
 }
 
 fn size(text: &str) -> Result<usize, String> {
@@ -98,6 +101,9 @@
     /// # Errors
     /// A role cannot be played.
     pub fn run(&self) -> Result<bool, Stop> {
+        if let Some(page) = &self.page {
+            return drawn(page).map(|()| true).map_err(|odd| Stop::Bad(format!("{}: {odd}", page.display())));
+        }
         let [program, _] = self.programs.found()?;
         let roles = if self.roles.is_empty() { Role::value_variants() } else { &self.roles };
         let (mut held, mut all) = (true, Map::new());
@@ -137,6 +143,14 @@
     }
 }
 
+/// Draws a page's tables anew.
+fn drawn(page: &Path) -> Result<(), String> {
+    let parts: Vec<Part> = Role::value_variants().iter().map(|role| role.part()).collect();
+    let text = std::fs::read_to_string(page).map_err(|e| e.to_string())?;
+    let folder = page.parent().unwrap_or_else(|| Path::new("."));
+    std::fs::write(page, page::draw(&text, folder, &parts)?).map_err(|e| e.to_string())
+}
+
 /// A figure's median over the seeds, with the least and the most.
 fn spread(seeds: &[Figures], figure: &str) -> Option<[f64; 3]> {
     let mut all: Vec<f64> = seeds.iter().filter_map(|figures| figures.get(figure).copied()).collect();
@@ -197,18 +211,6 @@
     text
 }
 
-/// Three digits that say something.
-fn short(value: f64) -> String {
-    match value.abs() {
-        0.0 => "0".to_owned(),
-        100.0.. => format!("{value:.0}"),
-        10.0.. => format!("{value:.1}"),
-        1.0.. => format!("{value:.2}"),
-        0.01.. => format!("{value:.4}"),
-        _ => format!("{value:.2e}"),
-    }
-}
-
 /// Bounds that a size is over, and whether it was expected to keep them.
 fn broken(part: Part, played: &BTreeMap<usize, Played>) -> Vec<(String, bool)> {
     let mut told = Vec::new();
--- /dev/null
+++ b/crates/lab/src/scale/page.rs
@@ -0,0 +1,203 @@
+//! The tables of a page, drawn anew from what `scale --json` wrote.
+//!
+//! A line `<!-- scale FILE ROLE FIGURE ... -->` of a page stands before a table of that role's figures, and `<!-- scale
+//! FILE order -->` before the order in which bounds are reached; each table ends with `<!-- end -->`. FILE lies beside
+//! the page.
+
+use super::fit::Fit;
+use super::point::{Part, PLANNED};
+use serde_json::Value;
+use std::collections::BTreeMap;
+use std::path::Path;
+
+/// Begins a table.
+const BEGIN: &str = "<!-- scale ";
+/// Ends one.
+const END: &str = "<!-- end -->";
+
+/// A role's figures by size, as they were written; or why a size has none.
+type Sizes = BTreeMap<usize, Result<BTreeMap<String, f64>, String>>;
+
+/// The page with its tables drawn anew.
+///
+/// # Errors
+/// A file, a role or a figure is not there, or a table has no end.
+pub fn draw(page: &str, folder: &Path, parts: &[Part]) -> Result<String, String> {
+    let mut drawn = String::new();
+    let mut lines = page.lines().enumerate();
+    while let Some((number, line)) = lines.next() {
+        drawn.push_str(line);
+        drawn.push('\n');
+        let Some(asked) = line.strip_prefix(BEGIN).and_then(|rest| rest.strip_suffix(" -->")) else {
+            continue;
+        };
+        let odd = |odd| format!("line {}: {odd}", number + 1);
+        drawn.push('\n');
+        drawn.push_str(&table(asked, folder, parts).map_err(odd)?);
+        drawn.push('\n');
+        let end = lines.find(|(_, line)| *line == END);
+        end.ok_or_else(|| odd(format!("the table has no end: a line '{END}' ends it")))?;
+        drawn.push_str(END);
+        drawn.push('\n');
+    }
+    Ok(drawn)
+}
+
+fn table(asked: &str, folder: &Path, parts: &[Part]) -> Result<String, String> {
+    let words: Vec<&str> = asked.split_whitespace().collect();
+    let (file, role, figures) = match words.as_slice() {
+        [file, role, figures @ ..] => (*file, *role, figures),
+        _ => return Err("a table is asked for by a file, a role and figures".to_owned()),
+    };
+    let text = std::fs::read_to_string(folder.join(file)).map_err(|e| format!("{file}: {e}"))?;
+    let json: Value = serde_json::from_str(&text).map_err(|e| format!("{file}: {e}"))?;
+    if role == "order" {
+        return Ok(order(&json, parts));
+    }
+    let part = parts.iter().find(|part| part.name == role).ok_or_else(|| format!("no role is '{role}'"))?;
+    let sizes = sizes(&json, role);
+    if sizes.is_empty() {
+        return Err(format!("{file} has nothing of {role}"));
+    }
+    let mut text = format!("| {role}, by {} |", part.counts);
+    sizes.keys().for_each(|size| text.push_str(&format!(" {size} |")));
+    text.push_str(&format!(" exponent | at {PLANNED} | budget | reached at |\n| ---"));
+    text.push_str(&" | ---:".repeat(sizes.len() + 4));
+    text.push_str(" |\n");
+    for figure in figures {
+        let row = sizes.values().map(|played| match played {
+            Ok(played) => played.get(*figure).map_or_else(|| "-".to_owned(), |value| short(*value)),
+            Err(_) => "not run".to_owned(),
+        });
+        let row: Vec<String> = row.collect();
+        if !sizes.values().flatten().any(|played| played.contains_key(*figure)) {
+            return Err(format!("{file} has no figure '{figure}' of {role}"));
+        }
+        let fit = fitted(&sizes, figure);
+        let measured = sizes.get(&PLANNED).and_then(|played| played.as_ref().ok()?.get(*figure));
+        let planned = match (measured, fit) {
+            (Some(value), _) => short(*value),
+            // What is counted by something else than processes has no value at so many of them.
+            (None, Some(fit)) if sizes.keys().last().is_some_and(|most| *most > 1_000) => {
+                format!("{} computed", short(fit.at(PLANNED as f64)))
+            }
+            _ => "-".to_owned(),
+        };
+        let bound = part.bounds.iter().find(|bound| bound.figure == *figure);
+        let reached = bound.and_then(|bound| reached(&sizes, figure, bound.most));
+        text.push_str(&format!(
+            "| `{figure}` | {} | {} | {planned} | {} | {} |\n",
+            row.join(" | "),
+            fit.map_or("-".to_owned(), |fit| format!("{:.2}", fit.exponent)),
+            bound.map_or("-".to_owned(), |bound| short(bound.most)),
+            reached.map_or("-".to_owned(), |reached| reached.told()),
+        ));
+    }
+    for (size, played) in &sizes {
+        if let Err(why) = played {
+            text.push_str(&format!("\nNot run at {size}: {why}.\n"));
+        }
+    }
+    Ok(text)
+}
+
+/// Where a figure comes to its bound.
+#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
+enum Reached {
+    /// Between these sizes, as measured; the lesser is 0 if the least size is over the bound already.
+    Measured(usize, usize),
+    /// Beyond what was played, by the slope.
+    Computed(f64),
+}
+
+impl Reached {
+    /// The size.
+    fn size(self) -> f64 {
+        match self {
+            Reached::Measured(_, over) => over as f64,
+            Reached::Computed(size) => size,
+        }
+    }
+
+    fn told(self) -> String {
+        match self {
+            Reached::Measured(0, over) => format!("{over} or less"),
+            Reached::Measured(under, over) => format!("{under} to {over}"),
+            Reached::Computed(size) => format!("{} computed", short(size)),
+        }
+    }
+}
+
+/// The first size over a bound; else where the slope leads there.
+fn reached(sizes: &Sizes, figure: &str, most: f64) -> Option<Reached> {
+    let mut under = 0;
+    for (size, played) in sizes {
+        let Some(value) = played.as_ref().ok().and_then(|played| played.get(figure)) else { continue };
+        if *value > most {
+            return Some(Reached::Measured(under, *size));
+        }
+        under = *size;
+    }
+    // A slope says little far beyond what was measured.
+    const FAR: f64 = 1e6;
+    let size = fitted(sizes, figure)?.reaches(most)?;
+    (size > under as f64 && size <= FAR).then_some(Reached::Computed(size))
+}
+
+/// Bounds by the size at which they are reached.
+fn order(json: &Value, parts: &[Part]) -> String {
+    let mut rows = Vec::new();
+    for part in parts {
+        let sizes = sizes(json, part.name);
+        for bound in part.bounds {
+            if let Some(reached) = reached(&sizes, bound.figure, bound.most) {
+                rows.push((reached, part, bound));
+            }
+        }
+    }
+    rows.sort_by(|a, b| a.0.size().total_cmp(&b.0.size()));
+    let mut text = "| reached at | role | figure | bound |\n| ---: | --- | --- | ---: |\n".to_owned();
+    for (reached, part, bound) in rows {
+        let (told, counts, name) = (reached.told(), part.counts, part.name);
+        text.push_str(&format!(
+            "| {told} {counts} | {name} | `{}` | {} |\n",
+            bound.figure,
+            short(bound.most)
+        ));
+    }
+    text
+}
+
+fn sizes(json: &Value, role: &str) -> Sizes {
+    let mut sizes = Sizes::new();
+    for (size, played) in json["roles"][role].as_object().into_iter().flatten() {
+        let Ok(size) = size.parse() else { continue };
+        let played = match played["not_run"].as_str() {
+            Some(why) => Err(why.to_owned()),
+            None => {
+                let figures = played.as_object().into_iter().flatten();
+                Ok(figures.filter_map(|(name, value)| Some((name.clone(), value.as_f64()?))).collect())
+            }
+        };
+        sizes.insert(size, played);
+    }
+    sizes
+}
+
+fn fitted(sizes: &Sizes, figure: &str) -> Option<Fit> {
+    let ran = sizes.iter().filter_map(|(size, played)| Some((size, played.as_ref().ok()?)));
+    let points = ran.filter_map(|(size, played)| Some((*size as f64, *played.get(figure)?)));
+    Fit::of(&points.collect::<Vec<_>>())
+}
+
+/// Three digits that say something.
+pub fn short(value: f64) -> String {
+    match value.abs() {
+        0.0 => "0".to_owned(),
+        100.0.. => format!("{value:.0}"),
+        10.0.. => format!("{value:.1}"),
+        1.0.. => format!("{value:.2}"),
+        0.01.. => format!("{value:.4}"),
+        _ => format!("{value:.2e}"),
+    }
+}
--- a/crates/lab/src/scale/point.rs
+++ b/crates/lab/src/scale/point.rs
@@ -4,6 +4,9 @@
 use std::collections::BTreeMap;
 use std::time::Instant;
 
+/// The size that the operators plan with.
+pub const PLANNED: usize = 6_300;
+
 /// Figures by their dotted names, with the unit as the last part of a name: `start.bytes_per_s`.
 pub type Figures = BTreeMap<String, f64>;
 
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -1,6 +1,8 @@
-//! The scale test: its slopes.
+//! The scale test: its slopes, and the tables drawn from them.
 
 use oakport_lab::scale::fit::Fit;
+use oakport_lab::scale::page;
+use oakport_lab::scale::point::{Bound, Figures, Part, Point, Stopped};
 
 #[test]
 fn a_power_law_is_found_again() {
@@ -21,3 +23,55 @@
     let flat = Fit::of(&[(60.0, 2.0), (300.0, 2.0)]).expect("two sizes");
     assert_eq!(flat.reaches(3.0), None, "what does not grow reaches no bound");
 }
+
+fn none(_: &Point) -> Result<Figures, Stopped> {
+    Err(Stopped::NotRun("only drawn".to_owned()))
+}
+
+const BOUNDS: &[Bound] = &[
+    Bound { figure: "quiet.cpu_share", most: 0.018, from: 0, expected: false },
+    Bound { figure: "memory_bytes", most: 5_000.0, from: 0, expected: false },
+    Bound { figure: "start.bytes", most: 50.0, from: 0, expected: false },
+];
+const PARTS: &[Part] =
+    &[Part { name: "peers", counts: "members", sizes: &[60, 600], bounds: BOUNDS, play: none }];
+const JSON: &str = r#"{"roles": {"peers": {
+    "60": {"quiet.cpu_share": 0.001, "memory_bytes": 600, "start.bytes": 100},
+    "600": {"quiet.cpu_share": 0.01, "memory_bytes": 6000, "start.bytes": 1000},
+    "6300": {"not_run": "no time"}}}}"#;
+
+#[test]
+fn a_pages_tables_are_drawn_from_figures_and_drawing_them_again_changes_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    std::fs::write(folder.path().join("a.json"), JSON).expect("written");
+    let page = "# Page\n<!-- scale a.json peers quiet.cpu_share memory_bytes -->\nold\n<!-- end -->\nText.\n\
+                <!-- scale a.json order -->\n<!-- end -->\n";
+    let drawn = page::draw(page, folder.path(), PARTS).expect("drawn");
+    assert!(!drawn.contains("old") && drawn.contains("Text."), "{drawn}");
+    let row = "| `quiet.cpu_share` | 1.00e-3 | 0.0100 | not run | 1.00 | 0.1050 computed | 0.0180 | 1080 computed |";
+    assert!(drawn.contains(row), "{drawn}");
+    assert!(drawn.contains("Not run at 6300: no time."), "{drawn}");
+    assert!(drawn.contains("| 5000 | 60 to 600 |"), "{drawn}");
+    let order: Vec<&str> = drawn.lines().filter(|line| line.contains(" members | peers | ")).collect();
+    let figures = ["start.bytes", "memory_bytes", "quiet.cpu_share"];
+    assert_eq!(order.len(), figures.len(), "{drawn}");
+    assert!(order.iter().zip(figures).all(|(line, figure)| line.contains(figure)), "{order:#?}");
+    assert_eq!(page::draw(&drawn, folder.path(), PARTS).expect("drawn again"), drawn);
+}
+
+#[test]
+fn what_a_page_asks_for_in_vain_is_told_with_its_line() {
+    let folder = tempfile::tempdir().expect("a folder");
+    std::fs::write(folder.path().join("a.json"), JSON).expect("written");
+    let draw = |asked: &str| {
+        let page = format!("# Page\n<!-- scale {asked} -->\n<!-- end -->\n");
+        page::draw(&page, folder.path(), PARTS).expect_err("in vain")
+    };
+    assert!(draw("b.json peers x").contains("line 2: b.json: "));
+    assert_eq!(draw("a.json"), "line 2: a table is asked for by a file, a role and figures");
+    assert_eq!(draw("a.json calls x"), "line 2: no role is 'calls'");
+    assert_eq!(draw("a.json peers x"), "line 2: a.json has no figure 'x' of peers");
+    let page = "<!-- scale a.json peers memory_bytes -->\n";
+    let odd = page::draw(page, folder.path(), PARTS).expect_err("no end");
+    assert!(odd.starts_with("line 1: the table has no end"), "{odd}");
+}
