--- a/crates/lab/src/scale/page.rs
+++ b/crates/lab/src/scale/page.rs
@@ -2,11 +2,11 @@
 //!
 //! A line `<!-- scale FILE ROLE FIGURE ... -->` of a page stands before a table of that role's figures, and `<!-- scale
 //! FILE order -->` before the order in which bounds are reached; each table ends with `<!-- end -->`. FILE lies beside
-//! the page.
+//! the page; several are written with commas between, and of a role that two have the last counts.
 
 use super::fit::Fit;
 use super::point::{Part, PLANNED};
-use serde_json::Value;
+use serde_json::{Map, Value};
 use std::collections::BTreeMap;
 use std::path::Path;
 
@@ -49,13 +49,17 @@
         [file, role, figures @ ..] => (*file, *role, figures),
         _ => return Err("a table is asked for by a file, a role and figures".to_owned()),
     };
-    let text = std::fs::read_to_string(folder.join(file)).map_err(|e| format!("{file}: {e}"))?;
-    let json: Value = serde_json::from_str(&text).map_err(|e| format!("{file}: {e}"))?;
+    let mut roles = Map::new();
+    for file in file.split(',') {
+        let text = std::fs::read_to_string(folder.join(file)).map_err(|e| format!("{file}: {e}"))?;
+        let json: Value = serde_json::from_str(&text).map_err(|e| format!("{file}: {e}"))?;
+        roles.extend(json["roles"].as_object().cloned().unwrap_or_default());
+    }
     if role == "order" {
-        return Ok(order(&json, parts));
+        return Ok(order(&roles, parts));
     }
     let part = parts.iter().find(|part| part.name == role).ok_or_else(|| format!("no role is '{role}'"))?;
-    let sizes = sizes(&json, role);
+    let sizes = sizes(&roles, role);
     if sizes.is_empty() {
         return Err(format!("{file} has nothing of {role}"));
     }
@@ -145,10 +149,10 @@
 }
 
 /// Bounds by the size at which they are reached.
-fn order(json: &Value, parts: &[Part]) -> String {
+fn order(roles: &Map<String, Value>, parts: &[Part]) -> String {
     let mut rows = Vec::new();
     for part in parts {
-        let sizes = sizes(json, part.name);
+        let sizes = sizes(roles, part.name);
         for bound in part.bounds {
             if let Some(reached) = reached(&sizes, bound.figure, bound.most) {
                 rows.push((reached, part, bound));
@@ -168,9 +172,9 @@
     text
 }
 
-fn sizes(json: &Value, role: &str) -> Sizes {
+fn sizes(roles: &Map<String, Value>, role: &str) -> Sizes {
     let mut sizes = Sizes::new();
-    for (size, played) in json["roles"][role].as_object().into_iter().flatten() {
+    for (size, played) in roles.get(role).and_then(Value::as_object).into_iter().flatten() {
         let Ok(size) = size.parse() else { continue };
         let played = match played["not_run"].as_str() {
             Some(why) => Err(why.to_owned()),
--- a/crates/lab/tests/scale.rs
+++ b/crates/lab/tests/scale.rs
@@ -57,6 +57,12 @@
     assert_eq!(order.len(), figures.len(), "{drawn}");
     assert!(order.iter().zip(figures).all(|(line, figure)| line.contains(figure)), "{order:#?}");
     assert_eq!(page::draw(&drawn, folder.path(), PARTS).expect("drawn again"), drawn);
+    // Of a role that two files have the last counts.
+    let later = JSON.replace("0.001", "0.002");
+    std::fs::write(folder.path().join("b.json"), later).expect("written");
+    let both = page.replace("a.json peers", "a.json,b.json peers");
+    let drawn = page::draw(&both, folder.path(), PARTS).expect("drawn of both");
+    assert!(drawn.contains("| `quiet.cpu_share` | 2.00e-3 |"), "{drawn}");
 }
 
 #[test]
