Measure what a chain of hops adds to a call: the role calls of the scale test

Cause: the operators plan with calls up to 17 deep and 1.8 ms added for 99 in 100, and nothing showed what a chain of proxies adds; overhead has one hop with one call at a time.

Each hop is a process of oakport and a service of six stand-in servers, which call on through the next hop before they answer. The load is an open loop with gaps drawn at random, 49 and 245 calls a second, and times count from the planned moment. The same calls go without proxies to the same servers, half a second behind their likes, so that what else the machine does meets both alike. Calls may not run twice, so that each must come to each hop exactly once.

Ruled out: turns of seconds in place of single calls, as a burst of other work then meets one way only; the runtime's timers for the planned moments, as they know whole milliseconds and hide what is looked for; a draw of servers for the way without proxies, as its picks would differ from those of the proxies.

--- a/crates/lab/src/rig/hops.rs
+++ b/crates/lab/src/rig/hops.rs
@@ -208,7 +208,7 @@
 }
 
 /// Seconds of a core that a process has taken; 0 if it has ended.
-fn cpu(pid: u32) -> f64 {
+pub(super) fn cpu(pid: u32) -> f64 {
     let ticks = sysconf(SysconfVar::CLK_TCK).ok().flatten().unwrap_or(100) as f64;
     let text = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
     let Some((_, rest)) = text.rsplit_once(')') else { return 0.0 };
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,5 +1,6 @@
 //! A fleet of real processes on loopback, with faults between them, judged from outside (`docs/rig.md`).
 
+pub mod chain;
 mod clients;
 mod discovery;
 mod events;
--- a/crates/lab/src/rig/servers.rs
+++ b/crates/lab/src/rig/servers.rs
@@ -299,7 +299,7 @@
 }
 
 /// The body of an answer, which no other server would have given, nor this one to another request.
-fn body(server: &str, id: &str) -> String {
+pub fn body(server: &str, id: &str) -> String {
     format!("{server} served {id} whole\n")
 }
 
