--- a/crates/lab/tests/scale_decisions.rs
+++ b/crates/lab/tests/scale_decisions.rs
@@ -1,6 +1,7 @@
 //! The scale test of `decisions`: rules are kept, cold servers stand, and the way back from a burst is found.
 
 use oakport_lab::scale::decisions::{course, Course, Day};
+use oakport_lab::scale::point::Stopped;
 use std::time::{Duration, Instant};
 
 /// Longest time for a day.
@@ -34,3 +35,9 @@
 fn three_hundred_balancers_find_their_way() {
     both_days(300);
 }
+
+#[test]
+fn a_day_that_would_not_end_in_its_time_has_no_figures() {
+    let late = course(60, 6, Day::Burst, 1, Instant::now());
+    assert!(matches!(late, Err(Stopped::NotRun(_))), "{late:?}");
+}
