Say plainly what a chain's calls are named and counted by

Cause: two pairs without names carried what was sent and what it was called.

Change: the id's text has a name of its own, and what was sent by a way carries the way. Ruled out: a type of its own for it, as it lives for three lines.

--- a/crates/lab/src/rig/chain.rs
+++ b/crates/lab/src/rig/chain.rs
@@ -220,15 +220,14 @@
             Way::Proxies => &hop.proxy,
             Way::Direct => &hop.servers[self.chosen(id)],
         };
-        let (time, id) = (left.as_micros(), (id, id.text()));
+        let (named, time) = (id.text(), left.as_micros());
         let text = format!(
-            "POST /checkout HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {}\r\nX-Timeout: {time}u\r\n\
-             Content-Length: 1\r\n\r\n1",
-            id.1
+            "POST /checkout HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {named}\r\n\
+             X-Timeout: {time}u\r\nContent-Length: 1\r\n\r\n1"
         );
         let Ok(Ok(answer)) = timeout(left + SLACK, caller.ask(&text)).await else { return false };
-        let server = author(&answer.body, &id.1).filter(|_| answer.status() == 200);
-        server.is_some_and(|server| server / SERVERS == usize::from(id.0.hop))
+        let server = author(&answer.body, &named).filter(|_| answer.status() == 200);
+        server.is_some_and(|server| server / SERVERS == usize::from(id.hop))
     }
 
     /// The server that the proxy had chosen for the like of this call; another if it had come to none.
@@ -346,11 +345,9 @@
     for (number, pace) in (0..).zip([WARM_UP].iter().chain(paces)) {
         let moments = moments(&shared.day, seed, pace);
         let (before, begin) = (mean(cpu), Instant::now());
-        let (times, late) = ask(&chain, number, moments).await;
+        let (ways, late) = ask(&chain, number, moments).await;
         let cpu_share = (mean(cpu) - before) / begin.elapsed().as_secs_f64();
-        let [proxies, direct] = times;
-        let proxies = chain.trip(number, Way::Proxies, proxies.0, proxies.1);
-        let direct = chain.trip(number, Way::Direct, direct.0, direct.1);
+        let [proxies, direct] = ways.map(|(way, asked, times)| chain.trip(number, way, asked, times));
         outcomes.push(Outcome { proxies, direct, cpu_share, late });
     }
     outcomes.remove(0);
@@ -376,13 +373,12 @@
     moments
 }
 
-/// Sends calls at their moments, whatever has become of the earlier ones: how many by each way, and the times
-/// of those that were answered; and by how much the moments were missed.
-async fn ask(
-    chain: &Arc<Chain>,
-    pace: u8,
-    moments: Vec<Moment>,
-) -> ([(usize, Histogram<u64>); 2], Histogram<u64>) {
+/// What was sent by a way, and the times of what was answered.
+type Sent = (Way, usize, Histogram<u64>);
+
+/// Sends calls at their moments, whatever has become of the earlier ones; and tells by how much the moments
+/// were missed.
+async fn ask(chain: &Arc<Chain>, pace: u8, moments: Vec<Moment>) -> ([Sent; 2], Histogram<u64>) {
     let begin = Instant::now() + LEAD;
     let (sender, mut due) = mpsc::unbounded_channel();
     // The runtime's timers know whole milliseconds only, a thread's sleep does better.
@@ -396,11 +392,11 @@
         }
     });
     let micros = |span: Duration| (span.as_micros() as u64).max(1);
-    let (mut ways, mut late) = ([(0, histogram()), (0, histogram())], histogram());
+    let (mut ways, mut late) = ([Way::Proxies, Way::Direct].map(|way| (way, 0, histogram())), histogram());
     let mut calls = JoinSet::new();
     while let Some((planned, way, call)) = due.recv().await {
         late.saturating_record(micros(planned.elapsed()));
-        ways[way as usize].0 += 1;
+        ways[way as usize].1 += 1;
         let chain = Arc::clone(chain);
         calls.spawn(async move {
             let answered = chain.call(Id { pace, way, call, hop: 0 }, DEADLINE).await;
@@ -409,7 +405,7 @@
     }
     while let Some(done) = calls.join_next().await {
         if let Ok(Some((way, took))) = done {
-            ways[way as usize].1.saturating_record(micros(took));
+            ways[way as usize].2.saturating_record(micros(took));
         }
     }
     (ways, late)
