Measure what holding the list of servers costs a process by its length

Cause: nothing told what a list of 1,000 or 6,300 servers costs one process, though the plan is 6,300. The rig's agent counts what it writes, takes many news as one, can begin anew, and sees by the next call which version its proxy has; processor time, memory and DUMP are read in one place. Processor time is the kernel's count by the nanosecond (schedstat), as a tick of 10 ms is two hundred changes of one server. In force is when DUMP tells the new number of servers: the version of its list is not told to operators. Ruled out: time and processor of the same play, as whoever asks without a pause is most of the processor time.

--- a/crates/lab/src/rig/discovery.rs
+++ b/crates/lab/src/rig/discovery.rs
@@ -9,7 +9,7 @@
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -54,6 +54,8 @@
 #[derive(Default)]
 struct Known {
     index: u64,
+    /// Whoever has an older version than this is told the whole list.
+    whole_from: u64,
     /// By the server's number, with the version at which it last changed.
     members: BTreeMap<usize, (Member, u64)>,
     /// The version up to which all is told.
@@ -75,6 +77,10 @@
     mode: watch::Sender<Mode>,
     /// Counts the times that all open watches fell silent.
     hushed: watch::Sender<u64>,
+    /// The version that its proxy last said it has.
+    has: watch::Sender<Option<u64>>,
+    /// Bytes that were written to its proxy.
+    written: AtomicU64,
     /// It is on the proxy's own machine: nothing comes between, and what it has counts as told.
     near: AtomicBool,
     shared: Arc<Shared>,
@@ -91,6 +97,8 @@
             version: watch::Sender::new(0),
             mode: watch::Sender::default(),
             hushed: watch::Sender::default(),
+            has: watch::Sender::default(),
+            written: AtomicU64::new(0),
             near: AtomicBool::new(true),
             shared: Arc::clone(shared),
         });
@@ -110,21 +118,49 @@
         }) {
             return;
         }
-        self.set(&mut known, server, member);
+        self.set(&mut known, [(server, member)]);
+    }
+
+    /// It has been sent news of many servers as one, whatever it had of them.
+    pub fn news_of_many(&self, members: impl IntoIterator<Item = (usize, Member)>) {
+        self.set(&mut self.known(), members);
+    }
+
+    /// The same, and it begins anew: its proxy is told the whole list, whatever version that has.
+    pub fn begin_anew(&self, members: impl IntoIterator<Item = (usize, Member)>) {
+        let mut known = self.known();
+        known.whole_from = known.index + 1;
+        self.set(&mut known, members);
+    }
+
+    /// The version of what it has.
+    pub fn version(&self) -> u64 {
+        self.known().index
+    }
+
+    /// Waits until its proxy says, with its next call, that it has this version.
+    pub async fn taken(&self, version: u64) {
+        // The sender is this agent's own, so that it cannot be gone.
+        let _ = self.has.subscribe().wait_for(|has| has.is_some_and(|has| has >= version)).await;
+    }
+
+    /// Bytes that were written to its proxy since its start.
+    pub fn written(&self) -> u64 {
+        self.written.load(Ordering::Relaxed)
     }
 
     /// For a while it tells of a server what is not so, or stops doing so.
     pub fn pretend(&self, server: usize, state: State) {
         let mut known = self.known();
         if let Some((member, _)) = known.members.get(&server).cloned() {
-            self.set(&mut known, server, Member { state, ..member });
+            self.set(&mut known, [(server, Member { state, ..member })]);
         }
     }
 
-    fn set(&self, known: &mut Known, server: usize, member: Member) {
+    fn set(&self, known: &mut Known, members: impl IntoIterator<Item = (usize, Member)>) {
         known.index += 1;
         let index = known.index;
-        known.members.insert(server, (member, index));
+        known.members.extend(members.into_iter().map(|(server, member)| (server, (member, index))));
         self.version.send_replace(index);
         self.count(known);
     }
@@ -167,6 +203,7 @@
     /// What it holds, as a whole list, or as changes since a version; and what that tells.
     fn list(&self, since: Option<u64>) -> (Value, Vec<(usize, State)>) {
         let known = self.known();
+        let since = since.filter(|since| *since >= known.whole_from);
         let wanted = |(member, index): &&(Member, u64)| match since {
             Some(since) => *index > since,
             None => member.state != State::Gone,
@@ -229,6 +266,7 @@
             };
             let since = figure("index");
             if let Some(since) = since {
+                self.has.send_replace(Some(since));
                 let wait = Duration::from_millis(figure("wait").unwrap_or(0).min(LONGEST_WAIT));
                 let (mut version, mut hushed) = (self.version.subscribe(), self.hushed.subscribe());
                 let _watch = Watch::open(&self, wait);
@@ -265,6 +303,7 @@
             if stream.write_all(text.as_bytes()).await.is_err() {
                 return;
             }
+            self.written.fetch_add(text.len() as u64, Ordering::Relaxed);
             self.told(told);
         }
     }
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,19 +1,20 @@
 //! A fleet of real processes on loopback, with faults between them, judged from outside (`docs/rig.md`).
 
 mod clients;
-mod discovery;
+pub(crate) mod discovery;
 mod events;
 pub mod forwarder;
-mod gate;
+pub(crate) mod gate;
 pub mod hops;
 pub mod http;
 mod judge;
 pub mod links;
 mod membership;
+pub mod outside;
 mod peers;
 mod plan;
-mod processes;
-mod record;
+pub(crate) mod processes;
+pub(crate) mod record;
 mod servers;
 mod site;
 
--- a/crates/lab/src/rig/peers.rs
+++ b/crates/lab/src/rig/peers.rs
@@ -1,12 +1,11 @@
 //! Asks proxies what they hold of their peers, again and again.
 
+use super::outside;
 use super::record::{Held, Seen, Shared, Standing};
 use serde_json::Value;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::time::{interval, timeout, MissedTickBehavior};
 
 /// Between two questions to one proxy.
@@ -28,11 +27,7 @@
 }
 
 async fn ask(operator: SocketAddr) -> Option<Held> {
-    let mut stream = TcpStream::connect(operator).await.ok()?;
-    stream.write_all(b"DUMP\n").await.ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).await.ok()?;
-    let report: Value = serde_json::from_str(text.strip_suffix("\nEND\n")?).ok()?;
+    let report = outside::dump(operator).await.ok()?;
     let peers = report.get("peers")?;
     let member = |m: &Value| {
         let number = m["name"].as_str()?.strip_prefix('n')?.parse().ok()?;
--- a/crates/lab/src/rig/processes.rs
+++ b/crates/lab/src/rig/processes.rs
@@ -113,6 +113,10 @@
     logs: Option<PathBuf>,
     /// Where it and others are peers, if they are.
     peers: Option<Peer>,
+    /// Where its processes answer operators, if they do, and what keeps that address.
+    operator: Option<(SocketAddr, Socket)>,
+    /// What is other in its file than on the site.
+    other: fn(&mut Value),
     shared: Arc<Shared>,
     child: Option<Child>,
     starts: u32,
@@ -143,6 +147,8 @@
             folder: tempfile::Builder::new().prefix("oakport-rig-").tempdir()?,
             logs: logs.map(Path::to_owned),
             peers: None,
+            operator: None,
+            other: |_| (),
             shared: Arc::clone(shared),
             child: None,
             starts: 0,
@@ -154,6 +160,22 @@
         self.peers = Some(peers);
     }
 
+    /// Its processes answer operators from now on, at the address that is returned.
+    ///
+    /// # Errors
+    /// A socket cannot be had.
+    pub fn operated(&mut self) -> std::io::Result<SocketAddr> {
+        let holder = hold(address(Party::Proxy, self.number))?;
+        let operator = held(&holder)?;
+        self.operator = Some((operator, holder));
+        Ok(operator)
+    }
+
+    /// Its file is other than the site's from the next start on.
+    pub fn differs(&mut self, other: fn(&mut Value)) {
+        self.other = other;
+    }
+
     fn saw(&self, what: Signal) {
         self.shared.saw(Seen::Process { proxy: self.number, at: self.shared.now(), what });
     }
@@ -175,9 +197,18 @@
                 "zone": self.shared.day.zones[self.shared.zone(self.number)],
             });
         }
+        if let Some((operator, _)) = &self.operator {
+            file["operator"] = json!(operator);
+        }
+        (self.other)(&mut file);
         file
     }
 
+    /// The file of the process that was started last.
+    pub fn file(&self) -> PathBuf {
+        self.folder.path().join(format!("config-{}.json", self.starts))
+    }
+
     /// Starts a process beside the one that runs, which is returned.
     ///
     /// # Errors
@@ -185,7 +216,7 @@
     pub fn start(&mut self, program: &Program) -> Result<Option<Child>, String> {
         let odd = |e: std::io::Error| format!("{}: cannot be started: {e}", program.path.display());
         self.starts += 1;
-        let file = self.folder.path().join(format!("config-{}.json", self.starts));
+        let file = self.file();
         std::fs::write(&file, self.configuration().to_string()).map_err(odd)?;
         let mut command = if self.inherits {
             let mut command = Command::new("/bin/sh");
