Let the rig's server read the clock under its lock

Cause: a server of the rig read the clock before it took its lock, so that with hundreds of connections another thread had brought the server on to a later moment by then. A debug build ended that connection's task with an overflow in Server::advance, which a client proxy sees as a reset, and it set well servers aside. Change: the clock is read under the lock, as everywhere else there.

--- a/crates/lab/src/rig/servers.rs
+++ b/crates/lab/src/rig/servers.rs
@@ -264,8 +264,9 @@
 
     /// Takes work in, or tells what becomes of it and after how long.
     fn take(&self, attempt: usize, work: f64) -> Result<oneshot::Receiver<()>, (Outcome, Micros)> {
-        let now = self.shared.now();
         let mut inner = self.inner();
+        // Not before: whoever holds the lock meanwhile takes the server on to a later moment.
+        let now = self.shared.now();
         if inner.server.flooded(now, work) {
             drop(inner);
             self.shared.saw(Seen::Fell { server: self.number, at: now });
