Measure how soon changed settings are in force, and what operators see of it

Cause: nothing told how long a change of configuration takes to be in force in each of many processes, nor whether operators can see which process has which version. Change: the role `settings` of the scale test starts 1, 60 and 200 real processes in batches, each with an application of its own that asks five times a second, replaces each file and sends SIGHUP: one change, ten within a second, a file with one fault and one with a hundred. Each version has a class of its own, and is in force when a call of it is served. Expected are that nothing is lost, no wrong file is in force, the old settings stay, and no call fails. More than half of the memory or of the descriptors is not taken: such a size is told as not run. Ruled out: reconfig_ok as the sign of a version. It counts the files that a process has taken since its start, not which; a process that starts with the same settings tells 0. Found: DUMP tells the same before and after a change of one figure, so that no version of settings can be seen (version_told 0). A file with a hundred faults is turned down with one line of 16 KB: the line grows with the faults.

--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -4,7 +4,7 @@
 pub(crate) mod discovery;
 mod events;
 pub mod forwarder;
-pub(crate) mod gate;
+mod gate;
 pub mod hops;
 pub mod http;
 mod judge;
@@ -16,7 +16,7 @@
 pub(crate) mod processes;
 pub(crate) mod record;
 mod servers;
-mod site;
+pub(crate) mod site;
 
 pub use judge::{Second, Verdict, RULES};
 pub use plan::{Play, Progress, Tell};
--- a/crates/lab/src/rig/processes.rs
+++ b/crates/lab/src/rig/processes.rs
@@ -299,6 +299,11 @@
         self.signal(self.child.as_ref(), number);
     }
 
+    /// Tells the process to read its file again.
+    pub fn reload(&self) {
+        self.signal(self.child.as_ref(), Number::SIGHUP);
+    }
+
     /// Tells the process to end.
     pub fn tell(&self) {
         self.saw(Signal::Told);
--- /dev/null
+++ b/crates/lab/tests/scale_settings.rs
@@ -0,0 +1,48 @@
+//! The scale test's settings: the last of many changes is in force everywhere, and a wrong one nowhere.
+
+use oakport_lab::rig::Program;
+use oakport_lab::scale::point::{Figures, Point, Stopped};
+use oakport_lab::scale::settings::{measure, Extent, PART};
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+const SHORT: Extent = Extent { changes: 1, apart: Duration::from_millis(20) };
+
+fn played(size: usize) -> Result<Figures, Stopped> {
+    let lab = Path::new(env!("CARGO_BIN_EXE_oakport-lab"));
+    let oakport = lab.with_file_name("oakport");
+    assert!(oakport.is_file(), "it is built with the workspace");
+    let program = Program::oakport(lab, &oakport);
+    let until = Instant::now() + Duration::from_secs(60);
+    measure(&Point { size, seed: 1, until, program, sockets: None }, SHORT)
+}
+
+#[test]
+fn the_last_change_is_in_force_everywhere_and_a_wrong_one_nowhere() {
+    for size in &PART.sizes[..2] {
+        let figures = played(*size).expect("it is played");
+        let figure = |name: &str| figures[name];
+        assert_eq!(figure("one.lost"), 0.0, "{figures:?}");
+        assert_eq!(figure("ten.lost"), 0.0, "{figures:?}");
+        assert!(figure("ten.taken_least") >= 1.0, "{figures:?}");
+        for wrong in ["wrong", "wrong_100"] {
+            let figure = |name: &str| figure(&format!("{wrong}.{name}"));
+            assert_eq!(figure("not_told"), 0.0, "each counts the file that it turned down: {figures:?}");
+            assert_eq!(figure("in_force"), 0.0, "{figures:?}");
+            assert_eq!(figure("old_lost"), 0.0, "{figures:?}");
+            assert_eq!(figure("log_lines"), 1.0, "{figures:?}");
+        }
+        assert!(figure("wrong.log_bytes") < 1_024.0, "{figures:?}");
+        assert!(figure("calls.asked") >= *size as f64, "{figures:?}");
+        assert_eq!(figure("calls.failed"), 0.0, "{figures:?}");
+        for bound in PART.bounds {
+            assert!(figures.contains_key(bound.figure), "{}", bound.figure);
+        }
+    }
+}
+
+#[test]
+fn more_than_the_machine_has_room_for_is_not_run() {
+    let stopped = played(100_000).expect_err("there are not so many descriptors");
+    assert!(matches!(stopped, Stopped::NotRun(_)), "{stopped:?}");
+}
