--- a/crates/lab/src/scale/settings.rs
+++ b/crates/lab/src/scale/settings.rs
@@ -1,6 +1,6 @@
 //! How soon changed settings are in force in each of many processes, and what operators can see of it.
 //!
-//! Each process has an application beside it that asks five times a second all the while, and four servers
+//! Each process has an application beside it that asks ten times a second all the while, and four servers
 //! that answer at once. A change replaces the file of each process, as `docs/operations.md` says, and sends
 //! SIGHUP; the time of a process begins as its own file is written.
 //!
@@ -70,7 +70,7 @@
 const MEMORY: u64 = 16 << 20;
 const DESCRIPTORS: u64 = 24;
 /// Between two calls of an application.
-const BEAT: Duration = Duration::from_millis(200);
+const BEAT: Duration = Duration::from_millis(100);
 /// No call takes so long.
 const LONG: Duration = Duration::from_secs(2);
 /// What is not in force by then is lost.
@@ -90,13 +90,16 @@
 pub struct Extent {
     /// Times that one change is made.
     pub changes: u64,
+    /// After each of these, with nothing but calls.
+    pub rest: Duration,
     /// Between two of ten changes.
     pub apart: Duration,
 }
 
 impl Extent {
     /// What the figures are taken of.
-    pub const WHOLE: Extent = Extent { changes: 5, apart: Duration::from_millis(100) };
+    pub const WHOLE: Extent =
+        Extent { changes: 5, rest: Duration::from_millis(400), apart: Duration::from_millis(100) };
 }
 
 fn play(point: &Point) -> Result<Figures, Stopped> {
@@ -465,6 +468,7 @@
         let settings = Settings::Version(version);
         let since = fleet.change(settings)?;
         fleet.in_force(settings, &since, &mut times).await;
+        sleep(extent.rest).await;
     }
     times.tell("one", &mut figures);
 
--- a/crates/lab/tests/scale_settings.rs
+++ b/crates/lab/tests/scale_settings.rs
@@ -6,7 +6,7 @@
 use std::path::Path;
 use std::time::{Duration, Instant};
 
-const SHORT: Extent = Extent { changes: 1, apart: Duration::from_millis(20) };
+const SHORT: Extent = Extent { changes: 1, rest: Duration::ZERO, apart: Duration::from_millis(20) };
 
 fn played(size: usize) -> Result<Figures, Stopped> {
     let lab = Path::new(env!("CARGO_BIN_EXE_oakport-lab"));
