--- a/crates/proxy/src/demand.rs
+++ b/crates/proxy/src/demand.rs
@@ -13,12 +13,17 @@
 /// So few calls, or waits, may come one after another by chance and tell of no rate: a new connection for
 /// those would be kept in vain.
 const FEW: f64 = 4.0;
+/// A spare is kept if it is expected to be needed so often in the time for which an idle one is kept: it is
+/// used in turn before it would be let go, so its one handshake serves for longer than that.
+const WORTH: f64 = 0.5;
 /// What came is forgotten over this time: so many rests that the share shows in them.
 const MEMORY: f64 = REST as f64 / SHARE;
 
 /// The calls of late to one host, fading.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand {
+    /// When the first of them came after a silence.
+    since: Micros,
     at: Micros,
     calls: f64,
     waits: f64,
@@ -27,6 +32,9 @@
 impl Demand {
     /// A call comes.
     pub fn call(&mut self, now: Micros) {
+        if (now.saturating_sub(self.at) as f64) > MEMORY {
+            *self = Demand { since: now, at: now, ..Demand::default() };
+        }
         self.fade(now);
         self.calls += 1.0;
     }
@@ -47,13 +55,16 @@
             return 1;
         }
         // Without the last call, as it is with those before it that the next will meet.
-        let rate = (self.calls - 1.0) / MEMORY;
-        let (resting, calls) = (rate * REST as f64, rate * kept_for as f64);
+        let of_late = self.calls - 1.0;
+        // They may have begun only just now: then they came in less than the memory. As many as came of late
+        // are expected to come again, so that a train does not count as a rate that lasts.
+        let memory = 1.0 - (-(self.at.saturating_sub(self.since).max(REST) as f64) / MEMORY).exp();
+        let (resting, calls) = (of_late * SHARE / memory, of_late * kept_for as f64 / MEMORY);
         let (mut exactly, mut fewer, mut need) = ((-resting).exp(), 0.0, 1);
         while need < most {
             fewer += exactly;
             exactly *= resting / need as f64;
-            if calls * (1.0 - fewer) < 1.0 {
+            if calls * (1.0 - fewer) < WORTH {
                 break;
             }
             need += 1;
