Play membership in virtual time for the scale test

Cause: what knowing who is present costs by the size of the fleet was known only from a slow harness whose time grew with the square of the members, and not for the moments that the operators plan with. Change: the role `peers` of oakport-lab scale plays hollow processes (oakport_fleet::Peers with its timers) in 11 zones of 3 regions on one wheel of events. No datagram is under way for less than 2 ms, so members play windows of that length side by side, each with a generator of its own; a play counts the same each time. Processor time is the thread's own around the calls into Peers, memory what they allocate and hold (allocation-counter counts by thread). A play stops itself when its time or half of the machine's memory is used up; the figures of the moments that ended stand, with what was not run. What one size leaves of its time the next may take, and a seed that cannot end any more is not begun. Ruled out: memory by growth of the whole program, since a second play takes what the first gave back; one heap of events, since members then wait for one another.

--- a/crates/lab/src/scale/fit.rs
+++ b/crates/lab/src/scale/fit.rs
@@ -12,7 +12,8 @@
 }
 
 impl Fit {
-    /// Fits points of sizes and figures by least squares. None with fewer than two sizes, or a figure that is not positive.
+    /// Fits points of sizes and figures by least squares. None with fewer than two sizes, or a figure that is
+    /// not positive.
     pub fn of(points: &[(f64, f64)]) -> Option<Self> {
         if points.iter().any(|(size, figure)| *size <= 0.0 || *figure <= 0.0 || !figure.is_finite()) {
             return None;
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -14,7 +14,7 @@
 use fit::Fit;
 use point::{Figures, Part, Point, Stopped};
 use serde_json::{json, Map, Value};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::PathBuf;
 use std::time::{Duration, Instant};
 
@@ -41,7 +41,7 @@
     /// Seeds each size is played with
     #[arg(long, default_value_t = 3, value_name = "N", value_parser = clap::value_parser!(u64).range(1..=100))]
     seeds: u64,
-    /// A size may take so many seconds, with all its seeds
+    /// A size may take so many seconds with all its seeds, and what those before it left
     #[arg(long, default_value_t = 60, value_name = "S", value_parser = clap::value_parser!(u64).range(1..=3_600))]
     limit: u64,
     /// Of the members of `peers`, so many are real processes
@@ -89,8 +89,14 @@
     }
 }
 
-/// What a size gave: the figures of each seed, or why there are none.
-type Played = Result<Vec<Figures>, String>;
+/// What a size gave.
+#[derive(Default)]
+struct Played {
+    /// The figures of each seed that was played.
+    seeds: Vec<Figures>,
+    /// Why there are none, or not all.
+    not_run: Option<String>,
+}
 
 impl Scale {
     /// Plays the roles and prints their tables. True if all expectations held.
@@ -104,24 +110,18 @@
         for part in roles.iter().map(|role| role.part()) {
             let sizes = if self.sizes.is_empty() { part.sizes } else { &self.sizes };
             let mut played = BTreeMap::new();
+            let mut until = Instant::now();
             for size in sizes {
                 eprintln!("{} at {size} {} ...", part.name, part.counts);
-                let until = Instant::now() + Duration::from_secs(self.limit);
-                let point = |seed| Point {
+                until += Duration::from_secs(self.limit);
+                let point = Point {
                     size: *size,
-                    seed,
+                    seed: 1,
                     until,
                     program: program.clone(),
                     sockets: self.sockets.map(usize::from),
                 };
-                let figures: Result<Vec<_>, _> =
-                    (1..=self.seeds).map(|seed| (part.play)(&point(seed))).collect();
-                let figures = match figures {
-                    Ok(figures) => Ok(figures),
-                    Err(Stopped::NotRun(why)) => Err(why),
-                    Err(Stopped::Odd(odd)) => return Err(Stop::Bad(format!("{}: {odd}", part.name))),
-                };
-                played.insert(*size, figures);
+                played.insert(*size, self.played(part, &point)?);
             }
             println!("{}", table(part, &played));
             let broken = broken(part, &played);
@@ -135,6 +135,45 @@
         }
         Ok(held)
     }
+
+    /// Plays a size with each seed, as far as its time allows.
+    fn played(&self, part: Part, point: &Point) -> Result<Played, Stop> {
+        let mut played = Played::default();
+        for seed in 1..=self.seeds {
+            let begin = Instant::now();
+            let stopped = match (part.play)(&Point { seed, ..point.clone() }) {
+                Ok(figures) => {
+                    played.seeds.push(figures);
+                    let (took, left) =
+                        (begin.elapsed(), point.until.saturating_duration_since(Instant::now()));
+                    if seed < self.seeds && took > left {
+                        let why = format!(
+                            "seed {seed} of {} took {took:.0?}, and {left:.0?} were left",
+                            self.seeds
+                        );
+                        played.not_run = Some(why);
+                        break;
+                    }
+                    continue;
+                }
+                Err(stopped) => stopped,
+            };
+            let why = match stopped {
+                Stopped::Odd(odd) => return Err(Stop::Bad(format!("{}: {odd}", part.name))),
+                Stopped::NotRun(why) => why,
+                Stopped::Partly(figures, why) => {
+                    // What one seed has more of than the others would pass for their median.
+                    if played.seeds.is_empty() {
+                        played.seeds.push(figures);
+                    }
+                    why
+                }
+            };
+            played.not_run = Some(format!("seed {seed} of {}: {why}", self.seeds));
+            break;
+        }
+        Ok(played)
+    }
 }
 
 /// A figure's median over the seeds, with the least and the most.
@@ -146,16 +185,12 @@
 
 /// The names of all figures that some size has.
 fn names(played: &BTreeMap<usize, Played>) -> Vec<&String> {
-    let seeds = played.values().filter_map(|played| played.as_ref().ok()).flatten();
-    let mut names: Vec<&String> = seeds.flat_map(|figures| figures.keys()).collect();
-    names.sort_unstable();
-    names.dedup();
-    names
+    let names: BTreeSet<&String> = played.values().flat_map(|played| names_of(&played.seeds)).collect();
+    names.into_iter().collect()
 }
 
 fn fitted(played: &BTreeMap<usize, Played>, figure: &str) -> Option<Fit> {
-    let point =
-        |(size, played): (&usize, &Played)| Some((*size as f64, spread(played.as_ref().ok()?, figure)?[0]));
+    let point = |(size, played): (&usize, &Played)| Some((*size as f64, spread(&played.seeds, figure)?[0]));
     Fit::of(&played.iter().filter_map(point).collect::<Vec<_>>())
 }
 
@@ -168,13 +203,13 @@
     for figure in names(played) {
         let mut row = vec![figure.clone()];
         for played in played.values() {
-            row.push(match played.as_ref().map(|seeds| spread(seeds, figure)) {
-                Ok(Some([median, least, most])) if least < most => {
+            row.push(match spread(&played.seeds, figure) {
+                Some([median, least, most]) if least < most => {
                     format!("{} ({} to {})", short(median), short(least), short(most))
                 }
-                Ok(Some([median, ..])) => short(median),
-                Ok(None) => "-".to_owned(),
-                Err(_) => "not run".to_owned(),
+                Some([median, ..]) => short(median),
+                None if played.not_run.is_some() => "not run".to_owned(),
+                None => "-".to_owned(),
             });
         }
         row.extend(match fitted(played, figure) {
@@ -190,7 +225,7 @@
     table.column_iter_mut().skip(1).for_each(|column| column.set_cell_alignment(CellAlignment::Right));
     let mut text: String = table.lines().map(|line| format!("{}\n", line.trim_end())).collect();
     for (size, played) in played {
-        if let Err(why) = played {
+        if let Some(why) = &played.not_run {
             text.push_str(&format!("{} at {size}: not run: {why}\n", part.name));
         }
     }
@@ -214,10 +249,7 @@
     let mut told = Vec::new();
     for bound in part.bounds {
         for (size, played) in played.range(bound.from..) {
-            let Some([_, _, most]) = played.as_ref().ok().and_then(|seeds| spread(seeds, bound.figure))
-            else {
-                continue;
-            };
+            let Some([_, _, most]) = spread(&played.seeds, bound.figure) else { continue };
             if most > bound.most {
                 let how = if bound.expected { "expected" } else { "budget" };
                 let (role, figure) = (part.name, bound.figure);
@@ -233,24 +265,24 @@
     told
 }
 
-/// `"6300": {"figure": median, ...}`; what was not run has its reason in place of figures.
+/// `"6300": {"figure": median, ...}`; what was not run has its reason there.
 fn in_json(played: &BTreeMap<usize, Played>) -> Value {
     let size = |(size, played): (&usize, &Played)| {
-        let figures = match played {
-            Ok(seeds) => names_of(seeds)
-                .filter_map(|figure| Some((figure.clone(), spread(seeds, figure)?)))
-                .flat_map(|(figure, [median, least, most])| {
-                    let part = |end: &str, value| (format!("{figure}{end}"), json!(value));
-                    [part("", median), part(".least", least), part(".most", most)]
-                })
-                .collect(),
-            Err(why) => Map::from_iter([("not_run".to_owned(), json!(why))]),
-        };
+        let spreads = names_of(&played.seeds)
+            .into_iter()
+            .filter_map(|figure| Some((figure, spread(&played.seeds, figure)?)));
+        let parts = spreads.flat_map(|(figure, [median, least, most])| {
+            let part = |end: &str, value| (format!("{figure}{end}"), json!(value));
+            [part("", median), part(".least", least), part(".most", most)]
+        });
+        let not_run = played.not_run.iter().map(|why| ("not_run".to_owned(), json!(why)));
+        let seeds = ("seeds".to_owned(), json!(played.seeds.len()));
+        let figures = parts.chain(not_run).chain([seeds]).collect();
         (size.to_string(), Value::Object(figures))
     };
     Value::Object(played.iter().map(size).collect())
 }
 
-fn names_of(seeds: &[Figures]) -> impl Iterator<Item = &String> {
-    seeds.first().into_iter().flat_map(|figures| figures.keys())
+fn names_of(seeds: &[Figures]) -> BTreeSet<&String> {
+    seeds.iter().flat_map(|figures| figures.keys()).collect()
 }
--- /dev/null
+++ b/crates/lab/src/scale/peers/member.rs
@@ -0,0 +1,227 @@
+//! A hollow process: a member and its timers, without sockets and calls, and what it spends.
+
+use super::place;
+use nix::time::{clock_gettime, ClockId};
+use oakport_core::Micros;
+use oakport_fleet::{Config, Identity, News, Peers, Standing};
+use rand::Rng;
+use rand_pcg::Pcg32;
+use std::time::Duration;
+
+/// Bytes of the headers of UDP and IP.
+const HEADERS: u64 = 28;
+/// Of so many empty measurements the median is what measuring costs.
+const TRIALS: usize = 2_001;
+
+/// What is due for a member at a moment.
+pub struct Event {
+    /// The member.
+    pub to: usize,
+    /// When.
+    pub at: Micros,
+    /// Who sent it, and its number among what that one sent.
+    pub from: (usize, u64),
+    /// None: a timer.
+    pub datagram: Option<Box<[u8]>>,
+}
+
+/// What a member did in a window.
+#[derive(Default)]
+pub struct Done {
+    /// Datagrams on their way.
+    pub sent: Vec<Event>,
+    /// When it has to be told the time again.
+    pub due: Option<Micros>,
+    /// Lives that it holds dead from now on.
+    pub dead: Vec<(usize, u64)>,
+}
+
+/// What members spent between two moments.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Spent {
+    /// Processor time, in nanoseconds.
+    pub processor: u64,
+    /// Bytes sent, with their headers.
+    pub bytes: u64,
+    /// Datagrams sent.
+    pub datagrams: u64,
+}
+
+/// The network as a member meets it.
+pub struct Weather {
+    /// Members that there are.
+    pub size: usize,
+    /// Nothing passes to and from this region.
+    pub parted: Option<usize>,
+    /// Share of the datagrams that are lost.
+    pub loss: f64,
+    /// What measuring a call costs, in nanoseconds.
+    pub toll: u64,
+}
+
+/// A process that may run.
+pub struct Member {
+    number: usize,
+    /// Its state machine, if it runs.
+    pub peers: Option<Box<Peers>>,
+    random: Pcg32,
+    sent: u64,
+    /// It was told the time up to then.
+    told: Micros,
+    /// When it is told the time next.
+    wakes: Micros,
+    /// What it spent since that was last taken.
+    pub spent: Spent,
+    /// Bytes of the heap that it holds.
+    pub heap: i64,
+}
+
+impl Member {
+    /// One that does not run yet.
+    pub fn new(number: usize, seed: u64) -> Self {
+        Member {
+            number,
+            peers: None,
+            random: Pcg32::new(seed, number as u64),
+            sent: 0,
+            told: 0,
+            wakes: Micros::MAX,
+            spent: Spent::default(),
+            heap: 0,
+        }
+    }
+
+    /// Starts as a new life that knows these seeds.
+    pub fn start(&mut self, now: Micros, zone: usize, seeds: &[usize]) -> Event {
+        let own = Identity::new(
+            &format!("fare-{}", self.number),
+            place::address(self.number),
+            now / 1_000,
+            "0.2.0",
+            &format!("zone-{zone}"),
+        );
+        let seeds = seeds.iter().map(|seed| place::address(*seed)).collect();
+        // Told of one process, so that what it counts is all from what it knows.
+        let config = Config { fleet: "fares".to_owned(), seeds, balancers: 1 };
+        let seed = self.random.gen();
+        let mut peers = None;
+        let held = allocation_counter::measure(|| peers = Some(Box::new(Peers::new(now, seed, own, config))));
+        (self.peers, self.heap, self.told, self.wakes) = (peers, held.bytes_current, now, now);
+        self.timer(now)
+    }
+
+    /// It is gone without a word.
+    pub fn die(&mut self) {
+        self.peers = None;
+        self.heap = 0;
+    }
+
+    /// It says that it leaves, and is gone.
+    pub fn leave(&mut self, now: Micros, weather: &Weather) -> Vec<Event> {
+        let mut done = Done::default();
+        self.call(now, weather, &mut done, |peers| peers.leave(now));
+        self.die();
+        done.sent
+    }
+
+    fn timer(&self, at: Micros) -> Event {
+        Event { to: self.number, at, from: (self.number, u64::MAX), datagram: None }
+    }
+
+    /// Takes what is due before the end of a window, in its order.
+    pub fn play(&mut self, events: &mut [Event], end: Micros, weather: &Weather) -> Done {
+        let mut done = Done::default();
+        for event in events {
+            self.timers(event.at, weather, &mut done);
+            let Some(datagram) = event.datagram.take() else { continue };
+            let at = event.at;
+            // As the socket's loop does.
+            self.call(at, weather, &mut done, |peers| {
+                peers.datagram(at, &datagram);
+                peers.time(at);
+            });
+        }
+        self.timers(end - 1, weather, &mut done);
+        let due = self.peers.as_ref().map(|peers| peers.next_due().max(end));
+        // A timer that is set already is not set again; one that comes too early finds nothing due.
+        if let Some(due) = due.filter(|due| self.wakes < end || *due < self.wakes) {
+            self.wakes = due;
+            done.due = Some(due);
+        }
+        done
+    }
+
+    /// The timer that was asked for.
+    pub fn wake(&self, at: Micros) -> Event {
+        self.timer(at)
+    }
+
+    /// Tells it the time whenever that is due, up to a moment.
+    fn timers(&mut self, until: Micros, weather: &Weather, done: &mut Done) {
+        while let Some(peers) = &self.peers {
+            let due = peers.next_due().max(self.told);
+            if due > until {
+                return;
+            }
+            self.told = due + 1;
+            self.call(due, weather, done, |peers| peers.time(due));
+        }
+    }
+
+    /// A call into the state machine, of which alone its processor time and its memory are taken.
+    fn call(&mut self, now: Micros, weather: &Weather, done: &mut Done, act: impl FnOnce(&mut Peers)) {
+        let Some(peers) = &mut self.peers else { return };
+        let (mut outbox, mut news) = (Vec::new(), Vec::new());
+        let (held, took) = measured(|| {
+            act(peers);
+            (outbox, news) = (peers.outbox(), peers.news());
+        });
+        self.spent.processor += took.saturating_sub(weather.toll);
+        for (to, datagram) in &outbox {
+            self.sent += 1;
+            self.spent.datagrams += 1;
+            self.spent.bytes += datagram.len() as u64 + HEADERS;
+            let Some(to) = place::member(*to).filter(|to| *to < weather.size) else { continue };
+            let region = |member| place::region(member, weather.size);
+            let crosses = region(self.number) != region(to);
+            let cut = |parted| crosses && (region(self.number) == parted || region(to) == parted);
+            let lost = weather.loss > 0.0 && self.random.gen_bool(weather.loss);
+            if weather.parted.is_some_and(cut) || lost {
+                continue;
+            }
+            let at = now + place::latency(self.number, to, weather.size, &mut self.random);
+            let datagram = Some(Box::from(datagram.as_slice()));
+            done.sent.push(Event { to, at, from: (self.number, self.sent), datagram });
+        }
+        done.dead.extend(news.iter().filter_map(|news| match news {
+            News::Member(who, Standing::Dead) => Some((place::member(who.address)?, who.life)),
+            _ => None,
+        }));
+        // What it gave away is not its own any more.
+        let given = allocation_counter::measure(|| drop((outbox, news)));
+        self.heap += held + given.bytes_current;
+    }
+}
+
+/// Bytes that a call allocated and still holds, and the nanoseconds of the processor that it took.
+fn measured(act: impl FnOnce()) -> (i64, u64) {
+    let mut took = Duration::ZERO;
+    let held = allocation_counter::measure(|| {
+        let begin = processor();
+        act();
+        took = processor().saturating_sub(begin);
+    });
+    (held.bytes_current, took.as_nanos() as u64)
+}
+
+/// Processor time of this thread.
+fn processor() -> Duration {
+    clock_gettime(ClockId::CLOCK_THREAD_CPUTIME_ID).map_or(Duration::ZERO, Duration::from)
+}
+
+/// What measuring a call costs, in nanoseconds.
+pub fn toll() -> u64 {
+    let mut all: Vec<u64> = (0..TRIALS).map(|_| measured(|| ()).1).collect();
+    all.sort_unstable();
+    all[TRIALS / 2]
+}
--- /dev/null
+++ b/crates/lab/src/scale/peers/place.rs
@@ -0,0 +1,57 @@
+//! Where the hollow members are: their addresses, zones and regions, and how long a datagram is under way
+//! between them.
+
+use oakport_core::Micros;
+use rand::Rng;
+use std::net::SocketAddr;
+
+/// Zones of the site.
+pub const ZONES: usize = 11;
+/// Regions, each of some zones.
+pub const REGIONS: usize = 3;
+/// The port of all members.
+const PORT: u16 = 7_946;
+/// Under way between two members of one zone, in microseconds: at least, and so much more at the most.
+const IN_ZONE: (Micros, Micros) = (2_000, 3_000);
+/// The same between two zones of a region.
+const IN_REGION: (Micros, Micros) = (3_000, 5_000);
+/// The same from a region to the next; to the one after it is twice as far.
+const BETWEEN: (Micros, Micros) = (14_000, 3_000);
+/// No datagram is under way for less.
+pub const LEAST: Micros = IN_ZONE.0;
+
+/// Where a member is reached.
+pub fn address(member: usize) -> SocketAddr {
+    SocketAddr::from(([10, (member >> 16) as u8, (member >> 8) as u8, member as u8], PORT))
+}
+
+/// Who is reached at an address.
+pub fn member(address: SocketAddr) -> Option<usize> {
+    match address {
+        SocketAddr::V4(v4) if v4.port() == PORT && v4.ip().octets()[0] == 10 => {
+            Some(u32::from_be_bytes(v4.ip().octets()) as usize & 0xff_ffff)
+        }
+        _ => None,
+    }
+}
+
+/// The zone of a member: zones are blocks of members that follow one another.
+pub fn zone(member: usize, size: usize) -> usize {
+    member * ZONES / size
+}
+
+/// The region of a member.
+pub fn region(member: usize, size: usize) -> usize {
+    zone(member, size) * REGIONS / ZONES
+}
+
+/// How long a datagram is under way.
+pub fn latency(from: usize, to: usize, size: usize, random: &mut impl Rng) -> Micros {
+    let apart = region(from, size).abs_diff(region(to, size)) as Micros;
+    let (least, more) = match apart {
+        0 if zone(from, size) == zone(to, size) => IN_ZONE,
+        0 => IN_REGION,
+        _ => (BETWEEN.0 * apart, BETWEEN.1),
+    };
+    least + random.gen_range(0..=more)
+}
--- a/crates/lab/src/scale/point.rs
+++ b/crates/lab/src/scale/point.rs
@@ -22,11 +22,13 @@
     pub sockets: Option<usize>,
 }
 
-/// Why a point has no figures.
-#[derive(Clone, Debug, PartialEq, Eq)]
+/// Why a point has no figures, or not all.
+#[derive(Clone, Debug, PartialEq)]
 pub enum Stopped {
     /// It would not end in its time, or needs more than this machine may give it.
     NotRun(String),
+    /// So did its last part; what it had until then.
+    Partly(Figures, String),
     /// It cannot be played at all.
     Odd(String),
 }
