Let scopes know each other by their number and age, not member by member

Cause: one view of all members is told, probed and held at each process; news, memory and foca's walks grow with the whole fleet.

Ruled out: a delegate of each scope (a leader to lose); records appended to foca's datagrams (older releases would take them for damaged ones); one count fed by what others see present (a cut within a scope would look like deaths to all others).

Change: `[peers] scope`. Members of a scope keep the full view of each other; of every other scope a process holds a record: counted (by the safe side of that scope's own members), present, sure, digest, age, contacts. Records go round within a scope by random pushes and between scopes by a few members a second, drawn by chance. A scope unheard of for 5 s is a cut: its count stays for 60 s and falls by steps. Without the key the fleet is one scope, by the same code. Datagrams of the new kind are versioned and checked; older releases throw them away. `ctl peers` and DUMP tell the scopes.

Ten tests of scopes in virtual time; those of one scope pass as they were.

--- a/crates/cli/src/ctl.rs
+++ b/crates/cli/src/ctl.rs
@@ -138,8 +138,15 @@
         100.0 * peers.agreement,
         peers.count
     );
+    let mut scopes = Table::new();
+    scopes.load_preset(presets::NOTHING).set_header(["scope", "present", "counted", "heard", "ago"]);
+    for scope in &peers.scopes {
+        let [present, counted] = [scope.present, scope.counted].map(|number| number.to_string());
+        scopes.add_row([scope.name.clone(), present, counted, scope.hearing.clone(), span(scope.age_ms)]);
+    }
     let lines = [head, String::new()].into_iter().chain(table.lines());
-    lines.map(|line| format!("{}\n", line.trim_end())).collect()
+    let others = (!peers.scopes.is_empty()).then(|| [String::new()].into_iter().chain(scopes.lines()));
+    lines.chain(others.into_iter().flatten()).map(|line| format!("{}\n", line.trim_end())).collect()
 }
 
 /// The figures for people; with those of some time ago, what came each second since.
--- a/crates/fleet/src/count.rs
+++ b/crates/fleet/src/count.rs
@@ -73,14 +73,24 @@
             self.departures += 1;
             return;
         }
-        self.held = self.held.max(now + HOLD);
+        self.hold(now);
         if !self.cut {
             self.deaths.push_back(now + TOGETHER);
         }
     }
 
-    /// Looks at the view: so many are there, this process included, of whom so many are not suspected, and the others
-    /// agree or not.
+    /// So many are gone, as was said or confirmed elsewhere.
+    pub fn fewer(&mut self, number: usize) {
+        self.departures += number;
+    }
+
+    /// From now on the count stays for some time, but for what was said or confirmed.
+    pub fn hold(&mut self, now: Micros) {
+        self.held = self.held.max(now + HOLD);
+    }
+
+    /// Looks at the view: so many are there, this process included, of whom so many are not suspected, and
+    /// the others agree or not.
     pub fn look(&mut self, now: Micros, there: usize, sure: usize, agreed: bool) {
         // Alone it serves as a process without peers does.
         let there = if there <= 1 { self.told } else { there };
@@ -90,7 +100,7 @@
         }
         if !agreed {
             // Who disagrees may know of some that are not seen from here.
-            self.held = self.held.max(now + HOLD);
+            self.hold(now);
         }
         if there >= self.count {
             (self.count, self.departures) = (there, 0);
--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -2,11 +2,21 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
-/// The mark and the version of the format.
-const MARK: [u8; 4] = *b"oak\x01";
+/// The mark; the version of the format follows.
+const MARK: [u8; 3] = *b"oak";
 /// Bytes of an envelope.
 pub const LENGTH: usize = 16;
 
+/// What a datagram holds: the fourth byte, a kind in its upper half and the kind's version in the lower one.
+/// Who knows only the first kind takes the others for another version of it, and throws them away.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// What `foca` says to members of one scope.
+    Members = 0x01,
+    /// What is told of scopes.
+    Scopes = 0x11,
+}
+
 /// What stands before a datagram's content.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Envelope {
@@ -37,10 +47,24 @@
         xxh3_64(name.as_bytes()) as u32
     }
 
-    /// A whole datagram.
+    /// The hash of the name of a scope in a fleet: its members' datagrams are foreign to other scopes.
+    pub(crate) fn scope(fleet: &str, scope: &str) -> u32 {
+        match scope {
+            "" => Envelope::fleet(fleet),
+            _ => Envelope::fleet(&format!("{fleet}\0{scope}")),
+        }
+    }
+
+    /// A whole datagram of the first kind.
     pub fn seal(&self, content: &[u8]) -> Vec<u8> {
+        self.seal_as(Kind::Members, content)
+    }
+
+    /// A whole datagram.
+    pub fn seal_as(&self, kind: Kind, content: &[u8]) -> Vec<u8> {
         let mut whole = Vec::with_capacity(LENGTH + content.len());
         whole.extend_from_slice(&MARK);
+        whole.push(kind as u8);
         whole.extend_from_slice(&self.fleet.to_be_bytes());
         whole.extend_from_slice(&self.digest.to_be_bytes());
         whole.extend_from_slice(&checksum(&whole, content).to_be_bytes());
@@ -48,18 +72,31 @@
         whole
     }
 
-    /// Opens a datagram of this fleet.
+    /// Opens a datagram of the first kind, of this fleet.
     ///
     /// # Errors
     /// Why it is thrown away.
     pub fn open(fleet: u32, datagram: &[u8]) -> Result<(Envelope, &[u8]), Odd> {
+        let (envelope, _, content) =
+            Envelope::open_any(|kind| (kind == Kind::Members).then_some(fleet), datagram)?;
+        Ok((envelope, content))
+    }
+
+    /// Opens a datagram of one of the kinds for which a fleet is given.
+    ///
+    /// # Errors
+    /// Why it is thrown away.
+    pub fn open_any(
+        fleet: impl Fn(Kind) -> Option<u32>,
+        datagram: &[u8],
+    ) -> Result<(Envelope, Kind, &[u8]), Odd> {
         let (mark, rest) = datagram.split_first_chunk::<4>().ok_or(Odd::Mark)?;
-        if mark[..3] != MARK[..3] {
+        if mark[..3] != MARK {
             return Err(Odd::Mark);
         }
-        if mark[3] != MARK[3] {
-            return Err(Odd::Version);
-        }
+        let kind = [Kind::Members, Kind::Scopes].into_iter().find(|kind| *kind as u8 == mark[3]);
+        let kind = kind.ok_or(Odd::Version)?;
+        let fleet = fleet(kind).ok_or(Odd::Version)?;
         let (found, rest) = rest.split_first_chunk::<4>().ok_or(Odd::Damaged)?;
         let (digest, rest) = rest.split_first_chunk::<4>().ok_or(Odd::Damaged)?;
         let (sum, content) = rest.split_first_chunk::<4>().ok_or(Odd::Damaged)?;
@@ -69,7 +106,7 @@
         if u32::from_be_bytes(*found) != fleet {
             return Err(Odd::Fleet);
         }
-        Ok((Envelope { fleet, digest: u32::from_be_bytes(*digest) }, content))
+        Ok((Envelope { fleet, digest: u32::from_be_bytes(*digest) }, kind, content))
     }
 }
 
--- a/crates/fleet/src/heard.rs
+++ b/crates/fleet/src/heard.rs
@@ -62,6 +62,12 @@
         lately.copied().find(|(at, from)| differs(*at, *from)).map(|(_, from)| from)
     }
 
+    /// One who told lately, by a random number.
+    pub(crate) fn someone(&self, random: u64) -> Option<SocketAddr> {
+        let number = random.checked_rem(self.queue.len() as u64)? as usize;
+        self.queue.get(number).map(|(_, from)| *from)
+    }
+
     /// How many lately told this digest, and how many told any.
     pub(crate) fn agree(&self, now: Micros, digest: u32) -> (usize, usize) {
         // What has grown old since it was last tidied.
--- a/crates/fleet/src/identity.rs
+++ b/crates/fleet/src/identity.rs
@@ -11,7 +11,7 @@
 const STEPS_MOST: u8 = 32;
 
 /// As much of a text as is told.
-fn cut(text: &str) -> String {
+pub(crate) fn cut(text: &str) -> String {
     let end = (0..=text.len().min(TEXT_MOST)).rev().find(|end| text.is_char_boundary(*end));
     text[..end.unwrap_or(0)].to_owned()
 }
@@ -56,7 +56,8 @@
 impl foca::Identity for Identity {
     type Addr = SocketAddr;
 
-    /// One that was held dead comes back as a new life. A clock that had gone back is caught up with by steps that double.
+    /// One that was held dead comes back as a new life. A clock that had gone back is caught up with by steps
+    /// that double.
     fn renew(&self) -> Option<Self> {
         if self.leaving {
             return None;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,6 +1,9 @@
 //! One process among its peers: SWIM by `foca`, and what follows from it.
 
-use crate::envelope::{Envelope, Odd, LENGTH};
+use crate::between::{Between, Talk};
+use crate::envelope::{Envelope, Kind, Odd, LENGTH};
+use crate::identity::cut;
+use crate::scopes::{Hearing, Scopes};
 use crate::view::{Standing, View};
 use crate::{wire, Count, Identity, Micros};
 use foca::{Foca, Notification, PeriodicParams, PostcardCodec, Runtime, Timer};
@@ -33,6 +36,8 @@
 const SEEDS: Micros = 500_000;
 /// The view is looked at this often, and one that differs is asked for its own.
 const LOOK: Micros = 500_000;
+/// Members of the own scope that others know are asked this often.
+const KIN: Micros = 200_000;
 /// An agreement of this share is one.
 const AGREED: f64 = 0.9;
 /// News that wait to be taken; beyond them they are counted only.
@@ -62,6 +67,8 @@
     Cut(bool),
     /// The count in force has changed.
     Count(usize),
+    /// Another scope is silent, or heard of again.
+    Scope(String, Hearing),
 }
 
 /// What `foca` wants done.
@@ -103,7 +110,9 @@
 pub struct Peers {
     foca: Foca<Identity, PostcardCodec, Pcg64, foca::NoCustomBroadcast>,
     config: Config,
+    /// The hash of the fleet's name, and of the own scope's in it.
     fleet: u32,
+    scope: u32,
     /// By when they are due, and their order.
     timers: BTreeMap<(Micros, u64), Timer<Identity>>,
     number: u64,
@@ -113,6 +122,14 @@
     /// The life that is part of the view's digest.
     life: u64,
     count: Count,
+    /// The count of the own scope alone, as others are told it.
+    own_count: Count,
+    /// What the own scope and the others counted at the last look.
+    counted: usize,
+    between: Between,
+    /// Seeds that are of another scope.
+    elsewhere: BTreeSet<SocketAddr>,
+    kin_at: Micros,
     outbox: Vec<(SocketAddr, Vec<u8>)>,
     news: Vec<News>,
     seeds_at: Micros,
@@ -147,22 +164,36 @@
 }
 
 impl Peers {
-    /// Begins, knowing nobody.
+    /// Begins in a fleet that is one scope, knowing nobody.
     pub fn new(now: Micros, seed: u64, own: Identity, config: Config) -> Self {
+        Peers::in_scope(now, seed, own, config, "")
+    }
+
+    /// Begins in a scope, knowing nobody; a name that is too long is cut.
+    pub fn in_scope(now: Micros, seed: u64, own: Identity, config: Config, scope: &str) -> Self {
+        let scope = &cut(scope);
         let fleet = Envelope::fleet(&config.fleet);
+        let between = Between::new(now, seed, scope, own.address);
         let mut view = View::default();
         view.own(&own);
         let count = Count::new(now, config.balancers);
         Peers {
             life: own.life,
             foca: Foca::new(own, figures(), Pcg64::seed_from_u64(seed), PostcardCodec),
-            config,
             fleet,
+            scope: Envelope::scope(&config.fleet, scope),
+            config,
             timers: BTreeMap::new(),
             number: 0,
             view,
             doubted: BTreeSet::new(),
             count,
+            // It says what is there, not what there should be.
+            own_count: Count::new(now, 1),
+            counted: 1,
+            between,
+            elsewhere: BTreeSet::new(),
+            kin_at: now,
             outbox: Vec::new(),
             news: Vec::new(),
             seeds_at: now,
@@ -189,15 +220,32 @@
         &self.count
     }
 
+    /// What it holds of other scopes.
+    pub fn scopes(&self) -> &Scopes {
+        &self.between.scopes
+    }
+
+    /// The scope of this process; empty if the whole fleet is one.
+    pub fn scope(&self) -> &str {
+        &self.between.name
+    }
+
+    /// So many fell silent that it is taken for a cut.
+    pub fn is_cut(&self) -> bool {
+        self.count.is_cut() || self.own_count.is_cut()
+    }
+
     /// Nobody else is known to be there.
     pub fn alone(&self) -> bool {
-        self.view.size() == 1
+        self.view.size() == 1 && self.between.scopes.counted() == 0
     }
 
     /// When the time must be told next.
     pub fn next_due(&self) -> Micros {
         let timer = self.timers.first_key_value().map_or(Micros::MAX, |((at, _), _)| *at);
-        timer.min(self.seeds_at).min(self.looked + LOOK)
+        // Who has left asks and talks no more.
+        let talks = if self.left { Micros::MAX } else { self.seeds_at.min(self.between.next_due()) };
+        timer.min(self.looked + LOOK).min(talks)
     }
 
     /// Takes what is to be sent.
@@ -217,8 +265,13 @@
 
     /// A datagram has come.
     pub fn datagram(&mut self, now: Micros, datagram: &[u8]) {
-        let (envelope, content) = match Envelope::open(self.fleet, datagram) {
-            Ok(opened) => opened,
+        let fleet = |kind| match kind {
+            Kind::Members => Some(self.scope),
+            Kind::Scopes => Some(self.fleet),
+        };
+        let (envelope, content) = match Envelope::open_any(fleet, datagram) {
+            Ok((envelope, Kind::Members, content)) => (envelope, content),
+            Ok((_, Kind::Scopes, content)) => return self.talked(now, content),
             Err(odd) => return self.threw_away(odd),
         };
         let mut wanted = Wanted::default();
@@ -236,6 +289,48 @@
         }
     }
 
+    /// A member tells what it knows of scopes.
+    fn talked(&mut self, now: Micros, content: &[u8]) {
+        let Some(talk) = Talk::read(content) else { return self.threw_away(Odd::Content) };
+        let news = self.between.scopes.is_empty();
+        let (letters, elsewhere) = self.between.heard(now, &talk, &self.view, self.own_count.get());
+        if self.config.seeds.contains(&talk.from) {
+            match elsewhere {
+                true => self.elsewhere.insert(talk.from),
+                false => self.elsewhere.remove(&talk.from),
+            };
+        }
+        self.write(letters);
+        if now >= self.kin_at && !self.left {
+            self.kin_at = now + KIN;
+            for who in self.between.kin(now, &self.view) {
+                self.announce(now, Identity::unknown(who));
+            }
+        }
+        if news != self.between.scopes.is_empty() {
+            self.look(now);
+        }
+    }
+
+    fn write(&mut self, letters: Vec<(SocketAddr, Vec<u8>)>) {
+        let envelope = Envelope { fleet: self.fleet, digest: self.view.digest() };
+        for (to, content) in letters {
+            self.post(to, envelope.seal_as(Kind::Scopes, &content));
+        }
+    }
+
+    fn post(&mut self, to: SocketAddr, datagram: Vec<u8>) {
+        self.bytes_sent += datagram.len() as u64;
+        self.outbox.push((to, datagram));
+    }
+
+    fn announce(&mut self, now: Micros, who: Identity) {
+        let mut wanted = Wanted::default();
+        // It can only fail to encode, which is tried again.
+        let _ = self.foca.announce(who, &mut wanted);
+        self.done(now, wanted);
+    }
+
     fn threw_away(&mut self, odd: Odd) {
         let name = match odd {
             Odd::Mark => "mark",
@@ -252,22 +347,33 @@
         while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
             let timer = entry.remove();
             let mut wanted = Wanted::default();
-            // A timer of before a change of identity has nothing to do; `foca` goes on after a cycle that was cut short.
+            // A timer of before a change of identity has nothing to do; `foca` goes on after a cycle that was
+            // cut short.
             let _ = self.foca.handle_timer(timer, &mut wanted);
             self.done(now, wanted);
         }
         if now >= self.seeds_at && !self.left {
             // With others it is only now and then: both halves of a long cut may have forgotten each other.
-            self.seeds_at = now + if self.alone() { SEEDS } else { MORE };
+            let alone = self.view.size() == 1;
+            self.seeds_at = now + if alone { SEEDS } else { MORE };
+            let asks = self.between.asks(now, alone);
             for seed in self.config.seeds.clone() {
-                if seed != self.own().address && !self.view.get(seed).is_some_and(|s| s.standing.is_there()) {
-                    let mut wanted = Wanted::default();
-                    // It can only fail to encode, which is tried again.
-                    let _ = self.foca.announce(Identity::unknown(seed), &mut wanted);
-                    self.done(now, wanted);
+                if seed == self.own().address || self.view.get(seed).is_some_and(|s| s.standing.is_there()) {
+                    continue;
+                }
+                if !self.elsewhere.contains(&seed) {
+                    self.announce(now, Identity::unknown(seed));
+                }
+                if asks {
+                    let letter = self.between.ask(&self.view, self.own_count.get());
+                    self.write(letter.into_iter().map(|letter| (seed, letter)).collect());
                 }
             }
         }
+        if !self.left {
+            let letters = self.between.talk(now, &self.view, self.own_count.get());
+            self.write(letters);
+        }
         if now < self.looked + LOOK {
             return;
         }
@@ -276,10 +382,7 @@
         // Views that differ come together by being exchanged; news alone go along only so often.
         let dissenter = self.view.dissenter(now).filter(|_| !self.left);
         if let Some(who) = dissenter.cloned() {
-            let mut wanted = Wanted::default();
-            // It can only fail to encode, which is tried again.
-            let _ = self.foca.announce(who, &mut wanted);
-            self.done(now, wanted);
+            self.announce(now, who);
         }
     }
 
@@ -296,7 +399,7 @@
 
     fn tell(&mut self, news: News) {
         // What is in force is told in any case.
-        if self.news.len() < NEWS_MOST || matches!(news, News::Count(_) | News::Cut(_)) {
+        if self.news.len() < NEWS_MOST || matches!(news, News::Count(_) | News::Cut(_) | News::Scope(..)) {
             self.news.push(news);
         }
     }
@@ -333,11 +436,9 @@
             self.life = own.life;
             self.view.own(own);
         }
-        let envelope = Envelope { fleet: self.fleet, digest: self.view.digest() };
+        let envelope = Envelope { fleet: self.scope, digest: self.view.digest() };
         for (to, content) in wanted.send {
-            let datagram = envelope.seal(&content);
-            self.bytes_sent += datagram.len() as u64;
-            self.outbox.push((to, datagram));
+            self.post(to, envelope.seal(&content));
         }
         if before != self.view.digest() {
             self.look(now);
@@ -350,13 +451,16 @@
             return;
         }
         match standing {
-            Standing::Suspected => self.count.fell_silent(now),
+            Standing::Suspected => self.fell_silent(now),
             // Silence of which only its end is heard.
-            Standing::Dead if old == Some(Standing::Present) => self.count.fell_silent(now),
+            Standing::Dead if old == Some(Standing::Present) => self.fell_silent(now),
             _ => {}
         }
         if matches!(standing, Standing::Left | Standing::Dead) {
-            self.count.departed(now, standing == Standing::Left);
+            self.own_count.departed(now, standing == Standing::Left);
+        }
+        if standing == Standing::Dead {
+            self.count.hold(now);
         }
         // One that was suspected meanwhile has been told of.
         if standing == Standing::Present && !old.is_some_and(Standing::is_there) {
@@ -369,6 +473,11 @@
         self.tell(News::Member(who.clone(), standing));
     }
 
+    fn fell_silent(&mut self, now: Micros) {
+        self.count.fell_silent(now);
+        self.own_count.fell_silent(now);
+    }
+
     /// Takes suspicions in, and brings the count up to date.
     fn look(&mut self, now: Micros) {
         if !self.doubted.is_empty() {
@@ -390,8 +499,18 @@
         self.view.tidy(now);
         let before = self.count.get();
         let agreed = self.view.agreement(now) >= AGREED;
-        self.count.look(now, self.view.size(), self.view.sure(), agreed);
-        let cut = self.count.is_cut();
+        self.own_count.look(now, self.view.size(), self.view.sure(), agreed);
+        for (name, hearing) in self.between.scopes.look(now, before) {
+            self.tell(News::Scope(name, hearing));
+        }
+        let scopes = &self.between.scopes;
+        let counted = self.own_count.get().max(scopes.own(now)) + scopes.counted();
+        // Each scope has waited until it was safe to count fewer.
+        let fell = std::mem::replace(&mut self.counted, counted).saturating_sub(counted);
+        self.count.fewer(fell);
+        let there = if self.alone() { 1 } else { counted };
+        self.count.look(now, there, self.view.sure() + self.between.scopes.sure(), agreed);
+        let cut = self.is_cut();
         if std::mem::replace(&mut self.told_cut, cut) != cut {
             self.tell(News::Cut(cut));
         }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -44,7 +44,8 @@
     pub since: Micros,
 }
 
-/// All members but this process itself. What is told of them together is kept as they change; nothing walks them all.
+/// All members but this process itself. What is told of them together is kept as they change; nothing walks
+/// them all.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     members: BTreeMap<SocketAddr, Seen>,
@@ -189,7 +190,14 @@
         self.get(other).map(|seen| &seen.who)
     }
 
-    /// Share of the others that lately told the digest that is held here, of those that told any; 1 if none did.
+    /// One that is there and was heard lately, by a random number; none if that one went since.
+    pub(crate) fn someone(&self, random: u64) -> Option<SocketAddr> {
+        let someone = self.heard.someone(random)?;
+        self.get(someone).filter(|seen| seen.standing.is_there()).map(|seen| seen.who.address)
+    }
+
+    /// Share of the others that lately told the digest that is held here, of those that told any; 1 if none
+    /// did.
     pub fn agreement(&self, now: Micros) -> f64 {
         let (same, all) = self.heard.agree(now, self.digest());
         if all == 0 {
--- /dev/null
+++ b/crates/fleet/tests/scopes.rs
@@ -0,0 +1,358 @@
+//! A fleet of several scopes in virtual time: what each knows of the others, and what the count makes of it.
+
+use oakport_fleet::{Config, Envelope, Hearing, Identity, Kind, Micros, News, Peers, Standing};
+use rand_pcg_next::rand_core::{Rng, SeedableRng};
+use rand_pcg_next::Pcg64;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+const SECOND: Micros = 1_000_000;
+const MILLI: Micros = 1_000;
+
+struct Process {
+    peers: Peers,
+    runs: bool,
+    stalled: Micros,
+}
+
+struct Net {
+    now: Micros,
+    random: Pcg64,
+    processes: Vec<Process>,
+    scopes: usize,
+    under_way: BTreeMap<(Micros, u64), (usize, Vec<u8>)>,
+    number: u64,
+    loss: f64,
+    /// Nothing passes from the one to the other.
+    cut: Box<dyn Fn(usize, usize) -> bool>,
+    news: Vec<(Micros, usize, News)>,
+    /// Datagrams of the kind for scopes that each sent to other scopes.
+    spoke: BTreeMap<usize, u64>,
+}
+
+fn address(number: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, (number >> 8) as u8, number as u8], 7_000))
+}
+
+impl Net {
+    /// So many in so many scopes, one after the other in turn, of whom all know two of the first as seeds.
+    fn new(seed: u64, number: usize, scopes: usize) -> Self {
+        let mut net = Net {
+            now: SECOND,
+            random: Pcg64::seed_from_u64(seed),
+            processes: Vec::new(),
+            scopes,
+            under_way: BTreeMap::new(),
+            number: 0,
+            loss: 0.0,
+            cut: Box::new(|_, _| false),
+            news: Vec::new(),
+            spoke: BTreeMap::new(),
+        };
+        for n in 0..number {
+            let process = net.process(n, &format!("z{}", n % scopes));
+            net.processes.push(process);
+        }
+        net
+    }
+
+    fn process(&mut self, number: usize, scope: &str) -> Process {
+        let own = Identity::new(&format!("n{number}"), address(number), self.now, "1", scope);
+        let seeds = vec![address(0), address(1)];
+        let config = Config { fleet: "fares".to_owned(), seeds, balancers: 1 };
+        let peers = Peers::in_scope(self.now, self.random.next_u64(), own, config, scope);
+        Process { peers, runs: true, stalled: 0 }
+    }
+
+    fn share(&mut self) -> f64 {
+        (self.random.next_u64() >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    fn post(&mut self, from: usize) {
+        for (to, datagram) in self.processes[from].peers.outbox() {
+            assert!(datagram.len() <= 1_400, "{} bytes", datagram.len());
+            let SocketAddr::V4(v4) = to else { panic!("{to}") };
+            let to = usize::from(v4.ip().octets()[2]) << 8 | usize::from(v4.ip().octets()[3]);
+            if datagram[3] == Kind::Scopes as u8 && to % self.scopes != from % self.scopes {
+                *self.spoke.entry(from).or_default() += 1;
+            }
+            if self.share() < self.loss || (self.cut)(from, to) {
+                continue;
+            }
+            self.number += 1;
+            let after = MILLI + (self.share() * 4.0 * MILLI as f64) as Micros;
+            self.under_way.insert((self.now + after, self.number), (to, datagram));
+        }
+        let news = self.processes[from].peers.news();
+        self.news.extend(news.into_iter().map(|news| (self.now, from, news)));
+    }
+
+    fn until(&mut self, end: Micros) {
+        loop {
+            let due = |p: &Process| if p.runs { p.peers.next_due().max(p.stalled) } else { Micros::MAX };
+            let timer = (0..self.processes.len()).map(|n| (due(&self.processes[n]), n)).min().expect("some");
+            let datagram = self.under_way.first_key_value().map_or(Micros::MAX, |((at, _), _)| *at);
+            if timer.0.min(datagram) > end {
+                self.now = end;
+                return;
+            }
+            if datagram <= timer.0 {
+                let Some(((at, number), (to, bytes))) = self.under_way.pop_first() else { continue };
+                self.now = at;
+                let process = &mut self.processes[to];
+                if process.runs && process.stalled > at {
+                    self.under_way.insert((process.stalled, number), (to, bytes));
+                } else if process.runs {
+                    process.peers.datagram(at, &bytes);
+                    self.post(to);
+                }
+            } else {
+                self.now = timer.0;
+                self.processes[timer.1].peers.time(self.now);
+                self.post(timer.1);
+            }
+        }
+    }
+
+    fn wait(&mut self, most: Micros, what: &str, holds: impl Fn(&Net) -> bool) -> Micros {
+        let begin = self.now;
+        while !holds(self) {
+            assert!(self.now < begin + most, "{what}: not within {} s", most / SECOND);
+            self.until(self.now + 50 * MILLI);
+        }
+        self.now - begin
+    }
+
+    fn running(&self) -> impl Iterator<Item = &Process> {
+        self.processes.iter().filter(|p| p.runs)
+    }
+
+    /// All that run count so many.
+    fn count(&self, count: usize) -> bool {
+        self.running().all(|p| p.peers.count().get() == count)
+    }
+
+    fn joined(seed: u64, number: usize, scopes: usize) -> Self {
+        let mut net = Net::new(seed, number, scopes);
+        net.wait(15 * SECOND, "joined", |net| net.count(number));
+        net.until(net.now + 5 * SECOND);
+        net.news.clear();
+        net
+    }
+
+    fn hearing(&self, n: usize, scope: &str) -> Option<Hearing> {
+        let mut others = self.processes[n].peers.scopes().others();
+        others.find(|(name, _)| *name == scope).map(|(_, scope)| scope.hearing())
+    }
+
+    fn held_dead(&self) -> usize {
+        self.news.iter().filter(|(_, _, news)| matches!(news, News::Member(_, Standing::Dead))).count()
+    }
+
+    fn silent(&self) -> usize {
+        self.news.iter().filter(|(_, _, news)| matches!(news, News::Scope(_, Hearing::Silent))).count()
+    }
+}
+
+#[test]
+fn each_knows_its_own_scope_and_how_many_the_others_are() {
+    let mut net = Net::joined(1, 66, 6);
+    for n in 0..66 {
+        let peers = &net.processes[n].peers;
+        assert_eq!((peers.view().size(), peers.scopes().len()), (11, 5), "{n}");
+        assert!(peers.view().members().all(|seen| seen.who.zone == format!("z{}", n % 6)));
+    }
+    net.until(net.now + 60 * SECOND);
+    assert!(net.count(66));
+    assert_eq!((net.held_dead(), net.silent()), (0, 0));
+    // What is said in one is counted by all.
+    let now = net.now;
+    net.processes[8].peers.leave(now);
+    net.post(8);
+    net.processes[8].runs = false;
+    net.processes[15].runs = false;
+    let took = net.wait(20 * SECOND, "one left, one died", |net| net.count(64));
+    println!("a leave and a death are counted by all scopes after {} ms", took / MILLI);
+    assert_eq!(net.silent(), 0);
+}
+
+#[test]
+fn with_losses_and_stalls_no_scope_is_held_silent() {
+    let mut net = Net::joined(2, 66, 6);
+    net.loss = 0.05;
+    for n in 0..6 {
+        net.processes[n * 7].stalled = net.now + 5 * SECOND;
+        net.until(net.now + 15 * SECOND);
+    }
+    assert_eq!(net.silent(), 0);
+    net.loss = 0.0;
+    net.wait(20 * SECOND, "all back", |net| net.running().all(|p| p.peers.view().size() == 11));
+    assert!(net.count(66));
+}
+
+#[test]
+fn a_lost_scope_is_silent_its_count_stays_and_then_falls_step_by_step() {
+    let mut net = Net::joined(3, 66, 6);
+    (0..66).filter(|n| n % 6 == 5).for_each(|n| net.processes[n].runs = false);
+    let all =
+        |net: &Net, hearing| (0..66).filter(|n| n % 6 != 5).all(|n| net.hearing(n, "z5") == Some(hearing));
+    let took = net.wait(8 * SECOND, "known", |net| all(net, Hearing::Silent));
+    println!("a lost scope is known to all after {} ms", took / MILLI);
+    net.until(net.now + 50 * SECOND);
+    assert!(net.count(66), "it stays");
+    net.until(net.now + 12 * SECOND);
+    net.wait(20 * SECOND, "it falls", |net| net.count(55));
+    let mut last = BTreeMap::new();
+    for (at, n, news) in &net.news {
+        if let News::Count(count) = news {
+            let (before, when) = last.insert(*n, (*count, *at)).unwrap_or((66, 0));
+            assert!(before.saturating_sub(*count) <= 6 && *at >= when + SECOND, "{n}: {before} to {count}");
+        }
+    }
+    assert_eq!(net.held_dead(), 0, "nobody is held dead one by one");
+    // It comes back, as new lives.
+    for n in (0..66).filter(|n| n % 6 == 5) {
+        net.processes[n] = net.process(n, "z5");
+    }
+    let took = net.wait(15 * SECOND, "back", |net| net.count(66) && all(net, Hearing::Fresh));
+    println!("and counted again {} ms after it is back", took / MILLI);
+}
+
+#[test]
+fn regions_that_lose_each_other_keep_the_count_and_agree_soon_after() {
+    let mut net = Net::joined(4, 66, 6);
+    net.cut = Box::new(|a, b| (a % 6 < 2) != (b % 6 < 2));
+    net.until(net.now + 55 * SECOND);
+    assert!(net.count(66), "it stays");
+    net.until(net.now + 125 * SECOND);
+    assert!((0..66).all(|n| net.processes[n].peers.count().get() == if n % 6 < 2 { 22 } else { 44 }));
+    net.cut = Box::new(|_, _| false);
+    let fresh = |p: &Process| p.peers.scopes().others().all(|(_, s)| s.hearing() == Hearing::Fresh);
+    let took = net.wait(15 * SECOND, "healed", |net| net.count(66) && net.running().all(fresh));
+    println!("regions agree {} ms after they are healed", took / MILLI);
+    assert_eq!(net.held_dead(), 0);
+}
+
+#[test]
+fn a_scope_cut_from_one_side_only_is_still_heard_of() {
+    let mut net = Net::joined(5, 40, 4);
+    // z1 hears nothing of z0, and is heard there; the others reach both.
+    net.cut = Box::new(|a, b| a % 4 == 0 && b % 4 == 1);
+    net.until(net.now + 60 * SECOND);
+    assert_eq!(net.silent(), 0);
+    assert!(net.count(40));
+    // All that z0 says to others is lost: it hears of them, they hold it silent and count on for a minute.
+    net.cut = Box::new(|a, b| a % 4 == 0 && b % 4 != 0);
+    net.until(net.now + 30 * SECOND);
+    assert!((0..40).filter(|n| n % 4 != 0).all(|n| net.hearing(n, "z0") == Some(Hearing::Silent)));
+    assert!(net.count(40));
+}
+
+#[test]
+fn those_who_speak_for_a_scope_die_and_others_speak() {
+    let mut net = Net::joined(6, 60, 3);
+    for _ in 0..4 {
+        net.spoke.clear();
+        net.until(net.now + 2 * SECOND);
+        // The two of z2 that said most to others of late.
+        let mut spoke: Vec<(u64, usize)> = net.spoke.iter().map(|(n, sent)| (*sent, *n)).collect();
+        spoke.retain(|(_, n)| n % 3 == 2 && net.processes[*n].runs);
+        spoke.sort_unstable();
+        spoke.iter().rev().take(2).for_each(|(_, n)| net.processes[*n].runs = false);
+        net.until(net.now + 10 * SECOND);
+    }
+    let alive = net.running().count();
+    assert_eq!(alive, 52);
+    net.wait(80 * SECOND, "counted", |net| net.count(alive));
+    assert_eq!(net.silent(), 0);
+}
+
+#[test]
+fn of_two_parts_of_a_scope_the_count_that_is_safe_is_taken() {
+    let mut net = Net::joined(7, 60, 3);
+    // Half of z2 does not reach the other half; both reach all others.
+    net.cut = Box::new(|a, b| a % 3 == 2 && b % 3 == 2 && (a < 30) != (b < 30));
+    let begin = net.now;
+    while net.now < begin + 58 * SECOND {
+        net.until(net.now + SECOND);
+        assert!(net.running().all(|p| p.peers.count().get() >= 60), "at {}", net.now - begin);
+    }
+    net.cut = Box::new(|_, _| false);
+    net.wait(15 * SECOND, "healed", |net| net.running().all(|p| p.peers.view().size() == 20));
+    net.wait(5 * SECOND, "counted", |net| net.count(60));
+    assert_eq!(net.silent(), 0);
+}
+
+#[test]
+fn restarts_in_a_wave_leave_the_count_where_it_is() {
+    let mut net = Net::joined(8, 66, 6);
+    for n in 0..66 {
+        let (now, scope) = (net.now, format!("z{}", n % 6));
+        net.processes[n].peers.leave(now);
+        net.post(n);
+        net.processes[n].runs = false;
+        net.until(net.now + 300 * MILLI);
+        net.processes[n] = net.process(n, &scope);
+        let begin = net.now;
+        while net.now < begin + 300 * MILLI {
+            net.until(net.now + 50 * MILLI);
+        }
+        let least = net.processes.iter().filter(|p| p.runs && p.peers.view().size() > 1);
+        let least = least.map(|p| p.peers.count().get()).min();
+        assert!(least >= Some(55), "{n}: {least:?}");
+    }
+    net.wait(15 * SECOND, "all", |net| net.count(66));
+    assert_eq!(net.silent(), 0);
+}
+
+#[test]
+fn one_without_a_scope_and_those_with_one_find_and_count_each_other() {
+    let mut net = Net::new(9, 20, 2);
+    // Those of before this release have no scope; they may be the seeds.
+    for n in (0..20).filter(|n| n % 2 == 0) {
+        net.processes[n] = net.process(n, "");
+    }
+    net.wait(15 * SECOND, "all", |net| net.count(20));
+    assert!(net.running().all(|p| p.peers.view().size() == 10));
+}
+
+#[test]
+fn what_is_damaged_foreign_or_of_another_version_is_thrown_away() {
+    let mut net = Net::joined(10, 12, 3);
+    let now = net.now;
+    let mut sound = None;
+    while sound.is_none() {
+        let at = net.processes[0].peers.next_due();
+        net.processes[0].peers.time(at);
+        let outbox = net.processes[0].peers.outbox();
+        sound = outbox.into_iter().map(|(_, datagram)| datagram).find(|d| d[3] == Kind::Scopes as u8);
+    }
+    let sound = sound.expect("it talks");
+    let told = |net: &Net| {
+        let scopes = net.processes[1].peers.scopes();
+        scopes.others().map(|(name, s)| (name.to_owned(), s.counted(), s.age(now))).collect::<Vec<_>>()
+    };
+    let before = told(&net);
+    let mut random = Pcg64::seed_from_u64(31);
+    for round in 0..10_000 {
+        let mut bytes = sound.clone();
+        let place = random.next_u64() as usize % bytes.len();
+        bytes[place] ^= 1 << (round % 8);
+        bytes.truncate(bytes.len() - round / 2 % 3);
+        net.processes[1].peers.datagram(now, &bytes);
+        // Random content behind a right envelope.
+        let content: Vec<u8> = (0..random.next_u64() % 99).map(|_| random.next_u64() as u8).collect();
+        let envelope = Envelope { fleet: Envelope::fleet("others"), digest: 0 };
+        net.processes[1].peers.datagram(now, &envelope.seal_as(Kind::Scopes, &content));
+    }
+    let mut later = sound.clone();
+    later[3] = 0x12;
+    net.processes[1].peers.datagram(now, &later);
+    let nonsense = Envelope { fleet: Envelope::fleet("fares"), digest: 0 }.seal_as(Kind::Scopes, &[7; 60]);
+    net.processes[1].peers.datagram(now, &nonsense);
+    let odd = &net.processes[1].peers.odd;
+    assert!(["damaged", "fleet", "version", "content"].iter().all(|why| odd.contains_key(why)), "{odd:?}");
+    assert_eq!(told(&net), before);
+    // Who knows the first kind only takes it for another version.
+    assert!(Envelope::open(Envelope::fleet("fares"), &sound).is_err());
+}
--- a/crates/proxy/src/config/document.rs
+++ b/crates/proxy/src/config/document.rs
@@ -46,6 +46,11 @@
     /// The zone of this process, for people.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub zone: Option<String>,
+    /// Those with the same scope know each other one by one, and of other scopes how many there are; without it the whole
+    /// fleet is one scope.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    #[schemars(length(max = 64))]
+    pub scope: Option<String>,
 }
 
 /// The configuration of one client proxy.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -27,6 +27,6 @@
 
 pub use config::{Checked, Config, Faults, Limits, PeersConfig};
 pub use figures::{Ends, Report};
-pub use peers::{MemberReport, PeersReport};
+pub use peers::{MemberReport, PeersReport, ScopeReport};
 pub use server::{places, Server};
 pub use upgrade::inherited;
--- a/crates/proxy/src/peers/mod.rs
+++ b/crates/proxy/src/peers/mod.rs
@@ -1,14 +1,15 @@
-//! The datagram socket and the timers of `oakport-fleet`. Without `peers` in the configuration nothing here runs.
+//! The datagram socket and the timers of `oakport-fleet`. Without `peers` in the configuration nothing here
+//! runs.
 
 mod report;
 
-pub use report::{MemberReport, PeersReport};
+pub use report::{MemberReport, PeersReport, ScopeReport};
 
 use crate::clock::Clock;
 use crate::config::PeersConfig;
 use crate::driver::Driver;
 use crate::upgrade::Heir;
-use oakport_fleet::{Config, Identity, News, Peers, Standing};
+use oakport_fleet::{Config, Hearing, Identity, News, Peers, Standing};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
@@ -60,7 +61,8 @@
         }
     }
 
-    /// Says that this process leaves, unless another waits to take its address over. Returns when that is out.
+    /// Says that this process leaves, unless another waits to take its address over. Returns when that is
+    /// out.
     pub async fn leave(&self) {
         if self.machine.borrow().is_some() {
             self.leave.notify_one();
@@ -109,7 +111,8 @@
             seeds: self.config.seeds.clone(),
             balancers: self.told.get() as usize,
         };
-        *self.machine.borrow_mut() = Some(Peers::new(now, self.seed, own, config));
+        let scope = self.config.scope.as_deref().unwrap_or_default();
+        *self.machine.borrow_mut() = Some(Peers::in_scope(now, self.seed, own, config, scope));
         let mut room = vec![0; ROOM];
         loop {
             let due = self.machine.borrow().as_ref().map_or(now, Peers::next_due);
@@ -166,6 +169,10 @@
                 News::CameBack => warn!("held dead by others, back among them"),
                 News::Cut(true) => warn!("so many fell silent at once that it is taken for a cut"),
                 News::Cut(false) => info!("no longer taken for a cut"),
+                News::Scope(scope, Hearing::Silent) => {
+                    warn!(scope, "scope silent; its members count on for now")
+                }
+                News::Scope(scope, Hearing::Fresh) => info!(scope, "scope back"),
                 News::Count(count) => {
                     info!(count, "client proxies counted");
                     driver.live(u32::try_from(count).unwrap_or(u32::MAX));
--- a/crates/proxy/src/peers/report.rs
+++ b/crates/proxy/src/peers/report.rs
@@ -1,6 +1,6 @@
 //! What operators are told of the peers.
 
-use oakport_fleet::{Micros, Peers, Seen, Standing};
+use oakport_fleet::{Hearing, Micros, Peers, Scope, Seen, Standing};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
 
@@ -27,8 +27,31 @@
     pub bytes_sent: u64,
     /// Datagrams thrown away since the start, by why.
     pub thrown_away: BTreeMap<String, u64>,
-    /// The others.
+    /// The others of its scope.
     pub members: Vec<MemberReport>,
+    /// The scope of this process; absent if the whole fleet is one.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub scope: String,
+    /// The other scopes that are known.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub scopes: Vec<ScopeReport>,
+}
+
+/// Another scope as this process hears of it.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct ScopeReport {
+    /// Its name; empty is that of those who have none.
+    pub name: String,
+    /// Members that were there by the youngest record.
+    pub present: usize,
+    /// Members that are counted.
+    pub counted: usize,
+    /// The digest of the youngest record's maker.
+    pub digest: String,
+    /// How old the youngest record is, in milliseconds.
+    pub age_ms: u64,
+    /// `fresh` or `silent`.
+    pub hearing: String,
 }
 
 /// A member as this process sees it.
@@ -61,14 +84,31 @@
             age_ms: view.age(now) / 1_000,
             agreement: view.agreement(now),
             count: count.get(),
-            cut: count.is_cut(),
+            cut: machine.is_cut(),
             bytes_sent: machine.bytes_sent,
             thrown_away: machine.odd.iter().map(|(why, count)| ((*why).to_owned(), *count)).collect(),
             members: view.members().map(|seen| member(seen, now)).collect(),
+            scope: machine.scope().to_owned(),
+            scopes: machine.scopes().others().map(|(name, seen)| scope(name, seen, now)).collect(),
         }
     }
 }
 
+fn scope(name: &str, seen: &Scope, now: Micros) -> ScopeReport {
+    let hearing = match seen.hearing() {
+        Hearing::Fresh => "fresh",
+        Hearing::Silent => "silent",
+    };
+    ScopeReport {
+        name: name.to_owned(),
+        present: seen.present(),
+        counted: seen.counted(),
+        digest: format!("{:08x}", seen.digest()),
+        age_ms: seen.age(now) / 1_000,
+        hearing: hearing.to_owned(),
+    }
+}
+
 fn member(seen: &Seen, now: Micros) -> MemberReport {
     let standing = match seen.standing {
         Standing::Present => "present",
