--- a/crates/lab/src/scale/peers/place.rs
+++ b/crates/lab/src/scale/peers/place.rs
@@ -40,6 +40,16 @@
     member * ZONES / size
 }
 
+/// What a zone is called.
+pub fn name(zone: usize) -> String {
+    format!("zone-{zone}")
+}
+
+/// The zone that is called so.
+pub fn named(name: &str) -> Option<usize> {
+    name.strip_prefix("zone-")?.parse().ok()
+}
+
 /// The region of a member.
 pub fn region(member: usize, size: usize) -> usize {
     zone(member, size) * REGIONS / ZONES
--- /dev/null
+++ b/crates/lab/src/scale/played.rs
@@ -0,0 +1,55 @@
+//! What a role gave at its sizes: spreads over the seeds, and slopes.
+
+use super::fit::Fit;
+use super::point::Figures;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What a size gave.
+#[derive(Clone, Debug, Default)]
+pub struct Played {
+    /// The figures of each seed that was played.
+    pub seeds: Vec<Figures>,
+    /// Why there are none, or not all.
+    pub not_run: Option<String>,
+}
+
+/// What a role gave, by its sizes.
+pub type Sizes = BTreeMap<usize, Played>;
+
+impl Played {
+    /// A figure's median over the seeds, with the least and the most.
+    pub fn spread(&self, figure: &str) -> Option<[f64; 3]> {
+        let mut all: Vec<f64> =
+            self.seeds.iter().filter_map(|figures| figures.get(figure).copied()).collect();
+        all.sort_by(f64::total_cmp);
+        Some([*all.get(all.len() / 2)?, *all.first()?, *all.last()?])
+    }
+
+    /// The names of all figures.
+    pub fn names(&self) -> BTreeSet<&String> {
+        self.seeds.iter().flat_map(|figures| figures.keys()).collect()
+    }
+}
+
+/// The names of all figures that some size has.
+pub fn names(sizes: &Sizes) -> BTreeSet<&String> {
+    sizes.values().flat_map(Played::names).collect()
+}
+
+/// The slope of a figure's medians.
+pub fn fitted(sizes: &Sizes, figure: &str) -> Option<Fit> {
+    let point = |(size, played): (&usize, &Played)| Some((*size as f64, played.spread(figure)?[0]));
+    Fit::of(&sizes.iter().filter_map(point).collect::<Vec<_>>())
+}
+
+/// Three digits that say something.
+pub fn short(value: f64) -> String {
+    match value.abs() {
+        0.0 => "0".to_owned(),
+        100.0.. => format!("{value:.0}"),
+        10.0.. => format!("{value:.1}"),
+        1.0.. => format!("{value:.2}"),
+        0.01.. => format!("{value:.4}"),
+        _ => format!("{value:.2e}"),
+    }
+}
