Write the scale test as a page with a plot for each figure that has a budget

Cause: a table of slopes does not show where a figure bends, nor how near it is to its budget. Of a role without bounds the first eight figures are drawn. Ruled out: one plot of all figures as shares of their budgets: more than twenty lines, which nobody tells apart.

--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -7,6 +7,7 @@
 pub mod peers;
 pub mod played;
 pub mod point;
+pub mod report;
 pub mod settings;
 
 use crate::fleet::{write, Programs, Stop};
@@ -52,6 +53,9 @@
     /// Write all figures there, as JSON
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
+    /// Write a page with plots of what has a budget into this folder
+    #[arg(long, value_name = "DIR")]
+    report: Option<PathBuf>,
 }
 
 fn size(text: &str) -> Result<usize, String> {
@@ -98,7 +102,7 @@
     pub fn run(&self) -> Result<bool, Stop> {
         let [program, _] = self.programs.found()?;
         let roles = if self.roles.is_empty() { Role::value_variants() } else { &self.roles };
-        let (mut held, mut all) = (true, Map::new());
+        let (mut held, mut all, mut pages) = (true, Map::new(), Vec::new());
         for part in roles.iter().map(|role| role.part(self.scopes)) {
             let sizes = if self.sizes.is_empty() { part.sizes } else { &self.sizes };
             let mut played = Sizes::new();
@@ -109,16 +113,22 @@
                 let point = Point { size: *size, seed: 1, until, program: program.clone() };
                 played.insert(*size, self.played(part, &point)?);
             }
-            println!("{}", table(part, &played));
+            let table = table(part, &played);
+            println!("{table}");
             let broken = broken(part, &played);
             broken.iter().for_each(|(told, _)| println!("{told}"));
             held &= !broken.iter().any(|(_, expected)| *expected);
             all.insert(part.name.to_owned(), in_json(&played));
+            pages.push((part, played, table));
         }
         if let Some(path) = &self.json {
             let text = format!("{:#}\n", json!({ "roles": all }));
             write(path, &text)?;
         }
+        if let Some(folder) = &self.report {
+            std::fs::create_dir_all(folder).map_err(|e| Stop::Bad(format!("{}: {e}", folder.display())))?;
+            write(&folder.join("scale.html"), &report::html(&pages).map_err(Stop::Bad)?)?;
+        }
         Ok(held)
     }
 
