Bound what a member sends in any second, pings and answers first

Cause: news, feeds and answers to requests went out whenever something was to tell: 119,993 bytes in one member's worst second while 600 that started at once settled, since many ask the few who differ.

Ruled out: a smaller packet size of foca's while the bucket is short: it is its limit for what it reads as well, and its checks take it as fixed.

Change: a bucket for all that is sent (4,000 bytes, 14,000 a second, overdrawn by 3,500 for pings, answers and the last word). News that do not fit are cut off behind a ping or an answer; feeds, gossip and records that do not fit are not sent. With more than 100 news under way each goes along 8 times.

Every test of scopes now checks 22,000 bytes in each second of each member.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -2,6 +2,7 @@
 //! datagrams and the time in, datagrams and news out.
 
 mod between;
+mod bucket;
 mod count;
 mod envelope;
 mod heard;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,6 +1,7 @@
 //! One process among its peers: SWIM by `foca`, and what follows from it.
 
 use crate::between::{Between, Talk};
+use crate::bucket::{Bucket, Weight};
 use crate::envelope::{Envelope, Kind, Odd, LENGTH};
 use crate::identity::cut;
 use crate::scopes::{Hearing, Scopes};
@@ -26,6 +27,9 @@
 const SUSPICION: Micros = 1_350_000;
 /// News go along with so many datagrams.
 const TOLD: u8 = 16;
+/// While so many wait, each goes along less often: all that are told still have it by some of them.
+const MANY: usize = 100;
+const TOLD_OF_MANY: u8 = 8;
 /// Gossip goes out this often, to so many.
 const GOSSIP: (Micros, usize) = (1_000_000, 1);
 /// Members held dead are asked this often, and so many at a time.
@@ -130,6 +134,9 @@
     /// Seeds that are of another scope.
     elsewhere: BTreeSet<SocketAddr>,
     kin_at: Micros,
+    bucket: Bucket,
+    /// News go along so often at present.
+    told: u8,
     outbox: Vec<(SocketAddr, Vec<u8>)>,
     news: Vec<News>,
     seeds_at: Micros,
@@ -143,7 +150,7 @@
 }
 
 /// The figures of the protocol.
-fn figures() -> foca::Config {
+fn figures(told: u8) -> foca::Config {
     let some = |number: usize| NonZeroUsize::new(number).unwrap_or(NonZeroUsize::MIN);
     let every = |span, number| {
         Some(PeriodicParams { frequency: Duration::from_micros(span), num_members: some(number) })
@@ -152,7 +159,7 @@
         probe_period: Duration::from_micros(PERIOD),
         probe_rtt: Duration::from_micros(ANSWER),
         num_indirect_probes: some(ASKED),
-        max_transmissions: NonZeroU8::new(TOLD).unwrap_or(NonZeroU8::MIN),
+        max_transmissions: NonZeroU8::new(told).unwrap_or(NonZeroU8::MIN),
         suspect_to_down_after: Duration::from_micros(SUSPICION),
         max_packet_size: some(DATAGRAM - LENGTH),
         notify_down_members: true,
@@ -179,7 +186,7 @@
         let count = Count::new(now, config.balancers);
         Peers {
             life: own.life,
-            foca: Foca::new(own, figures(), Pcg64::seed_from_u64(seed), PostcardCodec),
+            foca: Foca::new(own, figures(TOLD), Pcg64::seed_from_u64(seed), PostcardCodec),
             fleet,
             scope: Envelope::scope(&config.fleet, scope),
             config,
@@ -194,6 +201,8 @@
             between,
             elsewhere: BTreeSet::new(),
             kin_at: now,
+            bucket: Bucket::new(now),
+            told: TOLD,
             outbox: Vec::new(),
             news: Vec::new(),
             seeds_at: now,
@@ -300,7 +309,7 @@
                 false => self.elsewhere.remove(&talk.from),
             };
         }
-        self.write(letters);
+        self.write(now, letters);
         if now >= self.kin_at && !self.left {
             self.kin_at = now + KIN;
             for who in self.between.kin(now, &self.view) {
@@ -312,18 +321,47 @@
         }
     }
 
-    fn write(&mut self, letters: Vec<(SocketAddr, Vec<u8>)>) {
+    fn write(&mut self, now: Micros, letters: Vec<(SocketAddr, Vec<u8>)>) {
         let envelope = Envelope { fleet: self.fleet, digest: self.view.digest() };
         for (to, content) in letters {
-            self.post(to, envelope.seal_as(Kind::Scopes, &content));
+            let length = LENGTH + content.len();
+            if self.bucket.room(now, Weight::News, length, length).is_some() {
+                self.post(to, envelope.seal_as(Kind::Scopes, &content));
+            }
+        }
+    }
+
+    /// Sends what `foca` wrote, as far as the bound on bytes lets it.
+    fn bounded(&mut self, now: Micros, to: SocketAddr, mut content: Vec<u8>) {
+        // It was written just now.
+        let Ok((news, least)) = wire::head(&content) else { return };
+        // That this process leaves is said once.
+        let weight = if news && !self.left { Weight::News } else { Weight::Vital };
+        let Some(room) = self.bucket.room(now, weight, LENGTH + least, LENGTH + content.len()) else {
+            return;
+        };
+        if room < LENGTH + content.len() && wire::cut(&mut content, room - LENGTH).is_err() {
+            return;
         }
+        let envelope = Envelope { fleet: self.scope, digest: self.view.digest() };
+        self.post(to, envelope.seal(&content));
     }
 
     fn post(&mut self, to: SocketAddr, datagram: Vec<u8>) {
         self.bytes_sent += datagram.len() as u64;
+        self.bucket.take(datagram.len());
         self.outbox.push((to, datagram));
     }
 
+    /// Lets news go along less often while there are many.
+    fn moderate(&mut self) {
+        let told = if self.foca.updates_backlog() > MANY { TOLD_OF_MANY } else { TOLD };
+        if std::mem::replace(&mut self.told, told) != told {
+            // Only figures that `foca` refuses to change while it runs could fail.
+            let _ = self.foca.set_config(figures(told));
+        }
+    }
+
     fn announce(&mut self, now: Micros, who: Identity) {
         let mut wanted = Wanted::default();
         // It can only fail to encode, which is tried again.
@@ -366,13 +404,13 @@
                 }
                 if asks {
                     let letter = self.between.ask(&self.view, self.own_count.get());
-                    self.write(letter.into_iter().map(|letter| (seed, letter)).collect());
+                    self.write(now, letter.into_iter().map(|letter| (seed, letter)).collect());
                 }
             }
         }
         if !self.left {
             let letters = self.between.talk(now, &self.view, self.own_count.get());
-            self.write(letters);
+            self.write(now, letters);
         }
         if now < self.looked + LOOK {
             return;
@@ -436,10 +474,10 @@
             self.life = own.life;
             self.view.own(own);
         }
-        let envelope = Envelope { fleet: self.scope, digest: self.view.digest() };
         for (to, content) in wanted.send {
-            self.post(to, envelope.seal(&content));
+            self.bounded(now, to, content);
         }
+        self.moderate();
         if before != self.view.digest() {
             self.look(now);
         }
--- a/crates/fleet/tests/scopes.rs
+++ b/crates/fleet/tests/scopes.rs
@@ -3,16 +3,34 @@
 use oakport_fleet::{Config, Envelope, Hearing, Identity, Kind, Micros, News, Peers, Standing};
 use rand_pcg_next::rand_core::{Rng, SeedableRng};
 use rand_pcg_next::Pcg64;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 
 const SECOND: Micros = 1_000_000;
 const MILLI: Micros = 1_000;
+/// What a process may send in any second, and what IP and UDP add to each datagram.
+const BOUND: usize = 22_000;
+const HEADERS: usize = 28;
 
 struct Process {
     peers: Peers,
     runs: bool,
     stalled: Micros,
+    /// What it sent in the last second, and how much that is.
+    sent: VecDeque<(Micros, usize)>,
+    bytes: usize,
+}
+
+impl Process {
+    fn sends(&mut self, now: Micros, datagram: &[u8]) {
+        self.sent.push_back((now, datagram.len() + HEADERS));
+        self.bytes += datagram.len() + HEADERS;
+        while let Some((_, bytes)) = self.sent.front().copied().filter(|(at, _)| at + SECOND <= now) {
+            self.bytes -= bytes;
+            self.sent.pop_front();
+        }
+        assert!(self.bytes <= BOUND, "{} bytes in a second at {now}", self.bytes);
+    }
 }
 
 struct Net {
@@ -61,7 +79,7 @@
         let seeds = vec![address(0), address(1)];
         let config = Config { fleet: "fares".to_owned(), seeds, balancers: 1 };
         let peers = Peers::in_scope(self.now, self.random.next_u64(), own, config, scope);
-        Process { peers, runs: true, stalled: 0 }
+        Process { peers, runs: true, stalled: 0, sent: VecDeque::new(), bytes: 0 }
     }
 
     fn share(&mut self) -> f64 {
@@ -71,6 +89,7 @@
     fn post(&mut self, from: usize) {
         for (to, datagram) in self.processes[from].peers.outbox() {
             assert!(datagram.len() <= 1_400, "{} bytes", datagram.len());
+            self.processes[from].sends(self.now, &datagram);
             let SocketAddr::V4(v4) = to else { panic!("{to}") };
             let to = usize::from(v4.ip().octets()[2]) << 8 | usize::from(v4.ip().octets()[3]);
             if datagram[3] == Kind::Scopes as u8 && to % self.scopes != from % self.scopes {
@@ -356,3 +375,17 @@
     // Who knows the first kind only takes it for another version.
     assert!(Envelope::open(Envelope::fleet("fares"), &sound).is_err());
 }
+
+#[test]
+fn no_second_is_over_the_bound_when_all_start_many_die_and_many_are_stopped() {
+    // As one scope, which has the most to tell.
+    let mut net = Net::new(11, 150, 1);
+    net.wait(15 * SECOND, "joined", |net| net.count(150));
+    (110..150).for_each(|n| net.processes[n].runs = false);
+    let dead = |net: &Net| net.running().all(|p| p.peers.view().size() == 110);
+    let took = net.wait(15 * SECOND, "forty died", dead);
+    println!("forty deaths at once are known to all after {} ms", took / MILLI);
+    (0..50).for_each(|n| net.processes[n].stalled = net.now + 5 * SECOND);
+    net.until(net.now + 5 * SECOND);
+    net.wait(20 * SECOND, "all back", dead);
+}
