--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,7 +1,8 @@
 //! A fleet of real processes on loopback, with faults between them, judged from outside (`docs/rig.md`).
 
+pub mod chain;
 mod clients;
-mod discovery;
+pub(crate) mod discovery;
 mod events;
 pub mod forwarder;
 mod gate;
@@ -10,12 +11,13 @@
 mod judge;
 pub mod links;
 mod membership;
+pub mod outside;
 mod peers;
 mod plan;
-mod processes;
-mod record;
+pub(crate) mod processes;
+pub(crate) mod record;
 mod servers;
-mod site;
+pub(crate) mod site;
 
 pub use judge::{Second, Verdict, RULES};
 pub use plan::{Play, Progress, Tell};
--- a/crates/lab/src/rig/servers.rs
+++ b/crates/lab/src/rig/servers.rs
@@ -264,8 +264,9 @@
 
     /// Takes work in, or tells what becomes of it and after how long.
     fn take(&self, attempt: usize, work: f64) -> Result<oneshot::Receiver<()>, (Outcome, Micros)> {
-        let now = self.shared.now();
         let mut inner = self.inner();
+        // Not before: whoever holds the lock meanwhile takes the server on to a later moment.
+        let now = self.shared.now();
         if inner.server.flooded(now, work) {
             drop(inner);
             self.shared.saw(Seen::Fell { server: self.number, at: now });
@@ -299,7 +300,7 @@
 }
 
 /// The body of an answer, which no other server would have given, nor this one to another request.
-fn body(server: &str, id: &str) -> String {
+pub fn body(server: &str, id: &str) -> String {
     format!("{server} served {id} whole\n")
 }
 
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -4,6 +4,7 @@
 pub mod decisions;
 pub mod fit;
 pub mod list;
+pub mod page;
 pub mod peers;
 pub mod played;
 pub mod point;
@@ -13,14 +14,13 @@
 use crate::fleet::{write, Programs, Stop};
 use clap::{Args, ValueEnum};
 use comfy_table::{presets, CellAlignment, Table};
-use played::{fitted, names, short, Played, Sizes};
-use point::{Part, Point, Stopped};
+use page::short;
+use played::{fitted, names, Played, Sizes};
+use point::{Part, Point, Stopped, PLANNED};
 use serde_json::{json, Map, Value};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
-/// The size that the operators plan with.
-pub const PLANNED: usize = 6_300;
 /// A cost that grows with a higher power of the size than this grows faster than the size.
 const FASTER: f64 = 1.1;
 
@@ -56,6 +56,9 @@
     /// Write a page with plots of what has a budget into this folder
     #[arg(long, value_name = "DIR")]
     report: Option<PathBuf>,
+    /// Play nothing, but draw the tables of this page anew from the JSON files it names
+    #[arg(long, value_name = "FILE", conflicts_with_all = ["roles", "sizes", "scopes", "json", "report"])]
+    page: Option<PathBuf>,
 }
 
 fn size(text: &str) -> Result<usize, String> {
@@ -100,6 +103,9 @@
     /// # Errors
     /// A role cannot be played.
     pub fn run(&self) -> Result<bool, Stop> {
+        if let Some(page) = &self.page {
+            return drawn(page).map(|()| true).map_err(|odd| Stop::Bad(format!("{}: {odd}", page.display())));
+        }
         let [program, _] = self.programs.found()?;
         let roles = if self.roles.is_empty() { Role::value_variants() } else { &self.roles };
         let (mut held, mut all, mut pages) = (true, Map::new(), Vec::new());
@@ -172,6 +178,14 @@
     }
 }
 
+/// Draws a page's tables anew.
+fn drawn(page: &Path) -> Result<(), String> {
+    let parts: Vec<Part> = Role::value_variants().iter().map(|role| role.part(false)).collect();
+    let text = std::fs::read_to_string(page).map_err(|e| e.to_string())?;
+    let folder = page.parent().unwrap_or_else(|| Path::new("."));
+    std::fs::write(page, page::draw(&text, folder, &parts)?).map_err(|e| e.to_string())
+}
+
 fn table(part: Part, played: &Sizes) -> String {
     let mut table = Table::new();
     let sizes = played.keys().map(|size| format!("{size}"));
@@ -231,7 +245,7 @@
     told
 }
 
-/// `"6300": {"figure": median, ...}`; what was not run has its reason there.
+/// `"6300": {"figure": median, ...}`; what was not run, or not wholly, has its reason there.
 fn in_json(played: &Sizes) -> Value {
     let size = |(size, played): (&usize, &Played)| {
         let names = played.names().into_iter();
@@ -240,7 +254,8 @@
             let part = |end: &str, value| (format!("{figure}{end}"), json!(value));
             [part("", median), part(".least", least), part(".most", most)]
         });
-        let not_run = played.not_run.iter().map(|why| ("not_run".to_owned(), json!(why)));
+        let name = if played.seeds.is_empty() { "not_run" } else { "partly" };
+        let not_run = played.not_run.iter().map(|why| (name.to_owned(), json!(why)));
         let seeds = ("seeds".to_owned(), json!(played.seeds.len()));
         let figures = parts.chain(not_run).chain([seeds]).collect();
         (size.to_string(), Value::Object(figures))
--- a/crates/lab/src/scale/played.rs
+++ b/crates/lab/src/scale/played.rs
@@ -41,15 +41,3 @@
     let point = |(size, played): (&usize, &Played)| Some((*size as f64, played.spread(figure)?[0]));
     Fit::of(&sizes.iter().filter_map(point).collect::<Vec<_>>())
 }
-
-/// Three digits that say something.
-pub fn short(value: f64) -> String {
-    match value.abs() {
-        0.0 => "0".to_owned(),
-        100.0.. => format!("{value:.0}"),
-        10.0.. => format!("{value:.1}"),
-        1.0.. => format!("{value:.2}"),
-        0.01.. => format!("{value:.4}"),
-        _ => format!("{value:.2e}"),
-    }
-}
--- a/crates/lab/src/scale/report.rs
+++ b/crates/lab/src/scale/report.rs
@@ -1,7 +1,8 @@
 //! The report of the scale test as one HTML file: a plot of each figure that has a bound, for each role.
 
 use super::fit::Fit;
-use super::played::{fitted, names, short, Played, Sizes};
+use super::page::short;
+use super::played::{fitted, names, Played, Sizes};
 use super::point::Part;
 use askama::Template;
 use plotters::prelude::*;
