--- a/crates/fleet/examples/cost.rs
+++ b/crates/fleet/examples/cost.rs
@@ -1,6 +1,6 @@
 //! What a member costs among many hollow ones in virtual time: `cost MEMBERS [SECONDS [MOMENT [SCOPES]]]`.
-//! MOMENT is `started` (all at once, the default), `zone` (the last eleventh is lost) or `rack` (forty are);
-//! without SCOPES the fleet is one scope.
+//! MOMENT is `started` (all at once, the default), `zone` (the last eleventh is lost), `rack` (forty are) or
+//! `parted` (a third does not reach the others for three minutes); without SCOPES the fleet is one scope.
 
 use oakport_fleet::{Config, Hearing, Identity, Micros, Peers, Standing};
 use rand_pcg_next::rand_core::{Rng, SeedableRng};
@@ -59,6 +59,8 @@
     free: Vec<usize>,
     number: u64,
     own: Duration,
+    /// Nothing passes between those below this number and the others.
+    parted: usize,
 }
 
 fn address(number: usize) -> SocketAddr {
@@ -93,7 +95,8 @@
         for (to, datagram) in outbox {
             self.processes[n].sent(self.now, datagram.len() as u64 + HEADERS);
             let after = 1_000 + self.random.next_u64() % 4_000;
-            if number(to) < self.processes.len() {
+            let passes = (n < self.parted) == (number(to) < self.parted);
+            if passes && number(to) < self.processes.len() {
                 self.push(self.now + after, Event::Datagram(number(to), datagram));
             }
         }
@@ -163,6 +166,7 @@
         free: Vec::new(),
         number: 0,
         own: Duration::ZERO,
+        parted: 0,
     };
     (0..members).for_each(|n| net.act(n, |peers| peers.time(SECOND)));
     let right = |net: &Net, count: usize| {
@@ -188,6 +192,26 @@
     net.tell("settling", net.now - 20 * SECOND);
     net.until(net.now + seconds * SECOND);
     net.tell("quiet", net.now - seconds * SECOND);
+    if moment == "parted" {
+        let begin = net.now;
+        net.parted = members * (scopes / 3).max(1) / scopes.max(3);
+        for second in [50, 180] {
+            net.until(begin + second * SECOND);
+            let least = net.processes.iter().map(|p| p.peers.count().get()).min();
+            println!("parted for {second} s: least count {least:?}");
+        }
+        net.tell("parted", begin);
+        let begin = net.now;
+        net.parted = 0;
+        while right(&net, members) < members && net.now < begin + 60 * SECOND {
+            net.until(net.now + SECOND / 2);
+        }
+        println!("healed: all count right within 5% after {:.1} s", (net.now - begin) as f64 / SECOND as f64);
+        net.until(begin + 15 * SECOND);
+        let exact = net.processes.iter().filter(|p| p.peers.count().get() == members).count();
+        println!("15 s after it healed {exact} of {members} count {members}");
+        return net.tell("healed, 15 s", begin);
+    }
     let lost = match moment.as_str() {
         "zone" => zone,
         "rack" => 40,
