--- a/crates/lab/tests/scale_list.rs
+++ b/crates/lab/tests/scale_list.rs
@@ -20,8 +20,7 @@
     let oakport = lab.with_file_name("oakport");
     assert!(oakport.is_file(), "it is built with the workspace");
     let program = Program::oakport(lab, &oakport);
-    let point =
-        Point { size, seed: 1, until: Instant::now() + Duration::from_secs(60), program, sockets: None };
+    let point = Point { size, seed: 1, until: Instant::now() + Duration::from_secs(60), program };
     measure(&point, SHORT).expect("it is played")
 }
 
@@ -54,7 +53,7 @@
 fn what_would_not_end_in_its_time_is_told_as_not_run() {
     let lab = Path::new(env!("CARGO_BIN_EXE_oakport-lab"));
     let program = Program::oakport(lab, &lab.with_file_name("oakport"));
-    let point = Point { size: 6, seed: 1, until: Instant::now(), program, sockets: None };
+    let point = Point { size: 6, seed: 1, until: Instant::now(), program };
     let stopped = measure(&point, SHORT).expect_err("there is no time");
     assert!(matches!(stopped, oakport_lab::scale::point::Stopped::NotRun(_)), "{stopped:?}");
 }
--- a/crates/lab/tests/scale_settings.rs
+++ b/crates/lab/tests/scale_settings.rs
@@ -14,7 +14,7 @@
     assert!(oakport.is_file(), "it is built with the workspace");
     let program = Program::oakport(lab, &oakport);
     let until = Instant::now() + Duration::from_secs(60);
-    measure(&Point { size, seed: 1, until, program, sockets: None }, SHORT)
+    measure(&Point { size, seed: 1, until, program }, SHORT)
 }
 
 #[test]
