Judge cold servers on the rig by the sum of proxies that knew of their start

Cause: the rig pushed a cold server over by the work that came, above N alone and with no room for chance, and broke the rule whoever had sent. The operators' bound is N + 2 root of N + 2 requests of mean work in the fall time, and a fall counts if over two thirds came from proxies that had been told of the start.

Ruled out: going by the work of each request, which no proxy can know before; and letting the judge alone know the bound, as a server that had fallen by another one would get nothing more and hide what follows.

Change: a server falls at the bound and notes each arrival while it is cold; what a list says of a server carries its start, so that the judge can tell who knew. Figures cold.servers, cold.falls and cold.most_share_of_bound.

--- a/crates/lab/src/rig/discovery.rs
+++ b/crates/lab/src/rig/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::gate::{address, Party};
 use super::http::{self, Side};
-use super::record::{Seen, Shared};
+use super::record::{Seen, Shared, Word};
 use super::servers::name;
 use bytes::BytesMut;
 use oakport_core::{Micros, State};
@@ -51,6 +51,13 @@
     pub started: Micros,
 }
 
+impl Member {
+    /// What is told of it, by its number.
+    fn word(&self, server: usize) -> Word {
+        Word { server, state: self.state, started: self.started }
+    }
+}
+
 #[derive(Default)]
 struct Known {
     index: u64,
@@ -155,7 +162,7 @@
             return;
         }
         let new = known.members.iter().filter(|(_, (_, index))| *index > known.told);
-        let entries: Vec<(usize, State)> = new.map(|(&server, (member, _))| (server, member.state)).collect();
+        let entries: Vec<Word> = new.map(|(&server, (member, _))| member.word(server)).collect();
         known.told = known.index;
         if !entries.is_empty() {
             let now = self.shared.now();
@@ -165,7 +172,7 @@
     }
 
     /// What it holds, as a whole list, or as changes since a version; and what that tells.
-    fn list(&self, since: Option<u64>) -> (Value, Vec<(usize, State)>) {
+    fn list(&self, since: Option<u64>) -> (Value, Vec<Word>) {
         let known = self.known();
         let wanted = |(member, index): &&(Member, u64)| match since {
             Some(since) => *index > since,
@@ -179,7 +186,7 @@
                 State::Draining => "draining",
                 State::Gone => "removed",
             };
-            told.push((server, member.state));
+            told.push(member.word(server));
             endpoints.push(json!({
                 "name": name(server), "address": member.address, "zone": member.zone, "type": member.release,
                 "group": 0, "status": status, "weight": 1.0,
@@ -188,14 +195,13 @@
         }
         if since.is_none() {
             // A whole list tells also what is not in it.
-            told.extend(
-                known.members.iter().filter(|e| e.1 .0.state == State::Gone).map(|e| (*e.0, State::Gone)),
-            );
+            let all = known.members.iter().map(|(&server, (member, _))| member.word(server));
+            told.extend(all.filter(|word| word.state == State::Gone));
         }
         (json!({"index": known.index, "snapshot": since.is_none(), "endpoints": endpoints}), told)
     }
 
-    fn told(&self, entries: Vec<(usize, State)>) {
+    fn told(&self, entries: Vec<Word>) {
         if !entries.is_empty() {
             self.shared.saw(Seen::Told { proxy: self.proxy, at: self.shared.now(), entries });
         }
--- a/crates/lab/src/rig/forwarder.rs
+++ b/crates/lab/src/rig/forwarder.rs
@@ -42,6 +42,8 @@
     ToDrained,
     /// It sends all to the server that started last
     FloodsCold,
+    /// It picks among all servers alike, cold or not
+    IgnoresCold,
     /// It sends one request in a hundred to a server that no list names
     ToUnlisted,
     /// It cuts one body in a hundred and says nothing of it
@@ -195,6 +197,7 @@
             Some(Broken::FloodsCold) => {
                 list.values().filter(|s| s.up).max_by_key(|s| s.since_ms).map(|s| s.address)
             }
+            Some(Broken::IgnoresCold) => random(list.values().filter(|s| s.up).collect()),
             _ if self.this_one(number, Broken::ToUnlisted) => std::env::var(DECOY).ok()?.parse().ok(),
             _ => random(list.values().filter(warm).collect()),
         }
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,6 +1,7 @@
 //! A fleet of real processes on loopback, with faults between them, judged from outside (`docs/rig.md`).
 
 mod clients;
+mod cold;
 mod discovery;
 mod events;
 pub mod forwarder;
--- a/crates/lab/src/rig/record.rs
+++ b/crates/lab/src/rig/record.rs
@@ -88,6 +88,17 @@
     Dead,
 }
 
+/// What a list says of a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Word {
+    /// Its number.
+    pub server: usize,
+    /// Whether it is listed, drains, or is gone.
+    pub state: State,
+    /// When its process started; 0: long ago.
+    pub started: Micros,
+}
+
 /// Something that a party saw.
 #[derive(Clone, Debug)]
 pub enum Seen {
@@ -95,8 +106,8 @@
     Began { attempt: u64, request: usize, number: u32, server: usize, first: Micros, whole: Micros },
     /// The server is done with it; the work that was done for nobody, in microseconds of a core.
     Ended { attempt: u64, outcome: Outcome, wasted: f64 },
-    /// A cold server was pushed over.
-    Fell { server: usize, at: Micros },
+    /// An attempt has come to a server that is cold since `started`, and so many it bears within the fall time.
+    Cold { attempt: u64, server: usize, started: Micros, at: Micros, bound: f64 },
     /// A try has ended.
     Try(Try),
     /// A client is done with a request; how its last try ended.
@@ -104,7 +115,7 @@
     /// An answer came that nobody had asked for.
     Extra { proxy: usize, at: Micros },
     /// The list was told to a proxy.
-    Told { proxy: usize, at: Micros, entries: Vec<(usize, State)> },
+    Told { proxy: usize, at: Micros, entries: Vec<Word> },
     /// A proxy called for the list.
     Asked,
     /// A process was met by a signal, or ended.
--- a/crates/lab/src/rig/servers.rs
+++ b/crates/lab/src/rig/servers.rs
@@ -1,5 +1,6 @@
 //! Servers on sockets: the model's server, with its cores, slots and cold start, behind a listener of its own.
 
+use super::cold::{self, Window};
 use super::gate::{address, gone, heard, Gate, Party};
 use super::http::{self, Side};
 use super::record::{Seen, Shared};
@@ -24,6 +25,8 @@
 
 struct Inner {
     server: Server,
+    /// What came of late while it was cold.
+    flood: Window<()>,
     waiting: HashMap<usize, oneshot::Sender<()>>,
     open: usize,
     luck: Pcg64,
@@ -60,6 +63,7 @@
         let gate = Gate::new(address(Party::Server, number))?;
         let inner = Inner {
             server: Server::new(&shared.day.server, zone, started),
+            flood: Window::default(),
             waiting: HashMap::new(),
             open: 0,
             luck: chance::stream(shared.seed, Part::Policy(1_000_000 + number)),
@@ -139,7 +143,10 @@
 
     /// A process starts there, cold.
     pub fn restart(&self) {
-        self.inner().server.restart(self.shared.now());
+        let mut inner = self.inner();
+        inner.server.restart(self.shared.now());
+        inner.flood.clear();
+        drop(inner);
         self.gate.open();
     }
 
@@ -262,13 +269,30 @@
         }
     }
 
+    /// An attempt has come, whatever becomes of it. True if that pushes a cold server over.
+    fn falls(&self, inner: &mut Inner, now: Micros, attempt: usize) -> bool {
+        let warmth = inner.server.warmth(now);
+        if warmth >= 1.0 {
+            return false;
+        }
+        let day = &self.shared.day;
+        let bound = cold::bound(day, warmth);
+        let came = inner.flood.push(now, (), day.server.fall_time).len();
+        let (server, started) = (self.number, inner.server.started);
+        self.shared.saw(Seen::Cold { attempt: attempt as u64, server, started, at: now, bound });
+        came as f64 > bound
+    }
+
     /// Takes work in, or tells what becomes of it and after how long.
     fn take(&self, attempt: usize, work: f64) -> Result<oneshot::Receiver<()>, (Outcome, Micros)> {
         let now = self.shared.now();
         let mut inner = self.inner();
-        if inner.server.flooded(now, work) {
+        if !inner.server.up {
+            // Its connection came before the process ended.
+            return Err((Outcome::Reset, 0));
+        }
+        if self.falls(&mut inner, now, attempt) {
             drop(inner);
-            self.shared.saw(Seen::Fell { server: self.number, at: now });
             self.stop();
             return Err((Outcome::Reset, 0));
         }
