Ask one service for lists on the rig

Cause: the calls for lists while a service that all ask fails, and how soon after its return all have an answer, were computed in docs/discovery.md and measured at 12 processes in one test only. The rig knew lists that are pushed, nothing else.

--- a/crates/lab/src/rig/discovery.rs
+++ b/crates/lab/src/rig/discovery.rs
@@ -142,7 +142,7 @@
         self.count(&mut self.known());
     }
 
-    /// A relay is between it and its proxy: only what is written there counts as told.
+    /// A relay is between it and its proxy, or it stands for a service that all share: only what is written there counts as told.
     pub fn far(&self) {
         self.near.store(false, Ordering::Relaxed);
     }
@@ -225,7 +225,7 @@
     async fn connection(self: Arc<Self>, mut stream: TcpStream) {
         let mut buffer = BytesMut::new();
         while let Ok(message) = http::read(&mut stream, &mut buffer, Side::Asks).await {
-            self.shared.saw(Seen::Asked);
+            self.shared.saw(Seen::Asked { proxy: self.proxy, at: self.shared.now() });
             let path = message.first.1;
             let figure = |key: &str| {
                 let (_, query) = path.split_once('?')?;
@@ -248,6 +248,11 @@
                     return;
                 }
             }
+            if *self.mode.borrow() == Mode::Silent && self.shared.day.discovery.ask_every.is_some() {
+                // A service that stands still swallows what it is asked; an agent answers once it goes on.
+                http::closed(&stream).await;
+                return;
+            }
             let mode = {
                 let mut mode = self.mode.subscribe();
                 tokio::select! {
@@ -271,6 +276,9 @@
             if stream.write_all(text.as_bytes()).await.is_err() {
                 return;
             }
+            if mode == Mode::Well {
+                self.shared.saw(Seen::Answered { proxy: self.proxy, at: self.shared.now() });
+            }
             self.told(told);
         }
     }
--- a/crates/lab/src/rig/judge.rs
+++ b/crates/lab/src/rig/judge.rs
@@ -1,5 +1,6 @@
 //! Goes through what all parties saw: whether the rules were kept, and what the day was worth.
 
+use super::calls::Calls;
 use super::clients::SLACK;
 use super::cold::Window;
 use super::membership;
@@ -132,7 +133,7 @@
     coldness: Coldness,
     /// How long after that was told the last attempt of a proxy went to a server that left.
     after_told: BTreeMap<(usize, usize), Micros>,
-    list_calls: u64,
+    list_calls: Calls,
     signals: HashMap<usize, Vec<(Micros, Signal)>>,
     rules: BTreeMap<&'static str, u64>,
     stories: Vec<String>,
@@ -158,7 +159,7 @@
         chilled: BTreeMap::new(),
         coldness: Coldness::default(),
         after_told: BTreeMap::new(),
-        list_calls: 0,
+        list_calls: Calls::default(),
         signals: HashMap::new(),
         rules: RULES.map(|rule| (rule, 0)).into(),
         stories: Vec::new(),
@@ -224,7 +225,8 @@
                     *since = at.min(*since);
                 }
             }
-            Seen::Asked => self.list_calls += 1,
+            Seen::Asked { proxy, at } => self.list_calls.asked.push((proxy, at)),
+            Seen::Answered { proxy, at } => self.list_calls.answered.push((proxy, at)),
             Seen::Process { proxy, at, what } => {
                 if what == Signal::Crashed {
                     later.push(("no_crash", at, format!("proxy {proxy} ended by itself")));
@@ -566,7 +568,8 @@
         put("cold.servers", self.chilled.len() as f64);
         put("cold.falls", self.coldness.falls as f64);
         put("cold.most_share_of_bound", self.coldness.most);
-        put("list.calls_per_proxy", self.list_calls as f64 / day.balancers as f64);
+        put("list.calls_per_proxy", self.list_calls.asked.len() as f64 / day.balancers as f64);
+        self.list_calls.figures(self.shared).iter().for_each(|(name, value)| put(name, *value));
         put("rig.late_p99_ms", self.late.by.value_at_quantile(0.99) as f64 / 1e3);
         put("rig.unjudged", self.unjudged as f64);
         put("rig.late_max_ms", self.late.by.max() as f64 / 1e3);
--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,5 +1,6 @@
 //! A fleet of real processes on loopback, with faults between them, judged from outside (`docs/rig.md`).
 
+mod calls;
 mod clients;
 mod cold;
 mod discovery;
--- a/crates/lab/src/rig/processes.rs
+++ b/crates/lab/src/rig/processes.rs
@@ -322,7 +322,8 @@
     });
     let (server, goal) = (&day.server, &day.goal);
     json!({
-        "balancers": day.balancers, "tick_us": 1000, "discovery": "push",
+        "balancers": day.balancers, "tick_us": 1000,
+        "discovery": if day.discovery.ask_every.is_some() { "ask" } else { "push" },
         "locality": day.zones[shared.zone(proxy)],
         "classes": classes.collect::<Vec<_>>(),
         "limits": {
@@ -333,6 +334,7 @@
         "invariants": {
             "cold_from": server.cold_share, "cold_us": server.cold_time, "tip_after_us": server.fall_time,
             "fall_multiple": server.fall_multiple, "drain_grace_us": day.discovery.drain_grace,
+            "ask_every_us": day.discovery.ask_every.unwrap_or(0),
         },
         "result_mix": {
             "whole": goal.whole, "worst_class": goal.worst_class, "worst_tenant": 0.0,
--- a/crates/lab/src/rig/record.rs
+++ b/crates/lab/src/rig/record.rs
@@ -117,7 +117,9 @@
     /// The list was told to a proxy.
     Told { proxy: usize, at: Micros, entries: Vec<Word> },
     /// A proxy called for the list.
-    Asked,
+    Asked { proxy: usize, at: Micros },
+    /// A proxy got an answer to that.
+    Answered { proxy: usize, at: Micros },
     /// A process was met by a signal, or ended.
     Process { proxy: usize, at: Micros, what: Signal },
     /// What a proxy says of its peers.
--- a/crates/lab/src/rig/site.rs
+++ b/crates/lab/src/rig/site.rs
@@ -94,7 +94,7 @@
         let luck = Mutex::new(chance::stream(shared.seed, Part::Faults));
         let site = Site { machines: Mutex::new(machines), relays, agents, luck, shared: Arc::clone(shared) };
         for (proxy, agent) in site.agents.iter().enumerate() {
-            if site.relays.contains_key(&(proxy, None)) {
+            if site.relays.contains_key(&(proxy, None)) || site.shared.day.discovery.ask_every.is_some() {
                 agent.far();
             }
         }
--- a/crates/model/src/scenario.rs
+++ b/crates/model/src/scenario.rs
@@ -177,11 +177,14 @@
     /// Latest that requests may go to a server after word that it drains or is gone.
     #[serde(deserialize_with = "span")]
     pub drain_grace: Micros,
+    /// One service of limited room is asked by all, each so often where nothing fails; else lists are pushed.
+    #[serde(default, deserialize_with = "some_span")]
+    pub ask_every: Option<Micros>,
 }
 
 impl Default for DiscoverySpec {
     fn default() -> Self {
-        DiscoverySpec { delay: 1_500_000, drain_grace: 1_000_000 }
+        DiscoverySpec { delay: 1_500_000, drain_grace: 1_000_000, ask_every: None }
     }
 }
 
@@ -584,6 +587,11 @@
     lines.map(|(line, _)| line + 1).nth(number).unwrap_or(0)
 }
 
+/// A time that is given.
+fn some_span<'de, D: Deserializer<'de>>(reader: D) -> Result<Option<Micros>, D::Error> {
+    span(reader).map(Some)
+}
+
 /// A time such as "400ms", or a whole number of microseconds.
 fn span<'de, D: Deserializer<'de>>(reader: D) -> Result<Micros, D::Error> {
     #[derive(Deserialize)]
