--- a/crates/lab/src/rig/discovery.rs
+++ b/crates/lab/src/rig/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::gate::{address, Party};
 use super::http::{self, Side};
-use super::record::{Seen, Shared};
+use super::record::{Seen, Shared, Word};
 use super::servers::name;
 use bytes::BytesMut;
 use oakport_core::{Micros, State};
@@ -51,6 +51,13 @@
     pub started: Micros,
 }
 
+impl Member {
+    /// What is told of it, by its number.
+    fn word(&self, server: usize) -> Word {
+        Word { server, state: self.state, started: self.started }
+    }
+}
+
 #[derive(Default)]
 struct Known {
     index: u64,
@@ -171,7 +178,7 @@
         self.count(&mut self.known());
     }
 
-    /// A relay is between it and its proxy: only what is written there counts as told.
+    /// A relay is between it and its proxy, or it stands for a service that all share: only what is written there counts as told.
     pub fn far(&self) {
         self.near.store(false, Ordering::Relaxed);
     }
@@ -191,7 +198,7 @@
             return;
         }
         let new = known.members.iter().filter(|(_, (_, index))| *index > known.told);
-        let entries: Vec<(usize, State)> = new.map(|(&server, (member, _))| (server, member.state)).collect();
+        let entries: Vec<Word> = new.map(|(&server, (member, _))| member.word(server)).collect();
         known.told = known.index;
         if !entries.is_empty() {
             let now = self.shared.now();
@@ -201,7 +208,7 @@
     }
 
     /// What it holds, as a whole list, or as changes since a version; and what that tells.
-    fn list(&self, since: Option<u64>) -> (Value, Vec<(usize, State)>) {
+    fn list(&self, since: Option<u64>) -> (Value, Vec<Word>) {
         let known = self.known();
         let since = since.filter(|since| *since >= known.whole_from);
         let wanted = |(member, index): &&(Member, u64)| match since {
@@ -216,7 +223,7 @@
                 State::Draining => "draining",
                 State::Gone => "removed",
             };
-            told.push((server, member.state));
+            told.push(member.word(server));
             endpoints.push(json!({
                 "name": name(server), "address": member.address, "zone": member.zone, "type": member.release,
                 "group": 0, "status": status, "weight": 1.0,
@@ -225,14 +232,13 @@
         }
         if since.is_none() {
             // A whole list tells also what is not in it.
-            told.extend(
-                known.members.iter().filter(|e| e.1 .0.state == State::Gone).map(|e| (*e.0, State::Gone)),
-            );
+            let all = known.members.iter().map(|(&server, (member, _))| member.word(server));
+            told.extend(all.filter(|word| word.state == State::Gone));
         }
         (json!({"index": known.index, "snapshot": since.is_none(), "endpoints": endpoints}), told)
     }
 
-    fn told(&self, entries: Vec<(usize, State)>) {
+    fn told(&self, entries: Vec<Word>) {
         if !entries.is_empty() {
             self.shared.saw(Seen::Told { proxy: self.proxy, at: self.shared.now(), entries });
         }
@@ -256,7 +262,7 @@
     async fn connection(self: Arc<Self>, mut stream: TcpStream) {
         let mut buffer = BytesMut::new();
         while let Ok(message) = http::read(&mut stream, &mut buffer, Side::Asks).await {
-            self.shared.saw(Seen::Asked);
+            self.shared.saw(Seen::Asked { proxy: self.proxy, at: self.shared.now() });
             let path = message.first.1;
             let figure = |key: &str| {
                 let (_, query) = path.split_once('?')?;
@@ -280,6 +286,11 @@
                     return;
                 }
             }
+            if *self.mode.borrow() == Mode::Silent && self.shared.day.discovery.ask_every.is_some() {
+                // A service that stands still swallows what it is asked; an agent answers once it goes on.
+                http::closed(&stream).await;
+                return;
+            }
             let mode = {
                 let mut mode = self.mode.subscribe();
                 tokio::select! {
@@ -304,6 +315,9 @@
                 return;
             }
             self.written.fetch_add(text.len() as u64, Ordering::Relaxed);
+            if mode == Mode::Well {
+                self.shared.saw(Seen::Answered { proxy: self.proxy, at: self.shared.now() });
+            }
             self.told(told);
         }
     }
