Measure what a list in the file costs when settings change

Cause: the platform's file holds the list of servers too (`known`), which counts at a start only; nothing told what reading it again costs a process whose list is long. Change: one of the processes is also given files with lists of 6, 1,000 and 6,300 servers; told are its processor time until the change is in force, and the longest call meanwhile. Ruled out: calls without a pause between them, as these wait some 10 ms in oakport with or without a change (0.1 ms at the same servers without it), which hid the small ones.

--- a/crates/lab/src/scale/settings.rs
+++ b/crates/lab/src/scale/settings.rs
@@ -12,6 +12,8 @@
 //!   counts: 1 if there is a difference, 0 if operators cannot see which of two settings is in force.
 //! - `ten`: ten changes within a second; the time is that of the last. `taken_least` is how many of the ten
 //!   some process read one by one: a signal that comes while another is waiting is one with it.
+//! - `known_6300`: the file has a list of so many servers too, as the platform's may, which counts at a start
+//!   only. Of one process: its processor time until the change is in force, and the longest call meanwhile.
 //! - `wrong`: a file in which one deadline is 0; `wrong_100`: one with a hundred of them. What the log says
 //!   of it is counted in lines and bytes, the most of all processes.
 
@@ -47,6 +49,7 @@
         Bound { figure: "memory_bytes", most: 64e6, from: 0, expected: false },
         none("one.lost"),
         none("ten.lost"),
+        none("known.lost"),
         none("wrong.in_force"),
         none("wrong.old_lost"),
         none("wrong.not_told"),
@@ -71,6 +74,8 @@
 const DESCRIPTORS: u64 = 24;
 /// Between two calls of an application.
 const BEAT: Duration = Duration::from_millis(100);
+/// Between two calls of one who looks for the longest.
+const CALM: Duration = Duration::from_millis(10);
 /// No call takes so long.
 const LONG: Duration = Duration::from_secs(2);
 /// What is not in force by then is lost.
@@ -79,6 +84,8 @@
 const TEN: u64 = 10;
 /// Files that are wrong, by the faults in them.
 const WRONG: [(&str, usize); 2] = [("wrong", 1), ("wrong_100", 100)];
+/// Servers in the list that a file may have beside the settings.
+const KNOWN: [usize; 3] = [6, 1_000, 6_300];
 /// The class that all settings have.
 const CLASS: &str = "card-check";
 /// What counts in a report of a process, and so differs without a change of settings.
@@ -156,6 +163,8 @@
     Version(u64),
     /// The same, but for the time within which an answer is worth all.
     Objective(u64),
+    /// Those with a class of their own, in a file that also has a list of so many servers.
+    Known(u64, usize),
     /// What no process may take, with so many faults.
     Wrong(u64, usize),
 }
@@ -163,7 +172,10 @@
 impl Settings {
     /// The class that only they have.
     fn class(self) -> String {
-        let (Settings::Version(version) | Settings::Objective(version) | Settings::Wrong(version, _)) = self;
+        let (Settings::Version(version)
+        | Settings::Objective(version)
+        | Settings::Known(version, _)
+        | Settings::Wrong(version, _)) = self;
         format!("version-{version}")
     }
 
@@ -173,6 +185,16 @@
         class["name"] = json!(self.class());
         match self {
             Settings::Version(_) => {}
+            Settings::Known(_, servers) => {
+                let server = |number: usize| {
+                    json!({
+                        "name": format!("s-{number:08x}"), "address": "127.0.0.1:1", "zone": "zone-01",
+                        "type": "first", "group": 0, "status": "up", "weight": 1.0, "since_ms": 0,
+                    })
+                };
+                let endpoints: Vec<Value> = (0..servers).map(server).collect();
+                file["known"] = json!({ "index": 0, "snapshot": true, "endpoints": endpoints });
+            }
             Settings::Objective(_) => class["objective_us"] = json!(750_000),
             Settings::Wrong(..) => class["deadline_us"] = json!(0),
         }
@@ -392,6 +414,26 @@
         }
     }
 
+    /// What a change costs one process in processor time, and how long the longest call takes meanwhile.
+    async fn cost(&self, proxy: &Proxy, settings: Settings) -> Result<[f64; 2], Stopped> {
+        let spent = || outside::cpu_s(proxy.seat.pid().unwrap_or(0)).map_err(odd);
+        let mut client = Client::new(proxy.seat.address, &self.ids);
+        client.ask(CLASS).await.map_err(odd)?;
+        let before = spent()?;
+        let (begin, mut longest) = (proxy.change(settings).map_err(odd)?, Duration::ZERO);
+        while begin.elapsed() < LOST {
+            let asked = Instant::now();
+            client.ask(CLASS).await.map_err(odd)?;
+            longest = longest.max(asked.elapsed());
+            if client.ask(&settings.class()).await.map_err(odd)? == 200 {
+                return Ok([spent()? - before, longest.as_secs_f64() * 1e3]);
+            }
+            // Calls without a pause between them wait some 10 ms in oakport, changes or none.
+            sleep(CALM).await;
+        }
+        Err(odd(format!("{settings:?} were not in force within {LOST:?}")))
+    }
+
     /// What processes tell operators of their settings, without what they count.
     async fn told(&self) -> Result<Vec<Value>, Stopped> {
         let mut all = Vec::new();
@@ -504,6 +546,25 @@
     }
     figures.insert("ten.taken_least".to_owned(), least as f64);
 
+    for servers in KNOWN {
+        let (mut cpu_s, mut longest) = (0.0, 0.0_f64);
+        for _ in 0..extent.changes {
+            version += 1;
+            let [spent, call] = fleet.cost(&fleet.proxies[0], Settings::Known(version, servers)).await?;
+            cpu_s += spent / extent.changes as f64;
+            longest = longest.max(call);
+        }
+        figures.insert(format!("known_{servers}.cpu_s"), cpu_s);
+        figures.insert(format!("known_{servers}.longest_call_ms"), longest);
+    }
+    // All have the same settings again.
+    version += 1;
+    settings = Settings::Version(version);
+    since = fleet.change(settings)?;
+    let mut times = Times::default();
+    fleet.in_force(settings, &since, &mut times).await;
+    figures.insert("known.lost".to_owned(), times.lost as f64);
+
     for ((name, faults), files) in WRONG.into_iter().zip(1..) {
         version += 1;
         let wrong = Settings::Wrong(version, faults);
