Let the first call of a change not wait for the one before it

Cause: a call right after another waits for up to 10 ms, since a connection to a server settles so long (pool.rs, SETTLES); the first call of a change followed on one to warm up, so that `known_6.longest_call_ms` was 10.7 ms by that alone. Change: the same pause before the change as between the calls.

--- a/crates/lab/src/scale/settings.rs
+++ b/crates/lab/src/scale/settings.rs
@@ -419,6 +419,7 @@
         let spent = || outside::cpu_s(proxy.seat.pid().unwrap_or(0)).map_err(odd);
         let mut client = Client::new(proxy.seat.address, &self.ids);
         client.ask(CLASS).await.map_err(odd)?;
+        sleep(CALM).await;
         let before = spent()?;
         let (begin, mut longest) = (proxy.change(settings).map_err(odd)?, Duration::ZERO);
         while begin.elapsed() < LOST {
