--- a/crates/lab/src/scale/page.rs
+++ b/crates/lab/src/scale/page.rs
@@ -15,8 +15,15 @@
 /// Ends one.
 const END: &str = "<!-- end -->";
 
-/// A role's figures by size, as they were written; or why a size has none.
-type Sizes = BTreeMap<usize, Result<BTreeMap<String, f64>, String>>;
+/// A size as it was written.
+struct Played {
+    figures: BTreeMap<String, f64>,
+    /// Why some of it was not run, or all.
+    stopped: Option<String>,
+}
+
+/// A role's figures by size.
+type Sizes = BTreeMap<usize, Played>;
 
 /// The page with its tables drawn anew.
 ///
@@ -69,16 +76,17 @@
     text.push_str(&" | ---:".repeat(sizes.len() + 4));
     text.push_str(" |\n");
     for figure in figures {
-        let row = sizes.values().map(|played| match played {
-            Ok(played) => played.get(*figure).map_or_else(|| "-".to_owned(), |value| short(*value)),
-            Err(_) => "not run".to_owned(),
+        let row = sizes.values().map(|played| match played.figures.get(*figure) {
+            Some(value) => short(*value),
+            None if played.stopped.is_some() => "not run".to_owned(),
+            None => "-".to_owned(),
         });
         let row: Vec<String> = row.collect();
-        if !sizes.values().flatten().any(|played| played.contains_key(*figure)) {
+        if !sizes.values().any(|played| played.figures.contains_key(*figure)) {
             return Err(format!("{file} has no figure '{figure}' of {role}"));
         }
         let fit = fitted(&sizes, figure);
-        let measured = sizes.get(&PLANNED).and_then(|played| played.as_ref().ok()?.get(*figure));
+        let measured = sizes.get(&PLANNED).and_then(|played| played.figures.get(*figure));
         let planned = match (measured, fit) {
             (Some(value), _) => short(*value),
             // What is counted by something else than processes has no value at so many of them.
@@ -98,8 +106,9 @@
         ));
     }
     for (size, played) in &sizes {
-        if let Err(why) = played {
-            text.push_str(&format!("\nNot run at {size}: {why}.\n"));
+        if let Some(why) = &played.stopped {
+            let how = if played.figures.is_empty() { "Not run" } else { "Not run whole" };
+            text.push_str(&format!("\n{how} at {size}: {why}.\n"));
         }
     }
     Ok(text)
@@ -136,7 +145,7 @@
 fn reached(sizes: &Sizes, figure: &str, most: f64) -> Option<Reached> {
     let mut under = 0;
     for (size, played) in sizes {
-        let Some(value) = played.as_ref().ok().and_then(|played| played.get(figure)) else { continue };
+        let Some(value) = played.figures.get(figure) else { continue };
         if *value > most {
             return Some(Reached::Measured(under, *size));
         }
@@ -176,21 +185,17 @@
     let mut sizes = Sizes::new();
     for (size, played) in roles.get(role).and_then(Value::as_object).into_iter().flatten() {
         let Ok(size) = size.parse() else { continue };
-        let played = match played["not_run"].as_str() {
-            Some(why) => Err(why.to_owned()),
-            None => {
-                let figures = played.as_object().into_iter().flatten();
-                Ok(figures.filter_map(|(name, value)| Some((name.clone(), value.as_f64()?))).collect())
-            }
-        };
+        let all = played.as_object().into_iter().flatten();
+        let figures = all.filter_map(|(name, value)| Some((name.clone(), value.as_f64()?))).collect();
+        let stopped = played["not_run"].as_str().or(played["partly"].as_str()).map(str::to_owned);
+        let played = Played { figures, stopped };
         sizes.insert(size, played);
     }
     sizes
 }
 
 fn fitted(sizes: &Sizes, figure: &str) -> Option<Fit> {
-    let ran = sizes.iter().filter_map(|(size, played)| Some((size, played.as_ref().ok()?)));
-    let points = ran.filter_map(|(size, played)| Some((*size as f64, *played.get(figure)?)));
+    let points = sizes.iter().filter_map(|(size, played)| Some((*size as f64, *played.figures.get(figure)?)));
     Fit::of(&points.collect::<Vec<_>>())
 }
 
