--- a/crates/lab/src/rig/chain.rs
+++ b/crates/lab/src/rig/chain.rs
@@ -6,7 +6,7 @@
 use super::hops::cpu;
 use super::http::{self, Message, Side};
 use super::processes::{Program, Seat};
-use super::record::{histogram, Shared};
+use super::record::{histogram, Shared, TOO_LATE};
 use super::servers::{author, body, name};
 use bytes::BytesMut;
 use hdrhistogram::Histogram;
@@ -106,6 +106,13 @@
     pub late: Histogram<u64>,
 }
 
+impl Outcome {
+    /// The rig itself was too late to tell what is late, or failed for that, as in a day of the fleet.
+    pub fn too_late(&self) -> bool {
+        self.late.value_at_quantile(0.99) > TOO_LATE
+    }
+}
+
 /// What a chain gave.
 #[derive(Clone, Debug)]
 pub struct Played {
--- a/crates/lab/src/scale/calls.rs
+++ b/crates/lab/src/scale/calls.rs
@@ -51,6 +51,10 @@
             _ = tokio::signal::ctrl_c() => Err(Stopped::Odd("interrupted".to_owned())),
         }
     })?;
+    if played.outcomes.iter().any(Outcome::too_late) {
+        let why = "the rig itself was too late to judge: more than 20 ms at p99; give it idle cores";
+        return Err(Stopped::NotRun(why.to_owned()));
+    }
     Ok(figures(&played))
 }
 
