--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -1,12 +1,16 @@
 //! One process among its peers: SWIM by `foca`, and what follows from it.
 
-use crate::envelope::{Envelope, Odd, LENGTH};
+use crate::between::{Between, Talk};
+use crate::bucket::{Bucket, Weight};
+use crate::envelope::{Envelope, Kind, Odd, LENGTH};
+use crate::identity::cut;
+use crate::scopes::{Hearing, Scopes};
 use crate::view::{Standing, View};
-use crate::{Count, Identity, Micros};
+use crate::{wire, Count, Identity, Micros};
 use foca::{Foca, Notification, PeriodicParams, PostcardCodec, Runtime, Timer};
 use rand_pcg_next::rand_core::SeedableRng;
 use rand_pcg_next::Pcg64;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::num::{NonZeroU8, NonZeroUsize};
 use std::time::Duration;
@@ -23,6 +27,9 @@
 const SUSPICION: Micros = 1_350_000;
 /// News go along with so many datagrams.
 const TOLD: u8 = 16;
+/// While so many wait, each goes along less often: all that are told still have it by some of them.
+const MANY: usize = 100;
+const TOLD_OF_MANY: u8 = 8;
 /// Gossip goes out this often, to so many.
 const GOSSIP: (Micros, usize) = (1_000_000, 1);
 /// Members held dead are asked this often, and so many at a time.
@@ -33,6 +40,8 @@
 const SEEDS: Micros = 500_000;
 /// The view is looked at this often, and one that differs is asked for its own.
 const LOOK: Micros = 500_000;
+/// Members of the own scope that others know are asked this often.
+const KIN: Micros = 200_000;
 /// An agreement of this share is one.
 const AGREED: f64 = 0.9;
 /// News that wait to be taken; beyond them they are counted only.
@@ -62,6 +71,8 @@
     Cut(bool),
     /// The count in force has changed.
     Count(usize),
+    /// Another scope is silent, or heard of again.
+    Scope(String, Hearing),
 }
 
 /// What `foca` wants done.
@@ -103,12 +114,29 @@
 pub struct Peers {
     foca: Foca<Identity, PostcardCodec, Pcg64, foca::NoCustomBroadcast>,
     config: Config,
+    /// The hash of the fleet's name, and of the own scope's in it.
     fleet: u32,
+    scope: u32,
     /// By when they are due, and their order.
     timers: BTreeMap<(Micros, u64), Timer<Identity>>,
     number: u64,
     view: View,
+    /// Addresses of members that are suspected, as far as it was told or found out since the last look.
+    doubted: BTreeSet<SocketAddr>,
+    /// The life that is part of the view's digest.
+    life: u64,
     count: Count,
+    /// The count of the own scope alone, as others are told it.
+    own_count: Count,
+    /// What the own scope and the others counted at the last look.
+    counted: usize,
+    between: Between,
+    /// Seeds that are of another scope.
+    elsewhere: BTreeSet<SocketAddr>,
+    kin_at: Micros,
+    bucket: Bucket,
+    /// News go along so often at present.
+    told: u8,
     outbox: Vec<(SocketAddr, Vec<u8>)>,
     news: Vec<News>,
     seeds_at: Micros,
@@ -122,7 +150,7 @@
 }
 
 /// The figures of the protocol.
-fn figures() -> foca::Config {
+fn figures(told: u8) -> foca::Config {
     let some = |number: usize| NonZeroUsize::new(number).unwrap_or(NonZeroUsize::MIN);
     let every = |span, number| {
         Some(PeriodicParams { frequency: Duration::from_micros(span), num_members: some(number) })
@@ -131,7 +159,7 @@
         probe_period: Duration::from_micros(PERIOD),
         probe_rtt: Duration::from_micros(ANSWER),
         num_indirect_probes: some(ASKED),
-        max_transmissions: NonZeroU8::new(TOLD).unwrap_or(NonZeroU8::MIN),
+        max_transmissions: NonZeroU8::new(told).unwrap_or(NonZeroU8::MIN),
         suspect_to_down_after: Duration::from_micros(SUSPICION),
         max_packet_size: some(DATAGRAM - LENGTH),
         notify_down_members: true,
@@ -143,20 +171,38 @@
 }
 
 impl Peers {
-    /// Begins, knowing nobody.
+    /// Begins in a fleet that is one scope, knowing nobody.
     pub fn new(now: Micros, seed: u64, own: Identity, config: Config) -> Self {
+        Peers::in_scope(now, seed, own, config, "")
+    }
+
+    /// Begins in a scope, knowing nobody; a name that is too long is cut.
+    pub fn in_scope(now: Micros, seed: u64, own: Identity, config: Config, scope: &str) -> Self {
+        let scope = &cut(scope);
         let fleet = Envelope::fleet(&config.fleet);
+        let between = Between::new(now, seed, scope, own.address);
         let mut view = View::default();
-        view.sum(&own);
+        view.own(&own);
         let count = Count::new(now, config.balancers);
         Peers {
-            foca: Foca::new(own, figures(), Pcg64::seed_from_u64(seed), PostcardCodec),
-            config,
+            life: own.life,
+            foca: Foca::new(own, figures(TOLD), Pcg64::seed_from_u64(seed), PostcardCodec),
             fleet,
+            scope: Envelope::scope(&config.fleet, scope),
+            config,
             timers: BTreeMap::new(),
             number: 0,
             view,
+            doubted: BTreeSet::new(),
             count,
+            // It says what is there, not what there should be.
+            own_count: Count::new(now, 1),
+            counted: 1,
+            between,
+            elsewhere: BTreeSet::new(),
+            kin_at: now,
+            bucket: Bucket::new(now),
+            told: TOLD,
             outbox: Vec::new(),
             news: Vec::new(),
             seeds_at: now,
@@ -183,15 +229,32 @@
         &self.count
     }
 
+    /// What it holds of other scopes.
+    pub fn scopes(&self) -> &Scopes {
+        &self.between.scopes
+    }
+
+    /// The scope of this process; empty if the whole fleet is one.
+    pub fn scope(&self) -> &str {
+        &self.between.name
+    }
+
+    /// So many fell silent that it is taken for a cut.
+    pub fn is_cut(&self) -> bool {
+        self.count.is_cut() || self.own_count.is_cut()
+    }
+
     /// Nobody else is known to be there.
     pub fn alone(&self) -> bool {
-        self.view.size() == 1
+        self.view.size() == 1 && self.between.scopes.counted() == 0
     }
 
     /// When the time must be told next.
     pub fn next_due(&self) -> Micros {
         let timer = self.timers.first_key_value().map_or(Micros::MAX, |((at, _), _)| *at);
-        timer.min(self.seeds_at).min(self.looked + LOOK)
+        // Who has left asks and talks no more.
+        let talks = if self.left { Micros::MAX } else { self.seeds_at.min(self.between.next_due()) };
+        timer.min(self.looked + LOOK).min(talks)
     }
 
     /// Takes what is to be sent.
@@ -211,23 +274,101 @@
 
     /// A datagram has come.
     pub fn datagram(&mut self, now: Micros, datagram: &[u8]) {
-        let (envelope, content) = match Envelope::open(self.fleet, datagram) {
-            Ok(opened) => opened,
+        let fleet = |kind| match kind {
+            Kind::Members => Some(self.scope),
+            Kind::Scopes => Some(self.fleet),
+        };
+        let (envelope, content) = match Envelope::open_any(fleet, datagram) {
+            Ok((envelope, Kind::Members, content)) => (envelope, content),
+            Ok((_, Kind::Scopes, content)) => return self.talked(now, content),
             Err(odd) => return self.threw_away(odd),
         };
         let mut wanted = Wanted::default();
-        // Its sender stands first in what `foca` writes.
-        let from = postcard::take_from_bytes::<Identity>(content).map(|(who, _)| who);
+        let Ok((from, doubted)) = wire::read(content) else { return self.threw_away(Odd::Content) };
         let done = self.foca.handle_data(content, &mut wanted);
+        if done.is_ok() {
+            self.doubted.extend(doubted);
+        }
         self.done(now, wanted);
-        match (done, from) {
-            (Ok(()), Ok(from)) => self.view.heard(now, from.address, envelope.digest),
+        match done {
+            Ok(()) => self.view.heard(now, from, envelope.digest),
             // A member that was held dead, or this process at an earlier life, is no oddity.
-            (Err(foca::Error::DataFromOurselves | foca::Error::NotConnected), _) => {}
-            _ => self.threw_away(Odd::Content),
+            Err(foca::Error::DataFromOurselves | foca::Error::NotConnected) => {}
+            Err(_) => self.threw_away(Odd::Content),
+        }
+    }
+
+    /// A member tells what it knows of scopes.
+    fn talked(&mut self, now: Micros, content: &[u8]) {
+        let Some(talk) = Talk::read(content) else { return self.threw_away(Odd::Content) };
+        let news = self.between.scopes.is_empty();
+        let (letters, elsewhere) = self.between.heard(now, &talk, &self.view, self.own_count.get());
+        if self.config.seeds.contains(&talk.from) {
+            match elsewhere {
+                true => self.elsewhere.insert(talk.from),
+                false => self.elsewhere.remove(&talk.from),
+            };
+        }
+        self.write(now, letters);
+        if now >= self.kin_at && !self.left {
+            self.kin_at = now + KIN;
+            for who in self.between.kin(now, &self.view) {
+                self.announce(now, Identity::unknown(who));
+            }
+        }
+        if news != self.between.scopes.is_empty() {
+            self.look(now);
+        }
+    }
+
+    fn write(&mut self, now: Micros, letters: Vec<(SocketAddr, Vec<u8>)>) {
+        let envelope = Envelope { fleet: self.fleet, digest: self.view.digest() };
+        for (to, content) in letters {
+            let length = LENGTH + content.len();
+            if self.bucket.room(now, Weight::News, length, length).is_some() {
+                self.post(to, envelope.seal_as(Kind::Scopes, &content));
+            }
         }
     }
 
+    /// Sends what `foca` wrote, as far as the bound on bytes lets it.
+    fn bounded(&mut self, now: Micros, to: SocketAddr, mut content: Vec<u8>) {
+        // It was written just now.
+        let Ok((news, least)) = wire::head(&content) else { return };
+        // That this process leaves is said once.
+        let weight = if news && !self.left { Weight::News } else { Weight::Vital };
+        let Some(room) = self.bucket.room(now, weight, LENGTH + least, LENGTH + content.len()) else {
+            return;
+        };
+        if room < LENGTH + content.len() && wire::cut(&mut content, room - LENGTH).is_err() {
+            return;
+        }
+        let envelope = Envelope { fleet: self.scope, digest: self.view.digest() };
+        self.post(to, envelope.seal(&content));
+    }
+
+    fn post(&mut self, to: SocketAddr, datagram: Vec<u8>) {
+        self.bytes_sent += datagram.len() as u64;
+        self.bucket.take(datagram.len());
+        self.outbox.push((to, datagram));
+    }
+
+    /// Lets news go along less often while there are many.
+    fn moderate(&mut self) {
+        let told = if self.foca.updates_backlog() > MANY { TOLD_OF_MANY } else { TOLD };
+        if std::mem::replace(&mut self.told, told) != told {
+            // Only figures that `foca` refuses to change while it runs could fail.
+            let _ = self.foca.set_config(figures(told));
+        }
+    }
+
+    fn announce(&mut self, now: Micros, who: Identity) {
+        let mut wanted = Wanted::default();
+        // It can only fail to encode, which is tried again.
+        let _ = self.foca.announce(who, &mut wanted);
+        self.done(now, wanted);
+    }
+
     fn threw_away(&mut self, odd: Odd) {
         let name = match odd {
             Odd::Mark => "mark",
@@ -244,22 +385,33 @@
         while let Some(entry) = self.timers.first_entry().filter(|entry| entry.key().0 <= now) {
             let timer = entry.remove();
             let mut wanted = Wanted::default();
-            // A timer of before a change of identity has nothing to do; `foca` goes on after a cycle that was cut short.
+            // A timer of before a change of identity has nothing to do; `foca` goes on after a cycle that was
+            // cut short.
             let _ = self.foca.handle_timer(timer, &mut wanted);
             self.done(now, wanted);
         }
         if now >= self.seeds_at && !self.left {
             // With others it is only now and then: both halves of a long cut may have forgotten each other.
-            self.seeds_at = now + if self.alone() { SEEDS } else { MORE };
+            let alone = self.view.size() == 1;
+            self.seeds_at = now + if alone { SEEDS } else { MORE };
+            let asks = self.between.asks(now, alone);
             for seed in self.config.seeds.clone() {
-                if seed != self.own().address && !self.view.get(seed).is_some_and(|s| s.standing.is_there()) {
-                    let mut wanted = Wanted::default();
-                    // It can only fail to encode, which is tried again.
-                    let _ = self.foca.announce(Identity::unknown(seed), &mut wanted);
-                    self.done(now, wanted);
+                if seed == self.own().address || self.view.get(seed).is_some_and(|s| s.standing.is_there()) {
+                    continue;
+                }
+                if !self.elsewhere.contains(&seed) {
+                    self.announce(now, Identity::unknown(seed));
+                }
+                if asks {
+                    let letter = self.between.ask(&self.view, self.own_count.get());
+                    self.write(now, letter.into_iter().map(|letter| (seed, letter)).collect());
                 }
             }
         }
+        if !self.left {
+            let letters = self.between.talk(now, &self.view, self.own_count.get());
+            self.write(now, letters);
+        }
         if now < self.looked + LOOK {
             return;
         }
@@ -268,10 +420,7 @@
         // Views that differ come together by being exchanged; news alone go along only so often.
         let dissenter = self.view.dissenter(now).filter(|_| !self.left);
         if let Some(who) = dissenter.cloned() {
-            let mut wanted = Wanted::default();
-            // It can only fail to encode, which is tried again.
-            let _ = self.foca.announce(who, &mut wanted);
-            self.done(now, wanted);
+            self.announce(now, who);
         }
     }
 
@@ -288,7 +437,7 @@
 
     fn tell(&mut self, news: News) {
         // What is in force is told in any case.
-        if self.news.len() < NEWS_MOST || matches!(news, News::Count(_) | News::Cut(_)) {
+        if self.news.len() < NEWS_MOST || matches!(news, News::Count(_) | News::Cut(_) | News::Scope(..)) {
             self.news.push(news);
         }
     }
@@ -314,16 +463,21 @@
             }
         }
         for (after, timer) in wanted.timers {
+            if let Timer::ChangeSuspectToDown { member_id, .. } = &timer {
+                self.doubted.insert(member_id.address);
+            }
             self.number += 1;
             self.timers.insert((now + after, self.number), timer);
         }
-        self.view.sum(self.foca.identity());
-        let envelope = Envelope { fleet: self.fleet, digest: self.view.digest() };
+        let own = self.foca.identity();
+        if self.life != own.life {
+            self.life = own.life;
+            self.view.own(own);
+        }
         for (to, content) in wanted.send {
-            let datagram = envelope.seal(&content);
-            self.bytes_sent += datagram.len() as u64;
-            self.outbox.push((to, datagram));
+            self.bounded(now, to, content);
         }
+        self.moderate();
         if before != self.view.digest() {
             self.look(now);
         }
@@ -335,22 +489,20 @@
             return;
         }
         match standing {
-            Standing::Suspected => self.count.fell_silent(now),
+            Standing::Suspected => self.fell_silent(now),
             // Silence of which only its end is heard.
-            Standing::Dead if old == Some(Standing::Present) => self.count.fell_silent(now),
+            Standing::Dead if old == Some(Standing::Present) => self.fell_silent(now),
             _ => {}
         }
         if matches!(standing, Standing::Left | Standing::Dead) {
-            self.count.departed(now, standing == Standing::Left);
+            self.own_count.departed(now, standing == Standing::Left);
+        }
+        if standing == Standing::Dead {
+            self.count.hold(now);
         }
         // One that was suspected meanwhile has been told of.
         if standing == Standing::Present && !old.is_some_and(Standing::is_there) {
-            let same = |seen: &&crate::Seen| {
-                seen.who.name == who.name
-                    && seen.who.address != who.address
-                    && seen.standing == Standing::Present
-            };
-            let other = self.view.members().find(same).map(|seen| seen.who.address);
+            let other = self.view.namesake(who);
             let own = (self.own().name == who.name).then_some(self.own().address);
             if let Some(other) = other.or(own) {
                 self.tell(News::OneName(who.name.clone(), other, who.address));
@@ -359,22 +511,44 @@
         self.tell(News::Member(who.clone(), standing));
     }
 
+    fn fell_silent(&mut self, now: Micros) {
+        self.count.fell_silent(now);
+        self.own_count.fell_silent(now);
+    }
+
     /// Takes suspicions in, and brings the count up to date.
     fn look(&mut self, now: Micros) {
-        let states: Vec<(Identity, foca::State)> =
-            self.foca.iter_membership_state().map(|m| (m.id().clone(), m.state())).collect();
-        for (who, state) in states {
-            match state {
-                foca::State::Alive => self.stands(now, &who, Standing::Present),
-                foca::State::Suspect => self.stands(now, &who, Standing::Suspected),
-                foca::State::Down => {}
+        if !self.doubted.is_empty() {
+            // `foca` tells of no suspicion by itself, and can be asked only for all that it knows.
+            let doubted = std::mem::take(&mut self.doubted);
+            let states = self.foca.iter_membership_state().filter(|m| doubted.contains(&m.id().address));
+            let states: Vec<(Identity, foca::State)> = states.map(|m| (m.id().clone(), m.state())).collect();
+            for (who, state) in states {
+                match state {
+                    foca::State::Alive => self.stands(now, &who, Standing::Present),
+                    foca::State::Suspect => {
+                        self.doubted.insert(who.address);
+                        self.stands(now, &who, Standing::Suspected);
+                    }
+                    foca::State::Down => {}
+                }
             }
         }
         self.view.tidy(now);
         let before = self.count.get();
         let agreed = self.view.agreement(now) >= AGREED;
-        self.count.look(now, self.view.size(), self.view.sure(), agreed);
-        let cut = self.count.is_cut();
+        self.own_count.look(now, self.view.size(), self.view.sure(), agreed);
+        for (name, hearing) in self.between.scopes.look(now, before) {
+            self.tell(News::Scope(name, hearing));
+        }
+        let scopes = &self.between.scopes;
+        let counted = self.own_count.get().max(scopes.own(now)) + scopes.counted();
+        // Each scope has waited until it was safe to count fewer.
+        let fell = std::mem::replace(&mut self.counted, counted).saturating_sub(counted);
+        self.count.fewer(fell);
+        let there = if self.alone() { 1 } else { counted };
+        self.count.look(now, there, self.view.sure() + self.between.scopes.sure(), agreed);
+        let cut = self.is_cut();
         if std::mem::replace(&mut self.told_cut, cut) != cut {
             self.tell(News::Cut(cut));
         }
--- a/crates/lab/src/scale/mod.rs
+++ b/crates/lab/src/scale/mod.rs
@@ -6,17 +6,18 @@
 pub mod list;
 pub mod page;
 pub mod peers;
+pub mod played;
 pub mod point;
+pub mod report;
 pub mod settings;
 
-use crate::fleet::{Programs, Stop};
+use crate::fleet::{write, Programs, Stop};
 use clap::{Args, ValueEnum};
 use comfy_table::{presets, CellAlignment, Table};
-use fit::Fit;
 use page::short;
-use point::{Figures, Part, Point, Stopped, PLANNED};
+use played::{fitted, names, Played, Sizes};
+use point::{Part, Point, Stopped, PLANNED};
 use serde_json::{json, Map, Value};
-use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, Instant};
 
@@ -41,19 +42,22 @@
     /// Seeds each size is played with
     #[arg(long, default_value_t = 3, value_name = "N", value_parser = clap::value_parser!(u64).range(1..=100))]
     seeds: u64,
-    /// A size may take so many seconds, with all its seeds
+    /// A size may take so many seconds with all its seeds, and what those before it left
     #[arg(long, default_value_t = 60, value_name = "S", value_parser = clap::value_parser!(u64).range(1..=3_600))]
     limit: u64,
-    /// Of the members of `peers`, so many are real processes
-    #[arg(long, value_name = "N", num_args = 0..=1, default_missing_value = "60", value_parser = clap::value_parser!(u16).range(1..=200))]
-    sockets: Option<u16>,
+    /// The members of `peers` have a scope for each zone, in place of one for all
+    #[arg(long)]
+    scopes: bool,
     #[command(flatten)]
     programs: Programs,
     /// Write all figures there, as JSON
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
+    /// Write a page with plots of what has a budget into this folder
+    #[arg(long, value_name = "DIR")]
+    report: Option<PathBuf>,
     /// Play nothing, but draw the tables of this page anew from the JSON files it names
-    #[arg(long, value_name = "FILE", conflicts_with_all = ["roles", "sizes", "sockets", "json"])]
+    #[arg(long, value_name = "FILE", conflicts_with_all = ["roles", "sizes", "scopes", "json", "report"])]
     page: Option<PathBuf>,
 }
 
@@ -80,9 +84,10 @@
 }
 
 impl Role {
-    /// What is played of it.
-    pub fn part(self) -> Part {
+    /// What is played of it, with scopes or without.
+    pub fn part(self, scopes: bool) -> Part {
         match self {
+            Role::Peers if scopes => peers::IN_SCOPES,
             Role::Peers => peers::PART,
             Role::List => list::PART,
             Role::Settings => settings::PART,
@@ -92,9 +97,6 @@
     }
 }
 
-/// What a size gave: the figures of each seed, or why there are none.
-type Played = Result<Vec<Figures>, String>;
-
 impl Scale {
     /// Plays the roles and prints their tables. True if all expectations held.
     ///
@@ -106,74 +108,85 @@
         }
         let [program, _] = self.programs.found()?;
         let roles = if self.roles.is_empty() { Role::value_variants() } else { &self.roles };
-        let (mut held, mut all) = (true, Map::new());
-        for part in roles.iter().map(|role| role.part()) {
+        let (mut held, mut all, mut pages) = (true, Map::new(), Vec::new());
+        for part in roles.iter().map(|role| role.part(self.scopes)) {
             let sizes = if self.sizes.is_empty() { part.sizes } else { &self.sizes };
-            let mut played = BTreeMap::new();
+            let mut played = Sizes::new();
+            let mut until = Instant::now();
             for size in sizes {
                 eprintln!("{} at {size} {} ...", part.name, part.counts);
-                let until = Instant::now() + Duration::from_secs(self.limit);
-                let point = |seed| Point {
-                    size: *size,
-                    seed,
-                    until,
-                    program: program.clone(),
-                    sockets: self.sockets.map(usize::from),
-                };
-                let figures: Result<Vec<_>, _> =
-                    (1..=self.seeds).map(|seed| (part.play)(&point(seed))).collect();
-                let figures = match figures {
-                    Ok(figures) => Ok(figures),
-                    Err(Stopped::NotRun(why)) => Err(why),
-                    Err(Stopped::Odd(odd)) => return Err(Stop::Bad(format!("{}: {odd}", part.name))),
-                };
-                played.insert(*size, figures);
+                until += Duration::from_secs(self.limit);
+                let point = Point { size: *size, seed: 1, until, program: program.clone() };
+                played.insert(*size, self.played(part, &point)?);
             }
-            println!("{}", table(part, &played));
+            let table = table(part, &played);
+            println!("{table}");
             let broken = broken(part, &played);
             broken.iter().for_each(|(told, _)| println!("{told}"));
             held &= !broken.iter().any(|(_, expected)| *expected);
             all.insert(part.name.to_owned(), in_json(&played));
+            pages.push((part, played, table));
         }
         if let Some(path) = &self.json {
             let text = format!("{:#}\n", json!({ "roles": all }));
-            std::fs::write(path, text).map_err(|e| Stop::Bad(format!("{}: {e}", path.display())))?;
+            write(path, &text)?;
+        }
+        if let Some(folder) = &self.report {
+            std::fs::create_dir_all(folder).map_err(|e| Stop::Bad(format!("{}: {e}", folder.display())))?;
+            write(&folder.join("scale.html"), &report::html(&pages).map_err(Stop::Bad)?)?;
         }
         Ok(held)
     }
+
+    /// Plays a size with each seed, as far as its time allows.
+    fn played(&self, part: Part, point: &Point) -> Result<Played, Stop> {
+        let mut played = Played::default();
+        for seed in 1..=self.seeds {
+            let begin = Instant::now();
+            let stopped = match (part.play)(&Point { seed, ..point.clone() }) {
+                Ok(figures) => {
+                    played.seeds.push(figures);
+                    let (took, left) =
+                        (begin.elapsed(), point.until.saturating_duration_since(Instant::now()));
+                    if seed < self.seeds && took > left {
+                        let why = format!(
+                            "seed {seed} of {} took {took:.0?}, and {left:.0?} were left",
+                            self.seeds
+                        );
+                        played.not_run = Some(why);
+                        break;
+                    }
+                    continue;
+                }
+                Err(stopped) => stopped,
+            };
+            let why = match stopped {
+                Stopped::Odd(odd) => return Err(Stop::Bad(format!("{}: {odd}", part.name))),
+                Stopped::NotRun(why) => why,
+                Stopped::Partly(figures, why) => {
+                    // What one seed has more of than the others would pass for their median.
+                    if played.seeds.is_empty() {
+                        played.seeds.push(figures);
+                    }
+                    why
+                }
+            };
+            played.not_run = Some(format!("seed {seed} of {}: {why}", self.seeds));
+            break;
+        }
+        Ok(played)
+    }
 }
 
 /// Draws a page's tables anew.
 fn drawn(page: &Path) -> Result<(), String> {
-    let parts: Vec<Part> = Role::value_variants().iter().map(|role| role.part()).collect();
+    let parts: Vec<Part> = Role::value_variants().iter().map(|role| role.part(false)).collect();
     let text = std::fs::read_to_string(page).map_err(|e| e.to_string())?;
     let folder = page.parent().unwrap_or_else(|| Path::new("."));
     std::fs::write(page, page::draw(&text, folder, &parts)?).map_err(|e| e.to_string())
 }
 
-/// A figure's median over the seeds, with the least and the most.
-fn spread(seeds: &[Figures], figure: &str) -> Option<[f64; 3]> {
-    let mut all: Vec<f64> = seeds.iter().filter_map(|figures| figures.get(figure).copied()).collect();
-    all.sort_by(f64::total_cmp);
-    Some([*all.get(all.len() / 2)?, *all.first()?, *all.last()?])
-}
-
-/// The names of all figures that some size has.
-fn names(played: &BTreeMap<usize, Played>) -> Vec<&String> {
-    let seeds = played.values().filter_map(|played| played.as_ref().ok()).flatten();
-    let mut names: Vec<&String> = seeds.flat_map(|figures| figures.keys()).collect();
-    names.sort_unstable();
-    names.dedup();
-    names
-}
-
-fn fitted(played: &BTreeMap<usize, Played>, figure: &str) -> Option<Fit> {
-    let point =
-        |(size, played): (&usize, &Played)| Some((*size as f64, spread(played.as_ref().ok()?, figure)?[0]));
-    Fit::of(&played.iter().filter_map(point).collect::<Vec<_>>())
-}
-
-fn table(part: Part, played: &BTreeMap<usize, Played>) -> String {
+fn table(part: Part, played: &Sizes) -> String {
     let mut table = Table::new();
     let sizes = played.keys().map(|size| format!("{size}"));
     let head = [format!("{}, by {}", part.name, part.counts)].into_iter().chain(sizes);
@@ -182,13 +195,13 @@
     for figure in names(played) {
         let mut row = vec![figure.clone()];
         for played in played.values() {
-            row.push(match played.as_ref().map(|seeds| spread(seeds, figure)) {
-                Ok(Some([median, least, most])) if least < most => {
+            row.push(match played.spread(figure) {
+                Some([median, least, most]) if least < most => {
                     format!("{} ({} to {})", short(median), short(least), short(most))
                 }
-                Ok(Some([median, ..])) => short(median),
-                Ok(None) => "-".to_owned(),
-                Err(_) => "not run".to_owned(),
+                Some([median, ..]) => short(median),
+                None if played.not_run.is_some() => "not run".to_owned(),
+                None => "-".to_owned(),
             });
         }
         row.extend(match fitted(played, figure) {
@@ -204,7 +217,7 @@
     table.column_iter_mut().skip(1).for_each(|column| column.set_cell_alignment(CellAlignment::Right));
     let mut text: String = table.lines().map(|line| format!("{}\n", line.trim_end())).collect();
     for (size, played) in played {
-        if let Err(why) = played {
+        if let Some(why) = &played.not_run {
             text.push_str(&format!("{} at {size}: not run: {why}\n", part.name));
         }
     }
@@ -212,14 +225,11 @@
 }
 
 /// Bounds that a size is over, and whether it was expected to keep them.
-fn broken(part: Part, played: &BTreeMap<usize, Played>) -> Vec<(String, bool)> {
+fn broken(part: Part, played: &Sizes) -> Vec<(String, bool)> {
     let mut told = Vec::new();
     for bound in part.bounds {
         for (size, played) in played.range(bound.from..) {
-            let Some([_, _, most]) = played.as_ref().ok().and_then(|seeds| spread(seeds, bound.figure))
-            else {
-                continue;
-            };
+            let Some([_, _, most]) = played.spread(bound.figure) else { continue };
             if most > bound.most {
                 let how = if bound.expected { "expected" } else { "budget" };
                 let (role, figure) = (part.name, bound.figure);
@@ -235,24 +245,20 @@
     told
 }
 
-/// `"6300": {"figure": median, ...}`; what was not run has its reason in place of figures.
-fn in_json(played: &BTreeMap<usize, Played>) -> Value {
+/// `"6300": {"figure": median, ...}`; what was not run, or not wholly, has its reason there.
+fn in_json(played: &Sizes) -> Value {
     let size = |(size, played): (&usize, &Played)| {
-        let figures = match played {
-            Ok(seeds) => names_of(seeds)
-                .filter_map(|figure| Some((figure.clone(), spread(seeds, figure)?)))
-                .flat_map(|(figure, [median, least, most])| {
-                    let part = |end: &str, value| (format!("{figure}{end}"), json!(value));
-                    [part("", median), part(".least", least), part(".most", most)]
-                })
-                .collect(),
-            Err(why) => Map::from_iter([("not_run".to_owned(), json!(why))]),
-        };
+        let names = played.names().into_iter();
+        let spreads = names.filter_map(|figure| Some((figure, played.spread(figure)?)));
+        let parts = spreads.flat_map(|(figure, [median, least, most])| {
+            let part = |end: &str, value| (format!("{figure}{end}"), json!(value));
+            [part("", median), part(".least", least), part(".most", most)]
+        });
+        let name = if played.seeds.is_empty() { "not_run" } else { "partly" };
+        let not_run = played.not_run.iter().map(|why| (name.to_owned(), json!(why)));
+        let seeds = ("seeds".to_owned(), json!(played.seeds.len()));
+        let figures = parts.chain(not_run).chain([seeds]).collect();
         (size.to_string(), Value::Object(figures))
     };
     Value::Object(played.iter().map(size).collect())
 }
-
-fn names_of(seeds: &[Figures]) -> impl Iterator<Item = &String> {
-    seeds.first().into_iter().flat_map(|figures| figures.keys())
-}
