--- a/crates/lab/src/rig/mod.rs
+++ b/crates/lab/src/rig/mod.rs
@@ -1,7 +1,9 @@
 //! A fleet of real processes on loopback, with faults between them, judged from outside (`docs/rig.md`).
 
+mod calls;
 pub mod chain;
 mod clients;
+mod cold;
 pub(crate) mod discovery;
 mod events;
 pub mod forwarder;
