Hold the count of waiting calls to one in a hundred again

Cause: raised a committed bound from 9 to some 19 of 980 after a count of 10 had been over it. That loosened a check to get a pass; that the count varies by chance was no reason, as one in a hundred is what is asked for. Change: the bare bound stands again.

--- a/crates/cli/tests/rests.rs
+++ b/crates/cli/tests/rests.rs
@@ -78,9 +78,7 @@
     calls(&proxy, rate, count);
     let (opened, waits) = (cost(operator).0 - opened, cost(operator).1 - waits);
     println!("{rate}/s: of {count} calls {waits} waited for a rest, {opened} connections were opened");
-    // Whom a call meets is chance, so a count may lie three of its deviations over a share of one in a hundred.
-    let (share, found) = (count as f64 / 100.0, waits as f64);
-    assert!(found <= share + 3.0 * share.sqrt(), "{waits} of {count} waited for a rest");
+    assert!(waits * 100 <= count as u64, "{waits} of {count} waited for a rest");
     assert!(opened * 50 <= count as u64, "{opened} connections for {count} calls");
 }
 
