Fetch views by the digests of their ranges, not by lot

Cause: a view that differs was fetched by asking for a feed, some 25 members by chance, and each member that came with one was told on 16 times. The last of a scope were known after tens of seconds. Ruled out: more feeds a second, as they share the bound on bytes with what they are to spare.

Change: each view keeps a sum for each of 256 ranges of its addresses' hashes. Who holds another view than somebody tells sends the digests of as many ranges as its size needs, and is given the members of those that differ, in their order, two datagrams at a time; foca takes them without telling them on. Who learns many at once asks on each 200 ms. Strangers are given nothing.

--- a/crates/fleet/src/envelope.rs
+++ b/crates/fleet/src/envelope.rs
@@ -15,6 +15,8 @@
     Members = 0x01,
     /// What is told of scopes.
     Scopes = 0x11,
+    /// What members of one scope ask and tell each other where their views differ.
+    Sync = 0x21,
 }
 
 /// What stands before a datagram's content.
@@ -94,7 +96,7 @@
         if mark[..3] != MARK {
             return Err(Odd::Mark);
         }
-        let kind = [Kind::Members, Kind::Scopes].into_iter().find(|kind| *kind as u8 == mark[3]);
+        let kind = [Kind::Members, Kind::Scopes, Kind::Sync].into_iter().find(|kind| *kind as u8 == mark[3]);
         let kind = kind.ok_or(Odd::Version)?;
         let fleet = fleet(kind).ok_or(Odd::Version)?;
         let (found, rest) = rest.split_first_chunk::<4>().ok_or(Odd::Damaged)?;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -8,7 +8,9 @@
 mod heard;
 mod identity;
 mod peers;
+mod ranges;
 mod scopes;
+mod sync;
 mod view;
 mod wire;
 
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -5,9 +5,10 @@
 use crate::envelope::{Envelope, Kind, Odd, LENGTH};
 use crate::identity::cut;
 use crate::scopes::{Hearing, Scopes};
+use crate::sync::{self, Exchange, Sync};
 use crate::view::{Standing, View};
 use crate::{wire, Count, Identity, Micros};
-use foca::{Foca, Notification, PeriodicParams, PostcardCodec, Runtime, Timer};
+use foca::{Foca, Member, Notification, PeriodicParams, PostcardCodec, Runtime, State, Timer};
 use rand_pcg_next::rand_core::SeedableRng;
 use rand_pcg_next::Pcg64;
 use std::collections::{BTreeMap, BTreeSet};
@@ -134,6 +135,7 @@
     /// Seeds that are of another scope.
     elsewhere: BTreeSet<SocketAddr>,
     kin_at: Micros,
+    exchange: Exchange,
     bucket: Bucket,
     /// News go along so often at present.
     told: u8,
@@ -201,6 +203,7 @@
             between,
             elsewhere: BTreeSet::new(),
             kin_at: now,
+            exchange: Exchange::default(),
             bucket: Bucket::new(now),
             told: TOLD,
             outbox: Vec::new(),
@@ -253,7 +256,8 @@
     pub fn next_due(&self) -> Micros {
         let timer = self.timers.first_key_value().map_or(Micros::MAX, |((at, _), _)| *at);
         // Who has left asks and talks no more.
-        let talks = if self.left { Micros::MAX } else { self.seeds_at.min(self.between.next_due()) };
+        let talks = self.seeds_at.min(self.between.next_due()).min(self.exchange.again);
+        let talks = if self.left { Micros::MAX } else { talks };
         timer.min(self.looked + LOOK).min(talks)
     }
 
@@ -275,12 +279,13 @@
     /// A datagram has come.
     pub fn datagram(&mut self, now: Micros, datagram: &[u8]) {
         let fleet = |kind| match kind {
-            Kind::Members => Some(self.scope),
+            Kind::Members | Kind::Sync => Some(self.scope),
             Kind::Scopes => Some(self.fleet),
         };
         let (envelope, content) = match Envelope::open_any(fleet, datagram) {
             Ok((envelope, Kind::Members, content)) => (envelope, content),
             Ok((_, Kind::Scopes, content)) => return self.talked(now, content),
+            Ok((envelope, Kind::Sync, content)) => return self.synced(now, envelope.digest, content),
             Err(odd) => return self.threw_away(odd),
         };
         let mut wanted = Wanted::default();
@@ -309,7 +314,7 @@
                 false => self.elsewhere.remove(&talk.from),
             };
         }
-        self.write(now, letters);
+        self.write(now, self.fleet, Kind::Scopes, letters);
         if now >= self.kin_at && !self.left {
             self.kin_at = now + KIN;
             for who in self.between.kin(now, &self.view) {
@@ -321,12 +326,57 @@
         }
     }
 
-    fn write(&mut self, now: Micros, letters: Vec<(SocketAddr, Vec<u8>)>) {
-        let envelope = Envelope { fleet: self.fleet, digest: self.view.digest() };
+    /// A member of the scope asks for ranges, or gives some.
+    fn synced(&mut self, now: Micros, digest: u32, content: &[u8]) {
+        let Some(said) = Sync::read(content) else { return self.threw_away(Odd::Content) };
+        let from = said.from();
+        // Who is not known has not announced itself, and what it is given could go to anybody.
+        if self.left || !self.view.get(from).is_some_and(|seen| seen.standing.is_there()) {
+            return;
+        }
+        self.view.heard(now, from, digest);
+        match said {
+            Sync::Ask { place, digests, .. } => {
+                let Some(gives) = sync::give(self.own().address, &self.view, place, &digests) else {
+                    return self.threw_away(Odd::Content);
+                };
+                gives.iter().for_each(|give| self.sync(now, from, give));
+            }
+            Sync::Give { place, members, .. } => {
+                self.exchange.given(place);
+                let mut wanted = Wanted::default();
+                let members = members.into_iter().map(|who| Member::new(who, 0, State::Alive));
+                // Who is missed by one only is asked for by whoever else misses it: it need not go round.
+                let _ = self.foca.apply_many(members, false, &mut wanted);
+                self.done(now, wanted);
+            }
+        }
+    }
+
+    fn sync(&mut self, now: Micros, to: SocketAddr, said: &Sync) {
+        let letter = said.write().map(|content| (to, content));
+        self.write(now, self.scope, Kind::Sync, letter.into_iter().collect());
+    }
+
+    fn write(&mut self, now: Micros, fleet: u32, kind: Kind, letters: Vec<(SocketAddr, Vec<u8>)>) {
+        let envelope = Envelope { fleet, digest: self.view.digest() };
+        let weight = Weight::News;
         for (to, content) in letters {
             let length = LENGTH + content.len();
-            if self.bucket.room(now, Weight::News, length, length).is_some() {
-                self.post(to, envelope.seal_as(Kind::Scopes, &content));
+            if self.bucket.room(now, weight, length, length).is_some() {
+                self.post(to, envelope.seal_as(kind, &content));
+            }
+        }
+    }
+
+    /// Somebody holds another view: asks for what it has there.
+    fn ask(&mut self, now: Micros, who: SocketAddr) {
+        let present = self.between.scopes.present(now);
+        match self.exchange.ask(self.own().address, &self.view, present) {
+            Some(ask) => self.sync(now, who, &ask),
+            None => {
+                let who = self.view.get(who).map(|seen| seen.who.clone());
+                who.into_iter().for_each(|who| self.announce(now, who));
             }
         }
     }
@@ -404,13 +454,17 @@
                 }
                 if asks {
                     let letter = self.between.ask(&self.view, self.own_count.get());
-                    self.write(now, letter.into_iter().map(|letter| (seed, letter)).collect());
+                    let letters = letter.into_iter().map(|letter| (seed, letter)).collect();
+                    self.write(now, self.fleet, Kind::Scopes, letters);
                 }
             }
         }
         if !self.left {
             let letters = self.between.talk(now, &self.view, self.own_count.get());
-            self.write(now, letters);
+            self.write(now, self.fleet, Kind::Scopes, letters);
+        }
+        if !self.left && self.exchange.is_due(now) {
+            self.view.other(now).into_iter().for_each(|who| self.ask(now, who));
         }
         if now < self.looked + LOOK {
             return;
@@ -419,8 +473,8 @@
         self.look(now);
         // Views that differ come together by being exchanged; news alone go along only so often.
         let dissenter = self.view.dissenter(now).filter(|_| !self.left);
-        if let Some(who) = dissenter.cloned() {
-            self.announce(now, who);
+        if let Some(who) = dissenter.map(|who| who.address) {
+            self.ask(now, who);
         }
     }
 
@@ -445,6 +499,7 @@
     /// Carries out what `foca` wants, and takes in what it tells.
     fn done(&mut self, now: Micros, wanted: Wanted) {
         let before = self.view.digest();
+        self.exchange.came(now, wanted.told.iter().filter(|told| matches!(told, Told::Up(_))).count());
         for told in wanted.told {
             match told {
                 Told::Up(who) => self.stands(now, &who, Standing::Present),
@@ -522,15 +577,15 @@
             // `foca` tells of no suspicion by itself, and can be asked only for all that it knows.
             let doubted = std::mem::take(&mut self.doubted);
             let states = self.foca.iter_membership_state().filter(|m| doubted.contains(&m.id().address));
-            let states: Vec<(Identity, foca::State)> = states.map(|m| (m.id().clone(), m.state())).collect();
+            let states: Vec<(Identity, State)> = states.map(|m| (m.id().clone(), m.state())).collect();
             for (who, state) in states {
                 match state {
-                    foca::State::Alive => self.stands(now, &who, Standing::Present),
-                    foca::State::Suspect => {
+                    State::Alive => self.stands(now, &who, Standing::Present),
+                    State::Suspect => {
                         self.doubted.insert(who.address);
                         self.stands(now, &who, Standing::Suspected);
                     }
-                    foca::State::Down => {}
+                    State::Down => {}
                 }
             }
         }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -1,6 +1,7 @@
 //! What one process holds of the others.
 
 use crate::heard::Heard;
+use crate::ranges::{place, Ranges};
 use crate::{Identity, Micros};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::{IpAddr, SocketAddr};
@@ -55,6 +56,8 @@
     sum: u64,
     /// The part of this process itself in it.
     own: u64,
+    /// The same sum, range by range.
+    ranges: Ranges,
     /// How many are there.
     there: usize,
     /// How many of them are not suspected.
@@ -92,6 +95,7 @@
         self.take(who.address);
         if standing.is_there() {
             self.sum = self.sum.wrapping_add(part(who));
+            self.ranges.add(who.address, part(who));
             self.there += 1;
             self.sure += usize::from(standing == Standing::Present);
         } else {
@@ -110,6 +114,7 @@
         self.names.remove(&name(&old.who));
         if old.standing.is_there() {
             self.sum = self.sum.wrapping_sub(part(&old.who));
+            self.ranges.take(address, part(&old.who));
             self.there -= 1;
             self.sure -= usize::from(old.standing == Standing::Present);
         }
@@ -139,6 +144,7 @@
     pub(crate) fn own(&mut self, own: &Identity) {
         let part = part(own);
         self.sum = self.sum.wrapping_sub(self.own).wrapping_add(part);
+        self.ranges.shift(place(own.address), part.wrapping_sub(self.own));
         self.own = part;
     }
 
@@ -190,6 +196,15 @@
         self.get(other).map(|seen| &seen.who)
     }
 
+    /// One that is there and told another digest lately, whether or not this view has changed since.
+    pub(crate) fn other(&self, now: Micros) -> Option<SocketAddr> {
+        self.heard.other(self.digest(), now.saturating_sub(DISSENT))
+    }
+
+    pub(crate) fn ranges(&self) -> &Ranges {
+        &self.ranges
+    }
+
     /// One that is there and was heard lately, by a random number; none if that one went since.
     pub(crate) fn someone(&self, random: u64) -> Option<SocketAddr> {
         let someone = self.heard.someone(random)?;
