Let the records of scopes go before news when bytes are short

Cause: at a start of 3,000 thirteen members held a living scope silent. They knew all of their own scope; what they had heard of all other scopes was 3 to 5 s old alike, as records shared their place with feeds and with news that go along with pings, which leave the bucket at its reserve: a record of 700 bytes never had room.

Change: records may use the reserve. The bound stays what it was.

The test of the bucket fails without the change.

--- a/crates/fleet/src/bucket.rs
+++ b/crates/fleet/src/bucket.rs
@@ -10,14 +10,16 @@
 const DEPTH: f64 = 4_000.0;
 /// Pings and answers go beyond that by so much: the three together are the most that any second sees.
 const DEBT: f64 = 3_500.0;
-/// What news leave in the bucket for the next pings and answers.
+/// What news leave in the bucket for the records of scopes and the next pings and answers.
 const RESERVE: f64 = 1_000.0;
 
 /// How much a datagram matters.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Weight {
-    /// Whether a member is there is found out by it.
+    /// Whether a member is there is found out by it; news go along.
     Vital,
+    /// How many there are elsewhere, and that they are heard of.
+    Record,
     /// It is said again, or asked for again.
     News,
 }
@@ -42,11 +44,12 @@
     /// How long a datagram may be now; none: it may not go.
     pub(crate) fn room(&mut self, now: Micros, weight: Weight, least: usize, wanted: usize) -> Option<usize> {
         self.fill(now);
-        let left = self.bytes - RESERVE - HEADERS as f64;
+        let left = self.bytes - HEADERS as f64;
         match weight {
-            Weight::News => (wanted as f64 <= left).then_some(wanted),
-            Weight::Vital if ((least + HEADERS) as f64) > self.bytes + DEBT => None,
-            Weight::Vital => Some(wanted.min((left.max(0.0) as usize).max(least))),
+            Weight::News => (wanted as f64 <= left - RESERVE).then_some(wanted),
+            Weight::Record => (wanted as f64 <= left).then_some(wanted),
+            Weight::Vital if least as f64 > left + DEBT => None,
+            Weight::Vital => Some(wanted.min(((left - RESERVE).max(0.0) as usize).max(least))),
         }
     }
 
@@ -55,3 +58,6 @@
         self.bytes -= (length + HEADERS) as f64;
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/peers.rs
+++ b/crates/fleet/src/peers.rs
@@ -360,7 +360,7 @@
 
     fn write(&mut self, now: Micros, fleet: u32, kind: Kind, letters: Vec<(SocketAddr, Vec<u8>)>) {
         let envelope = Envelope { fleet, digest: self.view.digest() };
-        let weight = Weight::News;
+        let weight = if kind == Kind::Scopes { Weight::Record } else { Weight::News };
         for (to, content) in letters {
             let length = LENGTH + content.len();
             if self.bucket.room(now, weight, length, length).is_some() {
