Wait for a rest only as far as that costs less than a new connection

Cause: a call that met only connections that have yet to rest waited up to 10 ms, and one more was opened only after four such waits at one host, whatever a connection costs there. Calls of a sudden (500, one each 2 ms, over four servers) met 16 such waits and more, 3% of them, which was the p99.

Change: as many waits are borne as together cost less than a handshake: its price in the settings (`charges.handshake`) times the shortest aim, by the rest. Where a handshake has no price, the first call that would wait opens one at once, beyond one in a hundred calls.

--- a/crates/cli/tests/rests.rs
+++ b/crates/cli/tests/rests.rs
@@ -92,6 +92,21 @@
     few_wait(250.0, 2_000);
 }
 
+/// A rate that jumps tenfold is met by new connections at the first waits, not after many.
+#[test]
+fn a_rate_that_jumps_tenfold_makes_few_wait() {
+    let (discovery, hosts) = (Discovery::start(), [(); 6].map(|()| Host::serving("ok")));
+    let (proxy, operator) = proxy(2, &discovery, &hosts.each_ref());
+    calls(&proxy, 49.0, 147);
+    let (opened, waits) = cost(operator);
+    calls(&proxy, 490.0, 1_470);
+    let (opened, waits) = (cost(operator).0 - opened, cost(operator).1 - waits);
+    println!("49 to 490/s: of 1470 calls {waits} waited for a rest, {opened} connections were opened");
+    // Six hosts get 82 calls a second each: three connections are short of one rest in a hundred, five are not.
+    assert!(opened <= 6 * 5, "{opened} connections");
+    assert!(waits * 25 <= 1_470, "{waits} waited");
+}
+
 /// One host, and calls that come as fast as they are answered: as many connections are opened as rest
 /// meanwhile, and those calls are the ones that waited.
 #[test]
@@ -146,7 +161,7 @@
 /// that was itself held up, so that its second answer came after the rest, shows nothing.
 #[test]
 fn late_second_answers_are_nobodys_whole_and_in_halves() {
-    for (late, halves) in [(1, false), (1, true), (5, false), (5, true), (8, false)] {
+    for (late, halves) in [(1, false), (1, true), (5, false), (5, true), (8, false), (9, false)] {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("its address");
         let slowest = Arc::new(Mutex::new(Duration::ZERO));
--- a/crates/core/src/settings.rs
+++ b/crates/core/src/settings.rs
@@ -213,7 +213,7 @@
 }
 
 /// What the settings say of the sockets; the module decides nothing by it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Transport {
     /// Requests that may be open at once.
     pub max_open: usize,
@@ -221,6 +221,10 @@
     pub conn_idle: Micros,
     /// A connection that is not up by then has failed.
     pub connect_timeout: Micros,
+    /// Price of a new connection, in the worth of a call.
+    pub handshake: f64,
+    /// The shortest aim of a class: an answer within it is in time.
+    pub aim: Micros,
 }
 
 /// All that is read from the settings object.
@@ -367,11 +371,14 @@
         weights,
         over_share_worth: facts.over_share_worth.unwrap_or(harmless.over_share_worth),
     };
+    let aim = facts.classes.iter().map(|c| c.objective_us).min().unwrap_or(Micros::MAX);
     let classes = facts.classes.into_iter().map(|c| c.name).collect();
     let transport = Transport {
         max_open: limits.max_open,
         conn_idle: limits.conn_idle_us,
         connect_timeout: limits.connect_timeout_us,
+        handshake: charges.handshake,
+        aim,
     };
     let tenants = facts.tenants.into_iter().map(|t| t.name).collect();
     Ok(Facts { settings, classes, tenants, transport })
--- a/crates/proxy/src/demand.rs
+++ b/crates/proxy/src/demand.rs
@@ -10,8 +10,8 @@
 /// The share of calls that may meet only connections that have yet to rest, before more are opened than the
 /// rate tells.
 const SHARE: f64 = 0.01;
-/// So few calls, or waits, may come one after another by chance and tell of no rate: a new connection for
-/// those would be kept in vain.
+/// So few calls may come one after another by chance and tell of no rate: a new connection for those would be
+/// kept in vain.
 const FEW: f64 = 4.0;
 /// A spare is kept if it is expected to be needed so often in the time for which an idle one is kept: it is
 /// used in turn before it would be let go, so its one handshake serves for longer than that.
@@ -40,11 +40,11 @@
     }
 
     /// It met only connections that have yet to rest. True if too many did: calls that come in trains, or a
-    /// rate that has just risen, need more than `need` says.
-    pub fn waits(&mut self, now: Micros) -> bool {
+    /// rate that has just risen, need more than `need` says. So many waits cost less than a new connection.
+    pub fn waits(&mut self, now: Micros, cheap: f64) -> bool {
         self.fade(now);
         self.waits += 1.0;
-        self.waits > FEW + SHARE * self.calls
+        self.waits > cheap + SHARE * self.calls
     }
 
     /// The connections that the rate justifies, from 1 up to `most`. Of n of them the last is needed when n -
--- a/crates/proxy/src/driver.rs
+++ b/crates/proxy/src/driver.rs
@@ -418,7 +418,13 @@
 
     fn driver() -> Driver {
         let clock = Clock::start();
-        let transport = Transport { max_open: 9, conn_idle: 60_000_000, connect_timeout: 9_000_000 };
+        let transport = Transport {
+            max_open: 9,
+            conn_idle: 60_000_000,
+            connect_timeout: 9_000_000,
+            handshake: 0.0,
+            aim: 400_000,
+        };
         let figures = Rc::<Figures>::default();
         let pool = Pool::new(transport, 1, Descriptors::new(9), clock, Rc::clone(&figures), Memory::new(64));
         let facts = Facts { settings: Settings::default(), classes: vec![], tenants: vec![], transport };
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -109,6 +109,8 @@
     connect_timeout: Duration,
     idle_most: Micros,
     spares: usize,
+    /// Waits for a rest that together cost less than a new connection.
+    cheap_waits: f64,
 }
 
 impl Limits {
@@ -119,6 +121,9 @@
             // rest.
             idle_most: (transport.conn_idle / 4 * 3).saturating_sub(REST),
             spares: SPARES_OF_ALL / balancers.max(1) as usize,
+            // A wait takes at most a rest of the time in which an answer has its worth, a new connection its
+            // price of that worth. Where that is nothing, none is waited for that comes up sooner.
+            cheap_waits: transport.handshake * transport.aim as f64 / REST as f64,
         }
     }
 }
@@ -207,7 +212,7 @@
         let until = way.idle.front()?.ready;
         if first {
             self.figures.rest();
-            if way.demand.waits(now) && way.took < until.saturating_sub(now) {
+            if way.demand.waits(now, self.limits.get().cheap_waits) && way.took < until.saturating_sub(now) {
                 self.open_ahead(target, way);
             }
         }
--- a/crates/proxy/src/upstream.rs
+++ b/crates/proxy/src/upstream.rs
@@ -278,6 +278,8 @@
             max_open: 9,
             conn_idle: 60_000_000,
             connect_timeout: Duration::from_secs(9).as_micros() as Micros,
+            handshake: 0.0,
+            aim: 400_000,
         };
         let pool =
             Pool::new(transport, 1, Descriptors::new(9), Clock::start(), Rc::default(), Memory::new(64));
