Let go of connections opened for a rate once that rate is over

Ruled out: the crowd's own connections, which had ended.

Change: once no call has come to a host for as long as a rate is remembered (1 s), all but the four that are kept in any case are closed, those that have rested longest first.

--- a/crates/proxy/src/demand.rs
+++ b/crates/proxy/src/demand.rs
@@ -30,9 +30,14 @@
 }
 
 impl Demand {
+    /// No call has come for so long that those before tell of no rate.
+    pub fn silent(&self, now: Micros) -> bool {
+        (now.saturating_sub(self.at) as f64) > MEMORY
+    }
+
     /// A call comes.
     pub fn call(&mut self, now: Micros) {
-        if (now.saturating_sub(self.at) as f64) > MEMORY {
+        if self.silent(now) {
             *self = Demand { since: now, at: now, ..Demand::default() };
         }
         self.fade(now);
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -161,11 +161,17 @@
         way.generation = generation;
     }
 
-    /// Closes what has been idle for too long.
+    /// Closes what has been idle for too long, and what a rate that is over had needed.
     pub fn sweep(&self) {
         let (now, idle_most) = (self.clock.now(), self.limits.get().idle_most);
         let mut ways = self.ways.borrow_mut();
-        ways.values_mut().for_each(|way| way.idle.retain(|link| link.ready + idle_most > now));
+        ways.values_mut().for_each(|way| {
+            way.idle.retain(|link| link.ready + idle_most > now);
+            // What was opened for a rate goes with it, the ones that have rested longest first.
+            if way.demand.silent(now) {
+                way.idle.drain(..way.idle.len().saturating_sub(KEPT));
+            }
+        });
     }
 
     /// Closes the connection that has been idle longest, to make room. False if none is idle.
