Let a single short train of calls wait for its connection again

Cause: connections_are_kept_and_one_that_died_idle_... failed in each play since waits are bounded by a price: where a handshake has none, the second of five calls in a row opened a connection that nobody needed after it.

Change: a wait opens a connection, as far as its price allows, once more than five calls of late came to the host, or more than four over all hosts waited: a single short train does neither.

--- a/crates/proxy/src/demand.rs
+++ b/crates/proxy/src/demand.rs
@@ -44,19 +44,33 @@
         self.calls += 1.0;
     }
 
-    /// It met only connections that have yet to rest. True if too many did: calls that come in trains, or a
-    /// rate that has just risen, need more than `need` says. So many waits cost less than a new connection.
-    pub fn waits(&mut self, now: Micros, cheap: f64) -> bool {
+    /// It met only connections that have yet to rest.
+    pub fn waits(&mut self, now: Micros) {
         self.fade(now);
         self.waits += 1.0;
+    }
+
+    /// Whether too many waited, of the calls to one host: calls that come in trains, or a rate that has just
+    /// risen, need more than `need` says. So many waits cost less than a new connection.
+    pub fn exceeds(&self, cheap: f64) -> bool {
         self.waits > cheap + SHARE * self.calls
     }
 
+    /// Whether more came than one short train of calls, after which nobody may come.
+    pub fn is_a_rate(&self) -> bool {
+        self.calls > FEW + 1.0
+    }
+
+    /// Whether more waited than one short train makes wait, and than their share.
+    pub fn exceeds_a_train(&self) -> bool {
+        self.waits > FEW.max(SHARE * self.calls)
+    }
+
     /// The connections that the rate justifies, from 1 up to `most`. Of n of them the last is needed when n -
     /// 1 rest, by Poisson's law; it is worth its handshake if that is to be expected once at least in the
     /// time for which a connection that nobody needs is kept.
     pub fn need(&self, kept_for: Micros, most: usize) -> usize {
-        if self.calls <= FEW + 1.0 {
+        if !self.is_a_rate() {
             return 1;
         }
         // Without the last call, as it is with those before it that the next will meet.
--- a/crates/proxy/src/pool.rs
+++ b/crates/proxy/src/pool.rs
@@ -96,6 +96,8 @@
 /// The connections to all hosts.
 pub struct Pool {
     ways: RefCell<HashMap<ServerId, Way>>,
+    /// The calls to all of them together.
+    demand: Cell<Demand>,
     descriptors: Rc<Descriptors>,
     clock: Clock,
     pub figures: Rc<Figures>,
@@ -122,7 +124,8 @@
             idle_most: (transport.conn_idle / 4 * 3).saturating_sub(REST),
             spares: SPARES_OF_ALL / balancers.max(1) as usize,
             // A wait takes at most a rest of the time in which an answer has its worth, a new connection its
-            // price of that worth. Where that is nothing, none is waited for that comes up sooner.
+            // price of that worth. Where that is nothing, none is waited for that comes up sooner, but by a single
+            // train of calls.
             cheap_waits: transport.handshake * transport.aim as f64 / REST as f64,
         }
     }
@@ -139,6 +142,7 @@
     ) -> Rc<Self> {
         Rc::new(Pool {
             ways: RefCell::default(),
+            demand: Cell::default(),
             descriptors,
             clock,
             figures,
@@ -186,7 +190,9 @@
     /// rest, the first of those is waited for: a new one costs its host work and its first request time.
     /// Where that has come to too many calls one more is opened meanwhile, if it is there sooner.
     pub async fn checkout(self: &Rc<Self>, target: &Target) -> Option<Link> {
-        self.ways.borrow_mut().entry(target.server).or_default().demand.call(self.clock.now());
+        let now = self.clock.now();
+        self.ways.borrow_mut().entry(target.server).or_default().demand.call(now);
+        self.demanded(|all| all.call(now));
         let mut waited = false;
         loop {
             let mut link = match self.find(target, !waited)? {
@@ -218,13 +224,26 @@
         let until = way.idle.front()?.ready;
         if first {
             self.figures.rest();
-            if way.demand.waits(now, self.limits.get().cheap_waits) && way.took < until.saturating_sub(now) {
+            way.demand.waits(now);
+            let all = self.demanded(|all| all.waits(now));
+            // Trains to several hosts are no single one either.
+            let rate = way.demand.is_a_rate() || all.exceeds_a_train();
+            let many = rate && way.demand.exceeds(self.limits.get().cheap_waits);
+            if many && way.took < until.saturating_sub(now) {
                 self.open_ahead(target, way);
             }
         }
         Some(Err(Resting { until, came: Rc::clone(&way.came) }))
     }
 
+    /// Notes something of the calls to all hosts, and tells how they stand.
+    fn demanded(&self, note: impl FnOnce(&mut Demand)) -> Demand {
+        let mut all = self.demand.get();
+        note(&mut all);
+        self.demand.set(all);
+        all
+    }
+
     /// Opens a connection for calls to come, where there is room for it. It takes no descriptor from anything
     /// else.
     fn open_ahead(self: &Rc<Self>, target: &Target, way: &Way) {
