Observe an endpoint before its connections are reused, and distrust one that answers twice

Cause: a connection was used again 10 ms after a response on any endpoint, and an endpoint that sends a second response may be later than that. What arrived during the cooldown closed one connection and was forgotten.

Such connections are counted (connections.unsolicited) and logged.

--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -36,6 +36,9 @@
     /// Attempts that waited for the reuse cooldown of a connection.
     #[serde(rename = "waits")]
     pub cooldown_waits: u64,
+    /// Connections on which an endpoint sent data that no request asked for.
+    #[serde(default)]
+    pub unsolicited: u64,
 }
 
 /// Counters since the start of the process.
@@ -45,6 +48,7 @@
     attempts: Cell<u64>,
     connections_opened: Cell<u64>,
     cooldown_waits: Cell<u64>,
+    unsolicited_data: Cell<u64>,
     reloads_succeeded: Cell<u64>,
     reloads_failed: Cell<u64>,
 }
@@ -122,6 +126,11 @@
         increment(&self.cooldown_waits);
     }
 
+    /// Counts a connection on which an endpoint sent data that no request asked for.
+    pub fn count_unsolicited_data(&self) {
+        increment(&self.unsolicited_data);
+    }
+
     /// Counts a configuration file that was applied or rejected at SIGHUP.
     pub fn count_reload(&self, succeeded: bool) {
         increment(if succeeded { &self.reloads_succeeded } else { &self.reloads_failed });
@@ -141,6 +150,7 @@
             connections: ConnectionCounts {
                 opened: self.connections_opened.get(),
                 cooldown_waits: self.cooldown_waits.get(),
+                unsolicited: self.unsolicited_data.get(),
             },
             endpoints_listed: gauges.endpoints_listed,
             endpoints_unavailable: gauges.endpoints_unavailable,
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -2,6 +2,7 @@
 
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::os::fd::AsFd;
 use std::rc::Rc;
@@ -95,6 +96,28 @@
     pub fn is_readable(&self) -> bool {
         has_event(&self.0, PollFlags::POLLIN)
     }
+
+    /// Have bytes arrived that are not read yet? Asks the system, as above; the bytes stay unread.
+    pub fn has_unread_bytes(&self) -> bool {
+        self.is_readable()
+            && socket2::SockRef::from(&*self.0)
+                .peek(&mut [MaybeUninit::uninit()])
+                .is_ok_and(|count| count > 0)
+    }
+
+    /// Resolves when there is something to be read, an end or a failure included; the bytes stay unread.
+    pub async fn arrival(&self) {
+        let _ = self.0.peek(&mut [0]).await;
+    }
+
+    /// For each of these, whether there is anything to be read, an end included. Polls the system once for all.
+    pub fn poll_readable<'a>(sockets: impl Iterator<Item = &'a Socket>) -> Vec<bool> {
+        let mut polled: Vec<_> =
+            sockets.map(|socket| PollFd::new(socket.0.as_fd(), PollFlags::POLLIN)).collect();
+        // If the system cannot tell, the check before the first byte of a request is left.
+        let _ = poll(&mut polled, PollTimeout::ZERO);
+        polled.iter().map(|socket| socket.any().unwrap_or(false)).collect()
+    }
 }
 
 fn has_event(stream: &TcpStream, events: PollFlags) -> bool {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -53,6 +53,16 @@
     body: ResponseBody,
 }
 
+/// What came of a request on one connection.
+enum Exchange {
+    /// The head of a response, with its body as far as it was read.
+    Received(ReceivedResponse),
+    /// The connection ended, or the endpoint stalled.
+    Failed,
+    /// Nothing was written: the connection, used before, had received unsolicited data.
+    Unsolicited,
+}
+
 /// Makes one attempt and returns how it ended.
 pub async fn attempt(
     pool: &Rc<ConnectionPool>,
@@ -64,24 +74,44 @@
         // What was streamed to one endpoint is not available for another.
         return Outcome::NotSent.into();
     }
-    let mut connection = match obtain_connection(pool, &target).await {
-        Ok(connection) => connection,
-        Err(error) => return Outcome::from(error).into(),
-    };
-    if !owner.may_start() {
-        pool.return_unused(target.endpoint, connection).await;
-        return Outcome::NotSent.into();
-    }
-    if request.upload.as_ref().is_some_and(|upload| !upload.try_claim()) {
-        return Outcome::NotSent.into();
+    loop {
+        let mut connection = match obtain_connection(pool, &target, owner).await {
+            Ok(connection) => connection,
+            Err(error) => return Outcome::from(error).into(),
+        };
+        if !owner.may_start() {
+            pool.return_unused(&target, connection).await;
+            return Outcome::NotSent.into();
+        }
+        if request.upload.as_ref().is_some_and(|upload| !upload.try_claim()) {
+            return Outcome::NotSent.into();
+        }
+        let message = upstream_request(request, owner.remaining_time(), &connection.write_progress);
+        let Some(message) = message else { return Outcome::NotSent.into() };
+        let mut reservation = MemoryReservation::default();
+        match exchange(pool, &mut connection, request, message, &mut reservation).await {
+            Exchange::Received(received) => {
+                return finish(pool, target, connection, received, reservation, owner).await;
+            }
+            Exchange::Failed => return fail(connection, request).await,
+            Exchange::Unsolicited => pool.record_unsolicited_data(&target),
+        }
+        if request.upload.is_some() {
+            return fail(connection, request).await;
+        }
     }
-    let message = upstream_request(request, owner.remaining_time(), &connection.write_progress);
-    let Some(message) = message else { return Outcome::NotSent.into() };
-    let mut reservation = MemoryReservation::default();
-    let received = exchange(pool, &mut connection, request, message, &mut reservation).await;
-    let Some(ReceivedResponse { head, body }) = received else {
-        return fail(connection, request).await;
-    };
+}
+
+/// Returns a response, or streams it, and returns its connection.
+async fn finish(
+    pool: &Rc<ConnectionPool>,
+    target: Target,
+    connection: UpstreamConnection,
+    received: ReceivedResponse,
+    mut reservation: MemoryReservation,
+    owner: &impl AttemptOwner,
+) -> AttemptResult {
+    let ReceivedResponse { head, body } = received;
     let outcome = classify(&head);
     let load = load_report::from_headers(&head.headers);
     let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
@@ -108,21 +138,22 @@
 async fn obtain_connection(
     pool: &Rc<ConnectionPool>,
     target: &Target,
+    owner: &impl AttemptOwner,
 ) -> Result<UpstreamConnection, ConnectError> {
-    match pool.checkout(target).await {
+    match pool.checkout(target, owner.remaining_time()).await {
         Some(connection) => Ok(connection),
         None => pool.connect(target).await,
     }
 }
 
-/// Sends a request and reads its response. `None` if the connection ended or the endpoint stalled.
+/// Sends a request and reads its response.
 async fn exchange(
     pool: &ConnectionPool,
     connection: &mut UpstreamConnection,
     request: &Request,
     message: hyper::Request<RequestStream>,
     reservation: &mut MemoryReservation,
-) -> Option<ReceivedResponse> {
+) -> Exchange {
     let sent = connection.sender.send_request(message);
     let stalled = upload_stalled(Rc::clone(&connection.write_progress), request);
     let received = connection.drive(&pool.metrics, async {
@@ -130,9 +161,16 @@
         let body = read_body(&head, body, reservation, &pool.memory).await?;
         Some(ReceivedResponse { head, body })
     });
-    tokio::select! {
+    let received = tokio::select! {
         received = received => received.flatten(),
         () = stalled => None,
+    };
+    match received {
+        Some(received) => Exchange::Received(received),
+        None if connection.has_carried_request() && connection.has_unsolicited_data() => {
+            Exchange::Unsolicited
+        }
+        None => Exchange::Failed,
     }
 }
 
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -8,6 +8,8 @@
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use oakport_core::Micros;
+use std::cell::Cell;
+use std::error::Error;
 use std::future::{poll_fn, Future};
 use std::io;
 use std::pin::{pin, Pin};
@@ -16,21 +18,55 @@
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// A stream that records whether all that was to be written has been passed to the socket.
+/// What a connection and its stream share of the exchange in progress, a request with its response.
+#[derive(Debug, Default)]
+struct Exchange {
+    /// The first byte of the request has been written, and the response is not complete.
+    is_in_progress: Cell<bool>,
+    /// Data arrived while no exchange was in progress.
+    has_unsolicited_data: Cell<bool>,
+}
+
+/// A stream that records whether all that was to be written has been passed to the socket. It writes no request if
+/// data has arrived before it, which would be taken for the response.
 struct WatchedStream {
     socket: Socket,
     write_progress: Rc<WriteProgress>,
+    exchange: Rc<Exchange>,
+}
+
+impl WatchedStream {
+    /// Begins an exchange.
+    ///
+    /// # Errors
+    /// Data has arrived that no request asked for.
+    fn begin_exchange(&self) -> io::Result<()> {
+        if self.exchange.has_unsolicited_data.get() || self.socket.has_unread_bytes() {
+            self.exchange.has_unsolicited_data.set(true);
+            return Err(io::Error::new(io::ErrorKind::InvalidData, "unsolicited data before the request"));
+        }
+        self.exchange.is_in_progress.set(true);
+        Ok(())
+    }
 }
 
 impl AsyncRead for WatchedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
-        self.socket.poll_read(cx, buf).map_ok(drop)
+        let read = self.socket.poll_read(cx, buf);
+        let has_data = matches!(read, Poll::Ready(Ok(count)) if count > 0);
+        if has_data && !self.exchange.is_in_progress.get() {
+            self.exchange.has_unsolicited_data.set(true);
+        }
+        read.map_ok(drop)
     }
 }
 
 impl AsyncWrite for WatchedStream {
     // Not vectored: head and body are joined and go out in one write.
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if !self.exchange.is_in_progress.get() {
+            self.begin_exchange()?;
+        }
         let written = self.socket.poll_write(cx, buf);
         if let Poll::Ready(Ok(count)) = written {
             self.write_progress.emptied.set(count == buf.len());
@@ -68,6 +104,9 @@
     socket: Socket,
     /// The connection has ended, and must not be polled again.
     has_ended: bool,
+    exchange: Rc<Exchange>,
+    /// A request has been written to it.
+    has_carried_request: bool,
     /// How far the request has been written.
     pub write_progress: Rc<WriteProgress>,
     /// When its reuse cooldown ends: nothing more of the last response is expected from then on.
@@ -87,7 +126,12 @@
     ) -> Option<Self> {
         let socket = Socket::new(stream);
         let write_progress = Rc::<WriteProgress>::default();
-        let watched = WatchedStream { socket: socket.clone(), write_progress: Rc::clone(&write_progress) };
+        let exchange = Rc::<Exchange>::default();
+        let watched = WatchedStream {
+            socket: socket.clone(),
+            write_progress: Rc::clone(&write_progress),
+            exchange: Rc::clone(&exchange),
+        };
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_CONNECTION_BUFFER_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(watched)).await.ok()?;
@@ -96,6 +140,8 @@
             connection,
             socket,
             has_ended: false,
+            exchange,
+            has_carried_request: false,
             write_progress,
             reusable_at,
             generation,
@@ -107,16 +153,36 @@
     /// Whether it is open and ready for a request. This notices a connection that its endpoint has closed.
     pub async fn is_alive(&mut self) -> bool {
         if !self.has_ended {
-            self.has_ended =
-                poll_fn(|cx| Poll::Ready(Pin::new(&mut self.connection).poll(cx).is_ready())).await;
+            poll_fn(|cx| {
+                self.poll_connection(cx);
+                Poll::Ready(())
+            })
+            .await;
         }
         !self.has_ended && self.sender.is_ready()
     }
 
-    /// Whether anything has arrived while it was idle: the end of the connection, or a part of an earlier response that
-    /// would be taken for the next one.
+    /// The response is complete: what arrives from now on was not asked for.
+    pub fn end_exchange(&mut self) {
+        self.exchange.is_in_progress.set(false);
+        self.has_carried_request = true;
+    }
+
+    /// Whether a request was written to it. Before that no response is owed, and none can be late.
+    pub fn has_carried_request(&self) -> bool {
+        self.has_carried_request
+    }
+
+    /// Whether data has arrived outside an exchange: a part of an extra response, which would be taken for the next one.
+    /// An end of the connection is none.
     pub fn has_unsolicited_data(&self) -> bool {
-        self.socket.is_readable()
+        self.exchange.has_unsolicited_data.get()
+            || (!self.exchange.is_in_progress.get() && self.socket.has_unread_bytes())
+    }
+
+    /// Its socket, to wait for what arrives while it is idle.
+    pub fn socket(&self) -> &Socket {
+        &self.socket
     }
 
     /// Drives the connection until `work`, which needs it, is done. `None` if the connection ended first.
@@ -136,6 +202,15 @@
         poll_fn(|cx| self.poll_with(cx, metrics, work.as_mut())).await
     }
 
+    /// Polls the connection, which has not ended, and records its end.
+    fn poll_connection(&mut self, cx: &mut Context<'_>) {
+        let polled = Pin::new(&mut self.connection).poll(cx);
+        self.has_ended = polled.is_ready();
+        if matches!(&polled, Poll::Ready(Err(error)) if is_unsolicited_data(error)) {
+            self.exchange.has_unsolicited_data.set(true);
+        }
+    }
+
     /// Polls the work, the connection and the work again: the first poll passes the request on, the second writes it,
     /// the third takes a response that has arrived with the end of the connection.
     fn poll_with<T>(
@@ -149,7 +224,7 @@
         }
         if !self.has_ended {
             let was_complete = self.write_progress.is_complete();
-            self.has_ended = Pin::new(&mut self.connection).poll(cx).is_ready();
+            self.poll_connection(cx);
             if self.write_progress.is_complete() && !was_complete {
                 metrics.count_attempt();
             }
@@ -157,3 +232,17 @@
         work.poll(cx)
     }
 }
+
+/// Whether a connection failed because it received more than the response that it waited for. The library has no method
+/// for this kind of its errors, which alone has neither a cause nor a method.
+fn is_unsolicited_data(error: &hyper::Error) -> bool {
+    let is_other_kind = error.is_incomplete_message()
+        || error.is_body_write_aborted()
+        || error.is_closed()
+        || error.is_canceled()
+        || error.is_parse()
+        || error.is_user()
+        || error.is_timeout()
+        || error.is_shutdown();
+    error.source().is_none() && !is_other_kind
+}
--- a/crates/proxy/src/upstream/endpoint_connections.rs
+++ b/crates/proxy/src/upstream/endpoint_connections.rs
@@ -1,9 +1,11 @@
 //! The connections to one endpoint.
 
 use crate::descriptors::Descriptors;
+use crate::socket::Socket;
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::limits::{ConnectionLimits, MIN_POOLED_CONNECTIONS};
 use crate::upstream::preconnect::{ConnectionDemand, REUSE_COOLDOWN_US};
+use crate::upstream::reuse_trust::{ReuseRule, ReuseTrust, OBSERVATION_US};
 use oakport_core::Micros;
 use std::collections::VecDeque;
 use std::rc::Rc;
@@ -25,6 +27,8 @@
     pub preconnect_from: Micros,
     /// Notified when a connection is pooled that needs no cooldown.
     pub reusable: Rc<Notify>,
+    /// Whether connections are reused, and how soon.
+    pub trust: ReuseTrust,
 }
 
 impl Default for EndpointConnections {
@@ -37,17 +41,62 @@
             connect_duration: 0,
             preconnect_from: 0,
             reusable: Rc::default(),
+            trust: ReuseTrust::default(),
         }
     }
 }
 
 impl EndpointConnections {
+    /// Looks what has arrived on the idle connections, and closes those that have received anything. Returns whether
+    /// one has received unsolicited data.
+    pub fn observe(&mut self, now: Micros) -> bool {
+        let readable = Socket::poll_readable(self.idle.iter().map(UpstreamConnection::socket));
+        let mut readable = readable.into_iter();
+        let mut is_unsolicited = false;
+        self.idle.retain(|connection| {
+            let is_readable = readable.next().unwrap_or(false);
+            is_unsolicited |= is_readable && connection.has_unsolicited_data();
+            !is_readable
+        });
+        if !is_unsolicited && self.idle.iter().any(|connection| is_observed(connection, now)) {
+            self.trust.record_silence();
+        }
+        is_unsolicited
+    }
+
+    /// Closes the idle connections, as one to this endpoint has received unsolicited data: more may be on its way to
+    /// the others. Returns whether the distrust of the endpoint begins now.
+    pub fn distrust(&mut self, now: Micros) -> bool {
+        self.idle.retain(|connection| !connection.has_carried_request());
+        // Calls that wait for one of those need another.
+        self.reusable.notify_waiters();
+        self.trust.record_unsolicited_data(now)
+    }
+
+    /// When the idle connection that can be reused first can be. `None` if none is idle.
+    pub fn next_reusable_at(&self, now: Micros) -> Option<Micros> {
+        let first = self.idle.front()?;
+        Some(match self.trust.rule(now) {
+            ReuseRule::AfterObservation => observed_at(first),
+            ReuseRule::AfterCooldown | ReuseRule::Never => first.reusable_at,
+        })
+    }
+
+    /// Takes an idle connection that may be reused now.
+    pub fn take_reusable(&mut self, now: Micros, limits: &ConnectionLimits) -> Option<UpstreamConnection> {
+        if self.trust.rule(now) == ReuseRule::AfterCooldown {
+            return self.take_cooled_down(now, limits);
+        }
+        let unused = self.idle.iter().position(|connection| !connection.has_carried_request())?;
+        self.idle.remove(unused)
+    }
+
     /// Takes an idle connection whose reuse cooldown is over.
     ///
     /// Preferred is the one used last among those whose cooldown has ended at least another cooldown ago, so that
     /// surplus connections stay unused and expire; else the one that has been idle longest. That one also goes first if
     /// the demand justifies all connections and it would soon expire: connecting anew costs a handshake.
-    pub fn take_reusable(&mut self, now: Micros, limits: &ConnectionLimits) -> Option<UpstreamConnection> {
+    fn take_cooled_down(&mut self, now: Micros, limits: &ConnectionLimits) -> Option<UpstreamConnection> {
         let longest_idle = self.idle.front().filter(|connection| connection.reusable_at <= now)?;
         let expires_soon = longest_idle.reusable_at + limits.max_idle / 2 <= now;
         if expires_soon && self.open.open_count() <= self.justified(limits) {
@@ -91,8 +140,12 @@
         self.open.open_count() < limits.max_preconnected && self.preconnect_from <= now
     }
 
-    /// Pools a connection; the one that has been idle longest is closed if there are too many.
-    pub fn pool(&mut self, connection: UpstreamConnection, limits: &ConnectionLimits) {
+    /// Pools a connection, unless connections to this endpoint are not reused; the one that has been idle longest is
+    /// closed if there are too many.
+    pub fn pool(&mut self, connection: UpstreamConnection, now: Micros, limits: &ConnectionLimits) {
+        if connection.has_carried_request() && self.trust.rule(now) == ReuseRule::Never {
+            return;
+        }
         let position = self.idle.partition_point(|other| other.reusable_at <= connection.reusable_at);
         self.idle.insert(position, connection);
         if self.idle.len() > limits.max_preconnected.max(MIN_POOLED_CONNECTIONS) {
@@ -112,5 +165,16 @@
     pub fn close_outdated(&mut self, generation: u64) {
         self.idle.clear();
         self.generation = generation;
+        self.trust.record_new_process();
     }
 }
+
+/// When a connection has been idle for [`OBSERVATION_US`] since its last response.
+fn observed_at(connection: &UpstreamConnection) -> Micros {
+    connection.reusable_at + (OBSERVATION_US - REUSE_COOLDOWN_US)
+}
+
+/// Whether a connection has been idle for [`OBSERVATION_US`] since a response.
+fn is_observed(connection: &UpstreamConnection, now: Micros) -> bool {
+    connection.has_carried_request() && observed_at(connection) <= now
+}
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -8,5 +8,6 @@
 pub mod pool;
 mod preconnect;
 mod response;
+mod reuse_trust;
 #[cfg(test)]
 pub mod test_support;
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -4,6 +4,7 @@
 use crate::clock::Clock;
 use crate::descriptors::Descriptors;
 use crate::metrics::Metrics;
+use crate::socket::Socket;
 use crate::upstream::connection::{ConnectionDescriptors, UpstreamConnection};
 use crate::upstream::endpoint_connections::EndpointConnections;
 use crate::upstream::limits::ConnectionLimits;
@@ -19,6 +20,10 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
+use tracing::warn;
+
+/// A call waits for the observation of a connection only if it has so many times as much time left.
+const MIN_REMAINING_TIME_PER_WAIT: Micros = 4;
 
 /// Where an attempt goes.
 #[derive(Clone, Copy, Debug)]
@@ -55,16 +60,18 @@
 enum Unavailable {
     /// No connection is idle.
     NoneIdle,
-    /// All idle connections are in their reuse cooldown.
+    /// All idle connections are in their reuse cooldown, or under observation.
     CoolingDown(Cooldown),
 }
 
-/// The wait for the reuse cooldown.
+/// The wait for the reuse cooldown, or for the observation of an endpoint that is not yet trusted.
 struct Cooldown {
     /// When the first of the connections may be used.
     until: Micros,
-    /// Notified if another becomes reusable before.
+    /// Notified if another becomes reusable before, or none will.
     reusable: Rc<Notify>,
+    /// The socket of the first, which may receive something that forbids its reuse.
+    socket: Socket,
 }
 
 /// The connections to all endpoints.
@@ -130,12 +137,17 @@
         oldest.and_then(|connections| connections.idle.pop_front()).is_some()
     }
 
-    /// Takes an idle connection that is still open. If all are in their reuse cooldown this waits for the first: a new
-    /// one costs its endpoint work and its first request time. `None` if nothing is idle.
-    pub async fn checkout(self: &Rc<Self>, target: &Target) -> Option<UpstreamConnection> {
-        let now = self.clock.now();
-        self.endpoints.borrow_mut().entry(target.endpoint).or_default().demand.record_call(now);
-        self.total_demand.borrow_mut().record_call(now);
+    /// Takes an idle connection that is still open. If none may be reused yet this waits for the first: a new one costs
+    /// its endpoint work and its first request time. `None` if nothing is idle, or if the wait would take too much of the
+    /// call's remaining time.
+    pub async fn checkout(
+        self: &Rc<Self>,
+        target: &Target,
+        remaining_time: Micros,
+    ) -> Option<UpstreamConnection> {
+        let began = self.clock.now();
+        self.endpoints.borrow_mut().entry(target.endpoint).or_default().demand.record_call(began);
+        self.total_demand.borrow_mut().record_call(began);
         let mut has_waited = false;
         loop {
             let now = self.clock.now();
@@ -147,6 +159,9 @@
                 }
                 Err(Unavailable::NoneIdle) => return None,
                 Err(Unavailable::CoolingDown(cooldown)) => {
+                    if !is_affordable(cooldown.until.saturating_sub(now), remaining_time) {
+                        return None;
+                    }
                     if !has_waited {
                         has_waited = true;
                         self.record_cooldown_wait(target, cooldown.until, now);
@@ -154,6 +169,7 @@
                     tokio::select! {
                         () = tokio::time::sleep_until(self.clock.instant(cooldown.until)) => {}
                         () = cooldown.reusable.notified() => {}
+                        () = cooldown.socket.arrival() => {}
                     }
                 }
             }
@@ -163,22 +179,43 @@
     fn take_reusable(&self, target: &Target, now: Micros) -> Result<UpstreamConnection, Unavailable> {
         let mut endpoints = self.endpoints.borrow_mut();
         let connections = endpoints.get_mut(&target.endpoint).ok_or(Unavailable::NoneIdle)?;
+        if connections.observe(now) {
+            self.distrust(target, connections);
+        }
         if let Some(connection) = connections.take_reusable(now, &self.limits.get()) {
             return Ok(connection);
         }
-        let next = connections.idle.front().ok_or(Unavailable::NoneIdle)?;
-        let until = next.reusable_at;
+        let until = connections.next_reusable_at(now).ok_or(Unavailable::NoneIdle)?;
+        let first = connections.idle.front().ok_or(Unavailable::NoneIdle)?;
         let reusable = Rc::clone(&connections.reusable);
-        Err(Unavailable::CoolingDown(Cooldown { until, reusable }))
+        Err(Unavailable::CoolingDown(Cooldown { until, reusable, socket: first.socket().clone() }))
+    }
+
+    /// Records that an endpoint has sent data that no request asked for.
+    pub fn record_unsolicited_data(&self, target: &Target) {
+        let mut endpoints = self.endpoints.borrow_mut();
+        self.distrust(target, endpoints.entry(target.endpoint).or_default());
+    }
+
+    fn distrust(&self, target: &Target, connections: &mut EndpointConnections) {
+        self.metrics.count_unsolicited_data();
+        if connections.distrust(self.clock.now()) {
+            let address = target.address;
+            warn!(%address, "endpoint sent unsolicited data, its connections are not reused");
+        }
     }
 
     /// Whether an idle connection may carry a request to this target.
     async fn is_usable(&self, connection: &mut UpstreamConnection, target: &Target) -> bool {
         let expires_at = connection.reusable_at + self.limits.get().max_idle;
-        expires_at > self.clock.now()
+        let is_open = expires_at > self.clock.now()
             && connection.generation == target.generation
-            && !connection.has_unsolicited_data()
-            && connection.is_alive().await
+            && connection.is_alive().await;
+        if connection.has_unsolicited_data() {
+            self.record_unsolicited_data(target);
+            return false;
+        }
+        is_open
     }
 
     /// Records that a call waits for the reuse cooldown until this moment, and preconnects if that is worth it.
@@ -205,7 +242,7 @@
         let target = *target;
         tokio::task::spawn_local(async move {
             if let Ok(connection) = pool.open(&target, descriptors).await {
-                pool.return_unused(target.endpoint, connection).await;
+                pool.return_unused(&target, connection).await;
             }
         });
     }
@@ -264,7 +301,8 @@
     /// connection for a call that comes meanwhile.
     pub async fn return_after_response(self: &Rc<Self>, target: &Target, mut connection: UpstreamConnection) {
         connection.reusable_at = self.clock.now() + REUSE_COOLDOWN_US;
-        self.return_unused(target.endpoint, connection).await;
+        connection.end_exchange();
+        self.return_unused(target, connection).await;
         let endpoints = self.endpoints.borrow();
         let Some(connections) = endpoints.get(&target.endpoint) else { return };
         let is_current = connections.generation <= target.generation;
@@ -274,23 +312,30 @@
     }
 
     /// Returns a connection that has carried nothing since its checkout, or at all: it needs no further cooldown.
-    pub async fn return_unused(&self, endpoint: EndpointId, mut connection: UpstreamConnection) {
+    pub async fn return_unused(&self, target: &Target, mut connection: UpstreamConnection) {
         let now = self.clock.now();
-        if !connection.is_alive().await {
+        let is_alive = connection.is_alive().await;
+        if connection.has_unsolicited_data() {
+            self.record_unsolicited_data(target);
             return;
         }
         let mut endpoints = self.endpoints.borrow_mut();
-        let connections = endpoints.entry(endpoint).or_default();
-        if connection.generation < connections.generation {
+        let connections = endpoints.entry(target.endpoint).or_default();
+        if !is_alive || connection.generation < connections.generation {
             return;
         }
         if connection.reusable_at <= now {
             connections.reusable.notify_one();
         }
-        connections.pool(connection, &self.limits.get());
+        connections.pool(connection, now, &self.limits.get());
     }
 }
 
+/// Whether a call with this much time left can wait so long for a connection. The reuse cooldown is short enough for any.
+fn is_affordable(wait: Micros, remaining_time: Micros) -> bool {
+    wait <= REUSE_COOLDOWN_US || wait <= remaining_time / MIN_REMAINING_TIME_PER_WAIT
+}
+
 /// Whether the process or the system has no file descriptor left.
 fn is_out_of_descriptors(error: &io::Error) -> bool {
     let exhausted = [Errno::EMFILE as i32, Errno::ENFILE as i32];
