Expect the next connect to be as fast as usual after one slow one

Callers saw: calls that waited up to 10 ms for a connection although none was being opened for them (779 of 3,200 in an_endpoint_gets_the_connections_that_back_to_back_calls_need, once beside 15 busy loops, 640 allowed).

Cause: a waiting call opens a connection only if that is expected before the end of the cooldown, and expected was the duration of the last connect. One that took over 10 ms, as this process or the packet was late, forbade all others.

Change: ConnectTimeEstimate follows a faster connect at once and a slower one by a factor of two at most. With the last connect as the estimate, its test one_slow_connect_leaves_the_estimate_below_the_reuse_cooldown cannot hold (184 ms).

--- a/crates/proxy/src/upstream/endpoint_connections.rs
+++ b/crates/proxy/src/upstream/endpoint_connections.rs
@@ -2,6 +2,7 @@
 
 use crate::descriptors::Descriptors;
 use crate::socket::Socket;
+use crate::upstream::connect_time::ConnectTimeEstimate;
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::limits::{ConnectionLimits, MIN_POOLED_CONNECTIONS};
 use crate::upstream::preconnect::{ConnectionDemand, REUSE_COOLDOWN_US};
@@ -21,8 +22,8 @@
     pub generation: u64,
     /// The recent calls.
     pub demand: ConnectionDemand,
-    /// How long the last connect took, in microseconds.
-    pub connect_duration: Micros,
+    /// How long the next connect is expected to take.
+    pub connect_time: ConnectTimeEstimate,
     /// Nothing is preconnected before this moment, as a connect has failed.
     pub preconnect_from: Micros,
     /// Notified when a connection is pooled that needs no cooldown.
@@ -38,7 +39,7 @@
             open: Descriptors::new(usize::MAX),
             generation: 0,
             demand: ConnectionDemand::default(),
-            connect_duration: 0,
+            connect_time: ConnectTimeEstimate::default(),
             preconnect_from: 0,
             reusable: Rc::default(),
             trust: ReuseTrust::default(),
@@ -131,7 +132,7 @@
     ) -> bool {
         let is_more_than_a_burst = self.demand.is_sustained() || total_demand.waits_exceed_burst();
         let too_many_waits = self.demand.waits_exceed(limits.affordable_waits);
-        let connects_before = self.connect_duration < remaining_cooldown;
+        let connects_before = self.connect_time.expected() < remaining_cooldown;
         is_more_than_a_burst && too_many_waits && connects_before
     }
 
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -1,6 +1,7 @@
 //! The side of the endpoints: attempts, and the connections that carry them.
 
 pub mod attempt;
+mod connect_time;
 mod connection;
 mod endpoint_connections;
 mod limits;
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -280,7 +280,7 @@
         let now = self.clock.now();
         if let Some(connections) = self.endpoints.borrow_mut().get_mut(&target.endpoint) {
             match &result {
-                Ok(Ok(_)) => connections.connect_duration = now - started_at,
+                Ok(Ok(_)) => connections.connect_time.record(now - started_at),
                 _ => connections.preconnect_from = now + limits.max_idle,
             }
         }
