Add a soak: short worlds drawn from seeds, with real processes and signals in series

Why: nothing looked for the next fault. Plays were written by hand, and clients stopped using their connections 0.3 s after SIGTERM, while PROTOCOL lets them go on until SIGKILL.

New events: signals, crowd, extra_responses, closes_idle, and clients_stay. A play has its own limit and is told as a failure beyond it.

--- a/crates/testbed/src/cluster/clients.rs
+++ b/crates/testbed/src/cluster/clients.rs
@@ -9,6 +9,7 @@
 use oakport_simulator::scenario::Again;
 use rand::Rng;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -32,6 +33,8 @@
     pool: Mutex<Vec<Open>>,
     /// It asks nothing, for it stops and starts with its proxy.
     away: watch::Sender<bool>,
+    /// It uses the connections that it has, and opens none.
+    opens_none: AtomicBool,
     shared: Arc<Shared>,
 }
 
@@ -39,7 +42,18 @@
     /// Beside the proxy that listens there.
     pub fn new(shared: &Arc<Shared>, proxy: usize, address: SocketAddr) -> Arc<Self> {
         let (pool, away) = (Mutex::default(), watch::Sender::new(false));
-        Arc::new(App { proxy, address, pool, away, shared: Arc::clone(shared) })
+        let opens_none = AtomicBool::new(false);
+        Arc::new(App { proxy, address, pool, away, opens_none, shared: Arc::clone(shared) })
+    }
+
+    /// Where its proxy listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// It opens no connection from now on, or does again.
+    pub fn open_none(&self, opens_none: bool) {
+        self.opens_none.store(opens_none, Ordering::Relaxed);
     }
 
     fn pool(&self) -> MutexGuard<'_, Vec<Open>> {
@@ -126,6 +140,9 @@
                 Ok(None) => done.again = Some(shared.now()),
             }
         }
+        if self.opens_none.load(Ordering::Relaxed) {
+            return done;
+        }
         let end = match timeout_at(shared.instant(deadline), TcpStream::connect(self.address)).await {
             Ok(Ok(stream)) => {
                 // It only saves time.
--- a/crates/testbed/src/cluster/events.rs
+++ b/crates/testbed/src/cluster/events.rs
@@ -1,6 +1,7 @@
 //! The time line: who is met by what, and when it is over.
 
 use super::clients::App;
+use super::crowd::Crowd;
 use super::discovery::Mode;
 use super::links::{Both, Datagrams};
 use super::plan::Play;
@@ -21,10 +22,6 @@
 const LOOK: Duration = Duration::from_millis(200);
 /// How long a drained process has for what it holds.
 const DRAIN: Micros = 2_000_000;
-/// For so long clients still come to a proxy that has been told to end (PROTOCOL, "Figures").
-const STILL: Duration = Duration::from_millis(300);
-/// So long after the longest deadline a process that has been told to end is killed.
-const KILL: Micros = 700_000;
 
 /// All parties of a play.
 pub struct Fleet {
@@ -57,13 +54,26 @@
             }
             What::Release => self.release(&event, begin).await,
             What::Kill => self.kill(&event, begin).await,
-            What::Herd | What::Restart | What::Upgrade | What::Stall => {
+            What::Herd | What::Restart | What::Upgrade | What::Stall | What::Signals => {
                 let mut all = JoinSet::new();
                 for proxy in self.site.met_proxies(&event) {
-                    all.spawn(Arc::clone(&self).meet(proxy, event.what, end));
+                    all.spawn(Arc::clone(&self).meet(proxy, event.clone(), end));
                 }
                 while all.join_next().await.is_some() {}
             }
+            What::Crowd => {
+                let met = self.site.met_proxies(&event);
+                let addresses: Vec<_> = met.iter().map(|&proxy| self.apps[proxy].address()).collect();
+                let crowd = Crowd::open(&addresses, event.connections);
+                self.site.shared.until(end).await;
+                drop(crowd);
+            }
+            What::ExtraResponses | What::ClosesIdle => {
+                let met = self.site.met_servers(&event);
+                met.iter().for_each(|machine| set_quirk(machine, event.what, Some(event.after)));
+                self.site.shared.until(end).await;
+                met.iter().for_each(|machine| set_quirk(machine, event.what, None));
+            }
             What::ListSilent | What::ListUnavailable => {
                 let mode = match event.what {
                     What::ListSilent => Mode::Silent,
@@ -188,62 +198,8 @@
         while all.join_next().await.is_some() {}
     }
 
-    /// Proxies die at once, and start again one after the other until the end.
-    async fn kill(self: &Arc<Self>, event: &Trouble, begin: Micros) {
-        let met = self.site.met_proxies(event);
-        let step = event.lasts / met.len().max(1) as Micros;
-        let mut all = JoinSet::new();
-        for (place, proxy) in met.into_iter().enumerate() {
-            let fleet = Arc::clone(self);
-            all.spawn(async move {
-                let mut seat = fleet.seats[proxy].lock().await;
-                seat.kill().await;
-                fleet.site.shared.until(begin + step * (place as Micros + 1)).await;
-                fleet.start(&mut seat).await;
-            });
-        }
-        while all.join_next().await.is_some() {}
-    }
-
-    /// A process is met.
-    async fn meet(self: Arc<Self>, proxy: usize, what: What, end: Micros) {
-        let (seat, app) = (&self.seats[proxy], &self.apps[proxy]);
-        let longest = self.site.shared.day.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
-        let most = Duration::from_micros(longest + KILL);
-        match what {
-            What::Stall => {
-                seat.lock().await.stall(true);
-                self.site.shared.until(end).await;
-                seat.lock().await.stall(false);
-            }
-            What::Herd => {
-                let mut seat = seat.lock().await;
-                seat.kill().await;
-                self.start(&mut seat).await;
-            }
-            What::Restart => {
-                let mut seat = seat.lock().await;
-                seat.tell();
-                sleep(STILL).await;
-                app.away(true);
-                seat.end(most).await;
-                self.start(&mut seat).await;
-                app.away(false);
-            }
-            _ => {
-                let mut seat = seat.lock().await;
-                let old = seat.start(&self.play.second);
-                if seat.ready().await.is_ok() {
-                    if let Ok(Some(old)) = old {
-                        seat.relieve(old, most).await;
-                    }
-                }
-            }
-        }
-    }
-
     /// Starts a process again; one that cannot is seen by the judge.
-    async fn start(&self, seat: &mut Seat) {
+    pub(super) async fn start(&self, seat: &mut Seat) {
         if seat.start(&self.play.program).is_ok() {
             // What is not ready in its time is seen by its clients.
             let _ = seat.ready().await;
@@ -264,3 +220,11 @@
         }
     }
 }
+
+/// A server does something wrong on its connections from now on, or no more.
+fn set_quirk(machine: &Machine, what: What, after: Option<Micros>) {
+    machine.change_quirks(|quirks| match what {
+        What::ExtraResponses => quirks.extra_response_after = after,
+        _ => quirks.closes_idle_after = after,
+    });
+}
--- a/crates/testbed/src/cluster/processes.rs
+++ b/crates/testbed/src/cluster/processes.rs
@@ -304,6 +304,18 @@
         self.signal(self.child.as_ref(), Number::SIGHUP);
     }
 
+    /// Tells the process to read its file while that is cut in half; it is whole again afterwards.
+    ///
+    /// # Errors
+    /// The file cannot be read or written.
+    pub async fn reload_invalid(&self, pause: Duration) -> std::io::Result<()> {
+        let text = std::fs::read(self.file())?;
+        std::fs::write(self.file(), &text[..text.len() / 2])?;
+        self.reload();
+        sleep(pause).await;
+        std::fs::write(self.file(), &text)
+    }
+
     /// Tells the process to end.
     pub fn tell(&self) {
         self.saw(Signal::Told);
@@ -313,21 +325,17 @@
     /// Waits for a process that has been told to end; after `most` it is killed.
     pub async fn end(&mut self, most: Duration) {
         if let Some(child) = self.child.take() {
-            self.finish(child, most).await;
+            if finish(child, most).await {
+                self.saw(Signal::KilledAfterTold);
+            }
         }
     }
 
-    /// Tells a process that another has relieved to end, and waits for it.
+    /// Tells a process that another has relieved to end, and waits for it. The seat is never without a process, so that
+    /// nothing is excused by this end.
     pub async fn relieve(&self, old: Child, most: Duration) {
         self.signal(Some(&old), Number::SIGTERM);
-        self.finish(old, most).await;
-    }
-
-    async fn finish(&self, mut child: Child, most: Duration) {
-        if timeout(most, child.wait()).await.is_err() {
-            self.saw(Signal::Killed);
-            let _ = child.kill().await;
-        }
+        finish(old, most).await;
     }
 
     /// Notes an end that nobody had asked for.
@@ -339,6 +347,16 @@
     }
 }
 
+/// Waits for the end of a process, and kills it after `most`. Whether that was necessary.
+async fn finish(mut child: Child, most: Duration) -> bool {
+    let is_late = timeout(most, child.wait()).await.is_err();
+    if is_late {
+        // It may have ended already.
+        let _ = child.kill().await;
+    }
+    is_late
+}
+
 /// Whether a proxy answers 200 when it is asked for its health.
 async fn healthy(address: SocketAddr) -> bool {
     let Ok(mut stream) = TcpStream::connect(address).await else { return false };
--- a/crates/testbed/src/cluster/record.rs
+++ b/crates/testbed/src/cluster/record.rs
@@ -37,6 +37,8 @@
     Killed,
     /// It was told to end.
     Told,
+    /// It was killed, as it had not ended in its time after it was told to.
+    KilledAfterTold,
     /// It was stopped.
     Stopped,
     /// It went on.
--- a/crates/testbed/src/cluster/servers.rs
+++ b/crates/testbed/src/cluster/servers.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::{oneshot, Notify};
@@ -23,8 +24,22 @@
 /// The shortest way that is waited for: the timers know no less.
 const SHORTEST_WAY: Micros = 1_000;
 
+/// How late an extra response may be written at the latest, beyond its time: one that the test cluster itself has held up
+/// would be another fault than the one asked for.
+const MAX_EXTRA_RESPONSE_DELAY_US: Micros = 2_000;
+
+/// What a server does wrong on its connections.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Quirks {
+    /// It sends each response a second time, so long after the first.
+    pub extra_response_after: Option<Micros>,
+    /// It closes a connection that has been idle for so long.
+    pub closes_idle_after: Option<Micros>,
+}
+
 struct Inner {
     server: Server,
+    quirks: Quirks,
     /// What came of late while it was cold.
     flood: Window<()>,
     waiting: HashMap<usize, oneshot::Sender<()>>,
@@ -63,6 +78,7 @@
         let gate = Gate::new(address(Party::Server, number))?;
         let inner = Inner {
             server: Server::new(&shared.day.server, zone, started),
+            quirks: Quirks::default(),
             flood: Window::default(),
             waiting: HashMap::new(),
             open: 0,
@@ -126,6 +142,29 @@
         self.changed.notify_one();
     }
 
+    /// Changes what it does wrong on its connections.
+    pub fn change_quirks(&self, change: impl FnOnce(&mut Quirks)) {
+        change(&mut self.inner().quirks);
+    }
+
+    /// How long it keeps an idle connection.
+    fn idle_time(&self) -> Duration {
+        let quirk = self.inner().quirks.closes_idle_after;
+        let usual = self.shared.day.server.idle_close;
+        Duration::from_micros(quirk.map_or(usual, |after| after.min(usual)))
+    }
+
+    /// Sends a response again some time after it, if that is what it does wrong now.
+    async fn repeat_response(&self, stream: &mut TcpStream, text: &str) -> std::io::Result<()> {
+        let Some(after) = self.inner().quirks.extra_response_after else { return Ok(()) };
+        let at = self.shared.now() + after;
+        self.shared.until(at).await;
+        if self.shared.now() > at + MAX_EXTRA_RESPONSE_DELAY_US {
+            return Ok(());
+        }
+        stream.write_all(text.as_bytes()).await
+    }
+
     /// It takes nothing new from now on.
     pub fn drain(&self) {
         self.inner().server.draining = true;
@@ -182,10 +221,9 @@
         let _ = stream.set_nodelay(true);
         let mut phase = self.gate.watch();
         let mut buffer = BytesMut::new();
-        let idle = std::time::Duration::from_micros(self.shared.day.server.idle_close);
         loop {
             let began = tokio::select! {
-                began = tokio::time::timeout(idle, http::begun(&mut stream, &mut buffer)) => began,
+                began = tokio::time::timeout(self.idle_time(), http::begun(&mut stream, &mut buffer)) => began,
                 () = gone(&mut phase, life) => return http::reset(stream),
             };
             if !matches!(began, Ok(Ok(true))) {
@@ -224,7 +262,8 @@
                 () = heard(self.gate.watch()) => {}
                 () = gone(&mut phase, life) => return http::reset(stream),
             }
-            if stream.write_all(text.as_bytes()).await.is_err() {
+            let written = stream.write_all(text.as_bytes()).await;
+            if written.is_err() || self.repeat_response(&mut stream, &text).await.is_err() {
                 return;
             }
         }
--- a/crates/testbed/src/compare.rs
+++ b/crates/testbed/src/compare.rs
@@ -1,7 +1,7 @@
 //! `oakport-testbed compare`: two programs on the same day, play by play.
 
 use crate::cluster::{Play, Program, Verdict};
-use crate::fleet::{played, read, Ended, Stop};
+use crate::fleet::{played, read, Ended, Stop, UNLIMITED};
 use clap::Args;
 use comfy_table::{presets, CellAlignment, Table};
 use oakport_simulator::scenario::Scenario;
@@ -73,7 +73,10 @@
             let seed = self.seed + number;
             let play = |path: &PathBuf, day: &Scenario| {
                 let program = Program::oakport(&lab, path);
-                played(&Play { day: day.clone(), seed, second: program.clone(), program, logs: None })
+                played(
+                    &Play { day: day.clone(), seed, second: program.clone(), program, logs: None },
+                    UNLIMITED,
+                )
             };
             pairs.push(if number % 2 == 0 {
                 let a = play(&self.a, &day)?;
--- a/crates/testbed/src/demo.rs
+++ b/crates/testbed/src/demo.rs
@@ -1,7 +1,7 @@
 //! `oakport-testbed demo`: a small fleet in three zones while parts of it fail, shown live, with a report.
 
 use crate::cluster::{Play, Progress};
-use crate::fleet::{table, told, write, Ended, Programs, Stop};
+use crate::fleet::{table, told, write, Ended, Programs, Stop, UNLIMITED};
 use crate::report;
 use clap::Args;
 use oakport_core::Micros;
@@ -74,7 +74,7 @@
                 }
             }
         };
-        let verdict = told(&play, &tell)?;
+        let verdict = told(&play, &tell, UNLIMITED)?;
         print!("{}", table(&verdict, false));
         write(&self.out, &report::html("oakport demo", &play.day, self.seed, &verdict).map_err(Stop::Bad)?)?;
         println!("the report with its plots: {}", self.out.display());
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -9,6 +9,7 @@
 use serde_json::json;
 use std::io::IsTerminal;
 use std::path::{Path, PathBuf};
+use std::time::Duration;
 
 /// Days with real processes on loopback.
 #[derive(Debug, Args)]
@@ -39,6 +40,9 @@
     logs: Option<PathBuf>,
 }
 
+/// For plays that end when their days do.
+pub const UNLIMITED: Duration = Duration::MAX;
+
 /// Which programs the proxies are.
 #[derive(Debug, Args)]
 pub struct Programs {
@@ -57,6 +61,19 @@
 }
 
 impl Programs {
+    /// The arguments that name the same programs again, each after a space.
+    pub fn arguments(&self) -> String {
+        let mut text = String::new();
+        for (name, path) in [("oakport", &self.oakport), ("second", &self.second)] {
+            text += &path.as_ref().map_or(String::new(), |path| format!(" --{name} {}", path.display()));
+        }
+        if self.forwarder {
+            text += " --forwarder";
+        }
+        let broken = self.broken.as_ref().and_then(clap::ValueEnum::to_possible_value);
+        text + &broken.map_or(String::new(), |broken| format!(" --broken {}", broken.get_name()))
+    }
+
     /// The program, and the one that relieves it.
     pub fn found(&self) -> Result<[Program; 2], Stop> {
         let lab = std::env::current_exe().map_err(|e| Stop::Bad(format!("this program: {e}")))?;
@@ -121,7 +138,7 @@
             println!("{name} (seed {}): {}", self.seed, day.purpose);
             let (program, second) = (program.clone(), second.clone());
             let play = Play { day, seed: self.seed, program, second, logs: self.logs.clone() };
-            let verdict = played(&play)?;
+            let verdict = played(&play, UNLIMITED)?;
             if let Some(folder) = &self.report {
                 let page = report::html(&name, &play.day, self.seed, &verdict).map_err(Stop::Bad)?;
                 write(&folder.join(format!("{name}.html")), &page)?;
@@ -153,7 +170,10 @@
 }
 
 /// Plays a day, with its progress on a terminal, until its end or Ctrl-C.
-pub fn played(play: &Play) -> Result<Verdict, Stop> {
+///
+/// # Errors
+/// It cannot be played, takes longer than `most`, or Ctrl-C.
+pub fn played(play: &Play, most: Duration) -> Result<Verdict, Stop> {
     let shown = std::io::stderr().is_terminal();
     let bar =
         if shown { indicatif::ProgressBar::new(play.day.length) } else { indicatif::ProgressBar::hidden() };
@@ -165,19 +185,23 @@
         Progress::Event(at, text) => bar.set_message(format!("{} s: {text}", at / 1_000_000)),
         Progress::At(at, _) => bar.set_position(at),
     };
-    let verdict = told(play, &tell);
+    let verdict = told(play, &tell, most);
     bar.finish_and_clear();
     verdict
 }
 
 /// Plays a day, telling how far it is, until its end or Ctrl-C.
-pub fn told(play: &Play, tell: &Tell<'_>) -> Result<Verdict, Stop> {
+///
+/// # Errors
+/// It cannot be played, takes longer than `most`, or Ctrl-C.
+pub fn told(play: &Play, tell: &Tell<'_>, most: Duration) -> Result<Verdict, Stop> {
     let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
     let runtime = runtime.map_err(|e| Stop::Bad(format!("runtime: {e}")))?;
     runtime.block_on(async {
         tokio::select! {
             verdict = cluster::play(play, tell) => verdict.map_err(Stop::Bad),
             _ = tokio::signal::ctrl_c() => Err(Stop::Interrupted),
+            () = tokio::time::sleep(most) => Err(Stop::Bad(format!("it had not ended after {most:?}"))),
         }
     })
 }
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -8,3 +8,4 @@
 pub mod report;
 pub mod scale;
 pub mod sim;
+pub mod soak;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -8,6 +8,7 @@
 use oakport_testbed::overhead::Overhead;
 use oakport_testbed::scale::Scale;
 use oakport_testbed::sim::Sim;
+use oakport_testbed::soak::Soak;
 use std::ffi::OsString;
 use std::os::unix::process::CommandExt;
 use std::process::ExitCode;
@@ -40,6 +41,8 @@
     Overhead(Overhead),
     /// Measure what each role of a process costs by the size of the fleet
     Scale(Scale),
+    /// Play many short worlds with real processes, drawn from seeds
+    Soak(Soak),
     /// Play days in virtual time, with several policies side by side
     Sim(Sim),
     /// Serve as a proxy that picks at random, by the platform's environment
@@ -71,6 +74,7 @@
     let done = match Arguments::parse().command {
         Command::Sim(sim) => sim.run().map_err(|odd| (odd, 1)).map(|kept| u8::from(!kept)),
         Command::Fleet(fleet) => fleet.run().map_err(stopped).map(status),
+        Command::Soak(soak) => soak.run().map_err(stopped).map(status),
         Command::Compare(compare) => compare.run().map_err(stopped).map(status),
         Command::Demo(demo) => demo.run().map_err(stopped).map(status),
         Command::Overhead(overhead) => overhead.run().map(|held| u8::from(!held)).map_err(stopped),
--- /dev/null
+++ b/crates/testbed/src/soak.rs
@@ -0,0 +1,190 @@
+//! `oakport-testbed soak`: many short plays with real processes, each of a world and faults drawn from its seed.
+
+mod plan;
+
+use crate::cluster::{Play, Program, Verdict};
+use crate::fleet::{played, write, Ended, Programs, Stop};
+use clap::Args;
+use comfy_table::{presets, Table};
+use oakport_core::Micros;
+use oakport_simulator::scenario::Scenario;
+use serde::Serialize;
+use std::path::{Path, PathBuf};
+use std::time::{Duration, Instant};
+
+/// A play that takes so much longer than its day has not ended.
+const MAX_OVERTIME: Duration = Duration::from_secs(60);
+
+/// Many short plays with real processes, each of a world and faults drawn from its seed.
+#[derive(Debug, Args)]
+#[command(
+    after_help = "Exit status: 0 rules kept in all plays, 1 not, 2 a program cannot be played, 3 the test cluster was too \
+                  late to judge a play."
+)]
+pub struct Soak {
+    /// How many seeds to play
+    #[arg(long, default_value_t = 10, value_name = "N")]
+    seeds: u64,
+    /// The first of them
+    #[arg(long, default_value_t = 1, value_name = "S")]
+    first: u64,
+    #[command(flatten)]
+    programs: Programs,
+    /// Print the plan of each seed instead of playing it
+    #[arg(long)]
+    print_plan: bool,
+    /// Print a line for each second of a play
+    #[arg(long)]
+    seconds: bool,
+    /// Write the outcome of all plays there, as JSON
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// Keep plan, logs and verdict of plays that are not well in this folder
+    #[arg(long, value_name = "DIR", default_value = "logs/soak")]
+    logs: PathBuf,
+}
+
+/// What became of one play.
+#[derive(Debug, Serialize)]
+struct Outcome {
+    seed: u64,
+    /// What went wrong in the world, by plan.
+    events: String,
+    requests: u64,
+    seconds: f64,
+    result: PlayResult,
+}
+
+/// How a play ended.
+#[derive(Debug, Serialize)]
+#[serde(rename_all = "snake_case")]
+enum PlayResult {
+    /// All rules were kept.
+    Kept,
+    /// Rules were broken: the first cases, in words.
+    Broken(Vec<String>),
+    /// The test cluster itself was too late to judge.
+    Late,
+    /// The play itself failed, or had not ended in its time.
+    Unfinished(String),
+}
+
+impl Soak {
+    /// Plays all seeds, one after the other.
+    ///
+    /// # Errors
+    /// A program or a folder cannot be used, or Ctrl-C.
+    pub fn run(&self) -> Result<Ended, Stop> {
+        let seeds = self.first..self.first.saturating_add(self.seeds);
+        if self.print_plan {
+            seeds.for_each(|seed| println!("{}", plan::plan(seed)));
+            return Ok(Ended::Well);
+        }
+        let [program, second] = self.programs.found()?;
+        let mut outcomes = Vec::new();
+        for seed in seeds {
+            let outcome = self.play(seed, &program, &second)?;
+            println!("{}", line(&outcome));
+            if !matches!(outcome.result, PlayResult::Kept) {
+                println!("  again: {}", self.command(seed));
+            }
+            outcomes.push(outcome);
+        }
+        print!("{}", summary(&outcomes));
+        if let Some(path) = &self.json {
+            let text = serde_json::to_string_pretty(&outcomes).map_err(|e| Stop::Bad(e.to_string()))?;
+            write(path, &text)?;
+        }
+        Ok(outcomes.iter().map(Outcome::ended).max().unwrap_or(Ended::Well))
+    }
+
+    fn play(&self, seed: u64, program: &Program, second: &Program) -> Result<Outcome, Stop> {
+        let text = plan::plan(seed);
+        let day = Scenario::parse(&text).map_err(|odd| Stop::Bad(format!("plan of seed {seed}: {odd}")))?;
+        let folder = self.logs.join(format!("seed-{seed}"));
+        std::fs::create_dir_all(&folder).map_err(|e| Stop::Bad(format!("{}: {e}", folder.display())))?;
+        write(&folder.join("plan.toml"), &text)?;
+        let events: Vec<String> = day.events.iter().map(|e| format!("{:?}", e.what).to_lowercase()).collect();
+        let most = duration(day.length) + MAX_OVERTIME;
+        let (program, second) = (program.clone(), second.clone());
+        let play = Play { day, seed, program, second, logs: Some(folder.clone()) };
+        let began = Instant::now();
+        let verdict = played(&play, most);
+        let seconds = began.elapsed().as_secs_f64();
+        let (result, requests) = match verdict {
+            Ok(verdict) => {
+                self.report(&folder, &verdict)?;
+                (PlayResult::of(&verdict), verdict.seconds.iter().map(|second| second.asked).sum())
+            }
+            Err(Stop::Interrupted) => return Err(Stop::Interrupted),
+            Err(Stop::Bad(reason)) => (PlayResult::Unfinished(reason), 0),
+        };
+        if matches!(result, PlayResult::Kept) {
+            // What is left of it harms nothing.
+            let _ = std::fs::remove_dir_all(&folder);
+        }
+        Ok(Outcome { seed, events: events.join(" "), requests, seconds, result })
+    }
+
+    fn report(&self, folder: &Path, verdict: &Verdict) -> Result<(), Stop> {
+        if self.seconds {
+            print!("{}", crate::fleet::table(verdict, true));
+        }
+        let text = serde_json::to_string_pretty(verdict).map_err(|e| Stop::Bad(e.to_string()))?;
+        write(&folder.join("verdict.json"), &text)
+    }
+
+    /// The command that plays a seed again.
+    fn command(&self, seed: u64) -> String {
+        format!(
+            "oakport-testbed soak --seeds 1 --first {seed}{} --logs {}",
+            self.programs.arguments(),
+            self.logs.display()
+        )
+    }
+}
+
+impl PlayResult {
+    fn of(verdict: &Verdict) -> Self {
+        match Ended::of(verdict) {
+            Ended::Well => PlayResult::Kept,
+            Ended::Broken => PlayResult::Broken(verdict.stories.clone()),
+            Ended::Late => PlayResult::Late,
+        }
+    }
+}
+
+impl Outcome {
+    fn ended(&self) -> Ended {
+        match self.result {
+            PlayResult::Kept => Ended::Well,
+            PlayResult::Broken(_) | PlayResult::Unfinished(_) => Ended::Broken,
+            PlayResult::Late => Ended::Late,
+        }
+    }
+}
+
+fn duration(length: Micros) -> Duration {
+    Duration::from_micros(length)
+}
+
+/// The outcome of a play, as a line, and a line for each broken rule.
+fn line(outcome: &Outcome) -> String {
+    let Outcome { seed, events, requests, seconds, result } = outcome;
+    let head = format!("seed {seed}: {events}; {requests} requests, {seconds:.1} s");
+    match result {
+        PlayResult::Kept => format!("{head}: rules kept"),
+        PlayResult::Late => format!("{head}: NOT JUDGED, the test cluster was too late"),
+        PlayResult::Unfinished(reason) => format!("{head}: PLAY FAILED: {reason}"),
+        PlayResult::Broken(stories) => format!("{head}: BROKEN\n  {}", stories.join("\n  ")),
+    }
+}
+
+fn summary(outcomes: &[Outcome]) -> String {
+    let count = |ended: Ended| outcomes.iter().filter(|outcome| outcome.ended() == ended).count();
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING).set_header(["plays", "rules kept", "broken or failed", "not judged"]);
+    let counts = [Ended::Well, Ended::Broken, Ended::Late].map(|ended| count(ended).to_string());
+    table.add_row([vec![outcomes.len().to_string()], counts.to_vec()].concat());
+    format!("{table}\n")
+}
