Close the connections of an endpoint after two extra responses in a row, not after one

Change: after an extra response connections are observed for 50 ms before each reuse, for 30 s, whatever stays silent meanwhile; after two offending connections in a row, with no silent one between, none is reused for 30 s, as before.

--- a/crates/proxy/src/upstream/endpoint_connections.rs
+++ b/crates/proxy/src/upstream/endpoint_connections.rs
@@ -65,13 +65,16 @@
         is_unsolicited
     }
 
-    /// Closes the idle connections, as one to this endpoint has received unsolicited data: more may be on its way to
-    /// the others. Returns whether the distrust of the endpoint begins now.
+    /// Records that a connection has received unsolicited data. If connections are not reused from now on, the idle ones
+    /// are closed. Returns whether the distrust of the endpoint begins now.
     pub fn distrust(&mut self, now: Micros) -> bool {
-        self.idle.retain(|connection| !connection.has_carried_request());
-        // Calls that wait for one of those need another.
+        let begins = self.trust.record_unsolicited_data(now);
+        if self.trust.rule(now) == ReuseRule::Never {
+            self.idle.retain(|connection| !connection.has_carried_request());
+        }
+        // Calls may wait for a connection that is closed, or must be observed for longer.
         self.reusable.notify_waiters();
-        self.trust.record_unsolicited_data(now)
+        begins
     }
 
     /// When the idle connection that can be reused first can be. `None` if none is idle.
@@ -85,11 +88,17 @@
 
     /// Takes an idle connection that may be reused now.
     pub fn take_reusable(&mut self, now: Micros, limits: &ConnectionLimits) -> Option<UpstreamConnection> {
-        if self.trust.rule(now) == ReuseRule::AfterCooldown {
+        let rule = self.trust.rule(now);
+        if rule == ReuseRule::AfterCooldown {
             return self.take_cooled_down(now, limits);
         }
-        let unused = self.idle.iter().position(|connection| !connection.has_carried_request())?;
-        self.idle.remove(unused)
+        let may_reuse = |connection: &UpstreamConnection| {
+            !connection.has_carried_request()
+                || (rule == ReuseRule::AfterObservation && is_observed(connection, now))
+        };
+        // The one used last, so that surplus connections expire.
+        let position = self.idle.iter().rposition(may_reuse)?;
+        self.idle.remove(position)
     }
 
     /// Takes an idle connection whose reuse cooldown is over.
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -201,7 +201,7 @@
         self.metrics.count_unsolicited_data();
         if connections.distrust(self.clock.now()) {
             let address = target.address;
-            warn!(%address, "endpoint sent unsolicited data, its connections are not reused");
+            warn!(%address, "endpoint sent unsolicited data and is distrusted");
         }
     }
 
