--- a/crates/cli/tests/connection_reuse.rs
+++ b/crates/cli/tests/connection_reuse.rs
@@ -4,8 +4,8 @@
 mod peers;
 
 use peers::*;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -46,12 +46,7 @@
 
     /// The cost since the start.
     fn cost(&self) -> ConnectionCost {
-        let mut stream = TcpStream::connect(self.admin_address).expect("it listens");
-        stream.write_all(b"DUMP\n").expect("an open connection");
-        let mut text = String::new();
-        stream.read_to_string(&mut text).expect("an answer and a close");
-        let metrics = text.strip_suffix("\nEND\n").expect("metrics");
-        let metrics: serde_json::Value = serde_json::from_str(metrics).expect("metrics");
+        let metrics = metrics(self.admin_address);
         let count = |name: &str| metrics["connections"][name].as_u64().expect("a count");
         ConnectionCost { opened: count("opened"), waits: count("waits") }
     }
--- a/crates/cli/tests/extra_responses.rs
+++ b/crates/cli/tests/extra_responses.rs
@@ -15,7 +15,7 @@
 /// Longer than a connection of an endpoint that is not yet trusted is observed.
 const AFTER_OBSERVATION: Duration = Duration::from_millis(80);
 /// Longer than the reuse cooldown, and shorter than the observation.
-const AFTER_COOLDOWN: Duration = Duration::from_millis(25);
+const AFTER_COOLDOWN: Duration = Duration::from_millis(15);
 
 /// An endpoint that lets the test write to its connections at any time.
 struct ScriptedEndpoint {
@@ -99,77 +99,91 @@
         || connection.take_error().is_ok_and(|error| error.is_some())
 }
 
+/// How often the proxy has received unsolicited data.
 fn unsolicited_count(admin: SocketAddr) -> u64 {
-    let mut stream = TcpStream::connect(admin).expect("it listens");
-    stream.write_all(b"DUMP\n").expect("an open connection");
-    let mut text = String::new();
-    stream.read_to_string(&mut text).expect("an answer and a close");
-    let metrics: serde_json::Value =
-        serde_json::from_str(text.strip_suffix("\nEND\n").expect("metrics")).expect("metrics");
-    metrics["connections"]["unsolicited"].as_u64().expect("a count")
+    metrics(admin)["connections"]["unsolicited"].as_u64().expect("a count")
+}
+
+/// An endpoint, the proxy before it and a client of that.
+struct Setup {
+    endpoint: ScriptedEndpoint,
+    _discovery: Discovery,
+    text: String,
+    proxy: Proxy,
+    admin: SocketAddr,
+    client: Client,
+}
+
+impl Setup {
+    fn start() -> Setup {
+        let endpoint = ScriptedEndpoint::start();
+        let discovery = Discovery::start();
+        let text = configuration(&discovery, endpoint.address);
+        let mut proxy = Proxy::with(&text);
+        let admin = proxy.operator();
+        let client = proxy.client();
+        Setup { endpoint, _discovery: discovery, text, proxy, admin, client }
+    }
+
+    fn call(&mut self) -> TcpStream {
+        call(&mut self.client, &self.endpoint)
+    }
+
+    /// A call whose response the endpoint follows by another.
+    fn call_with_extra_response(&mut self) {
+        let mut connection = self.call();
+        write(&mut connection, &wrong());
+    }
+
+    /// Sends a request while the last connection, idle since its response, receives an extra one after the cooldown.
+    fn call_before_extra_response(&mut self, mut last: TcpStream) {
+        self.client.send("unsafe", "3000m");
+        thread::sleep(AFTER_COOLDOWN);
+        write(&mut last, &wrong());
+        let mut other = self.endpoint.next_request();
+        write(&mut other, &right());
+        assert_served(&mut self.client);
+    }
 }
 
 /// The endpoint's extra response comes well after the reuse cooldown, on the first connection that it was given.
 #[test]
 fn a_first_extra_response_after_the_cooldown_answers_no_other_request() {
-    let endpoint = ScriptedEndpoint::start();
-    let discovery = Discovery::start();
-    let proxy = Proxy::with(&configuration(&discovery, endpoint.address));
-    let mut client = proxy.client();
-    let mut first = call(&mut client, &endpoint);
-    client.send("unsafe", "3000m");
-    thread::sleep(AFTER_COOLDOWN);
-    write(&mut first, &wrong());
-    let mut second = endpoint.next_request();
-    write(&mut second, &right());
-    assert_served(&mut client);
-    assert_eq!(endpoint.opened(), 2);
+    let mut setup = Setup::start();
+    let first = setup.call();
+    setup.call_before_extra_response(first);
+    assert_eq!(setup.endpoint.opened(), 2);
 }
 
 /// Once it has sent two extra responses in a row, each of its connections carries one request only.
 #[test]
 fn connections_of_an_endpoint_that_sends_extra_responses_are_not_reused() {
-    let endpoint = ScriptedEndpoint::start();
-    let discovery = Discovery::start();
-    let mut proxy = Proxy::with(&configuration(&discovery, endpoint.address));
-    let admin = proxy.operator();
-    let mut client = proxy.client();
-    for _ in 0..2 {
-        let mut connection = call(&mut client, &endpoint);
-        write(&mut connection, &wrong());
-    }
+    let mut setup = Setup::start();
+    setup.call_with_extra_response();
+    setup.call_with_extra_response();
     for number in 3..7 {
-        let connection = call(&mut client, &endpoint);
-        assert_eq!(endpoint.opened(), number, "a connection of its own");
+        let connection = setup.call();
+        assert_eq!(setup.endpoint.opened(), number, "a connection of its own");
         assert!(is_closed(connection), "closed after its response");
         thread::sleep(AFTER_OBSERVATION);
     }
-    assert_eq!(unsolicited_count(admin), 2);
+    assert_eq!(unsolicited_count(setup.admin), 2);
 }
 
 /// One extra response of an endpoint that was trusted: its connections are observed again before each reuse, though
 /// one has stayed silent meanwhile.
 #[test]
 fn connections_of_an_endpoint_that_sent_one_extra_response_are_observed() {
-    let endpoint = ScriptedEndpoint::start();
-    let discovery = Discovery::start();
-    let proxy = Proxy::with(&configuration(&discovery, endpoint.address));
-    let mut client = proxy.client();
-    call(&mut client, &endpoint);
+    let mut setup = Setup::start();
+    setup.call();
     thread::sleep(AFTER_OBSERVATION);
-    let mut trusted = call(&mut client, &endpoint);
-    write(&mut trusted, &wrong());
-    call(&mut client, &endpoint);
+    setup.call_with_extra_response();
+    setup.call();
     thread::sleep(AFTER_OBSERVATION);
-    let mut observed = call(&mut client, &endpoint);
-    assert_eq!(endpoint.opened(), 2);
-    client.send("unsafe", "3000m");
-    thread::sleep(AFTER_COOLDOWN);
-    write(&mut observed, &wrong());
-    let mut other = endpoint.next_request();
-    write(&mut other, &right());
-    assert_served(&mut client);
-    assert_eq!(endpoint.opened(), 3);
+    let observed = setup.call();
+    assert_eq!(setup.endpoint.opened(), 2);
+    setup.call_before_extra_response(observed);
+    assert_eq!(setup.endpoint.opened(), 3);
 }
 
 /// Where an extra response, or a part of it, may stand after the first one.
@@ -190,47 +204,36 @@
         ("an informational one", right(), informational, ""),
     ];
     for (name, at_once, later, last) in forms {
-        let endpoint = ScriptedEndpoint::start();
-        let discovery = Discovery::start();
-        let mut proxy = Proxy::with(&configuration(&discovery, endpoint.address));
-        let admin = proxy.operator();
-        let mut client = proxy.client();
-        client.send("unsafe", "3000m");
-        let mut connection = endpoint.next_request();
+        let mut setup = Setup::start();
+        setup.client.send("unsafe", "3000m");
+        let mut connection = setup.endpoint.next_request();
         write(&mut connection, &at_once);
-        assert_served(&mut client);
+        assert_served(&mut setup.client);
         // The proxy may have closed it meanwhile.
         let _ = connection.write_all(later.as_bytes());
-        client.send("unsafe", "3000m");
+        setup.client.send("unsafe", "3000m");
         let _ = connection.write_all(last.as_bytes());
-        let mut second = endpoint.next_request();
+        let mut second = setup.endpoint.next_request();
         write(&mut second, &right());
-        assert_served(&mut client);
-        assert_eq!(unsolicited_count(admin), 1, "{name}");
-        assert_eq!(endpoint.opened(), 2, "{name}");
+        assert_served(&mut setup.client);
+        assert_eq!(unsolicited_count(setup.admin), 1, "{name}");
+        assert_eq!(setup.endpoint.opened(), 2, "{name}");
     }
 }
 
 /// A distrust outlasts a reload.
 #[test]
 fn a_reload_does_not_restore_the_reuse_of_connections() {
-    let endpoint = ScriptedEndpoint::start();
-    let discovery = Discovery::start();
-    let text = configuration(&discovery, endpoint.address);
-    let mut proxy = Proxy::with(&text);
-    let admin = proxy.operator();
-    let mut client = proxy.client();
-    for _ in 0..2 {
-        let mut connection = call(&mut client, &endpoint);
-        write(&mut connection, &wrong());
-    }
-    call(&mut client, &endpoint);
-    assert_eq!(unsolicited_count(admin), 2);
-    proxy.reload(&text.replace(r#""max_attempts":3"#, r#""max_attempts":2"#));
-    proxy.log_tells("reload", "");
+    let mut setup = Setup::start();
+    setup.call_with_extra_response();
+    setup.call_with_extra_response();
+    setup.call();
+    assert_eq!(unsolicited_count(setup.admin), 2);
+    setup.proxy.reload(&setup.text.replace(r#""max_attempts":3"#, r#""max_attempts":2"#));
+    setup.proxy.log_tells("reload", "");
     for number in 4..6 {
-        assert!(is_closed(call(&mut client, &endpoint)));
-        assert_eq!(endpoint.opened(), number);
+        assert!(is_closed(setup.call()));
+        assert_eq!(setup.endpoint.opened(), number);
         thread::sleep(AFTER_OBSERVATION);
     }
 }
@@ -250,34 +253,28 @@
     predecessor.terminate();
     drop(client);
     assert!(predecessor.ended());
-    let successor = platform.start(&text);
-    let mut client = successor.client();
-    let mut first = call(&mut client, &endpoint);
-    client.send("unsafe", "3000m");
-    thread::sleep(AFTER_COOLDOWN);
-    write(&mut first, &wrong());
-    let mut second = endpoint.next_request();
-    write(&mut second, &right());
-    assert_served(&mut client);
-    assert_eq!(endpoint.opened(), 3);
+    let mut successor = platform.start(&text);
+    let admin = successor.operator();
+    let client = successor.client();
+    let mut setup = Setup { endpoint, _discovery: discovery, text, proxy: successor, admin, client };
+    let first = setup.call();
+    setup.call_before_extra_response(first);
+    assert_eq!(setup.endpoint.opened(), 3);
 }
 
 /// An attempt whose time is up is abandoned with its connection: what the endpoint still answers there reaches nobody.
 #[test]
 fn the_response_to_an_abandoned_attempt_answers_no_other_request() {
-    let endpoint = ScriptedEndpoint::start();
-    let discovery = Discovery::start();
-    let proxy = Proxy::with(&configuration(&discovery, endpoint.address));
-    let mut client = proxy.client();
-    drop(call(&mut client, &endpoint));
+    let mut setup = Setup::start();
+    drop(setup.call());
     thread::sleep(AFTER_OBSERVATION);
-    client.send("unsafe", "60m");
-    let mut abandoned = endpoint.next_request();
-    let status = client.answer().expect("a response").status();
+    setup.client.send("unsafe", "60m");
+    let mut abandoned = setup.endpoint.next_request();
+    let status = setup.client.answer().expect("a response").status();
     assert_ne!(status, 200);
     let _ = abandoned.write_all(wrong().as_bytes());
     for _ in 0..3 {
-        call(&mut client, &endpoint);
+        setup.call();
         thread::sleep(AFTER_COOLDOWN);
     }
 }
@@ -285,28 +282,21 @@
 /// An endpoint that stays silent after its responses keeps its connection, and calls soon wait for the cooldown only.
 #[test]
 fn an_endpoint_without_extra_responses_keeps_its_connection() {
-    let endpoint = ScriptedEndpoint::start();
-    let discovery = Discovery::start();
-    let mut proxy = Proxy::with(&configuration(&discovery, endpoint.address));
-    let admin = proxy.operator();
-    let mut client = proxy.client();
+    let mut setup = Setup::start();
     for _ in 0..5 {
-        call(&mut client, &endpoint);
+        setup.call();
     }
-    assert_eq!((endpoint.opened(), unsolicited_count(admin)), (1, 0));
+    assert_eq!((setup.endpoint.opened(), unsolicited_count(setup.admin)), (1, 0));
 }
 
 /// A call that has too little time to wait for the observation gets a connection of its own.
 #[test]
 fn a_call_with_little_time_does_not_wait_for_the_observation() {
-    let endpoint = ScriptedEndpoint::start();
-    let discovery = Discovery::start();
-    let proxy = Proxy::with(&configuration(&discovery, endpoint.address));
-    let mut client = proxy.client();
-    call(&mut client, &endpoint);
-    client.send("unsafe", "100m");
-    let mut second = endpoint.next_request();
+    let mut setup = Setup::start();
+    setup.call();
+    setup.client.send("unsafe", "100m");
+    let mut second = setup.endpoint.next_request();
     write(&mut second, &right());
-    assert_served(&mut client);
-    assert_eq!(endpoint.opened(), 2);
+    assert_served(&mut setup.client);
+    assert_eq!(setup.endpoint.opened(), 2);
 }
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -172,6 +172,16 @@
     address
 }
 
+/// The metrics that an admin endpoint's DUMP has.
+pub fn metrics(admin: SocketAddr) -> serde_json::Value {
+    let mut stream = TcpStream::connect(admin).expect("it listens");
+    stream.set_read_timeout(Some(LONG)).expect("a time-out");
+    stream.write_all(b"DUMP\n").expect("an open connection");
+    let mut text = String::new();
+    stream.read_to_string(&mut text).expect("an answer and a close");
+    serde_json::from_str(text.strip_suffix("\nEND\n").expect("metrics")).expect("metrics")
+}
+
 /// A host at which connections hang: its queue is full and it takes nobody.
 pub struct Deaf {
     pub address: SocketAddr,
