Read a reloaded file on a thread of its own, so that no call waits for it

Cause: the file was read, parsed and checked on the one thread that serves all calls.

Change: spawn_blocking reads and checks; the replaced configuration is freed there too, and the list of the file, which a reload does not use, is dropped. Reloads still come one after the other, the last one holds.

--- a/crates/cli/tests/operations.rs
+++ b/crates/cli/tests/operations.rs
@@ -271,3 +271,28 @@
     assert_eq!(metrics["calls"]["unsafe"]["failure"], 1);
     assert_eq!(metrics["calls"]["x"]["success"], 0);
 }
+
+/// Guards against calls that wait until a large file has been read: many are answered between the signal and the reload.
+#[test]
+fn calls_are_answered_while_a_large_file_is_reloaded() {
+    const ENDPOINTS: usize = 6_300;
+    const MIN_CALLS_MEANWHILE: usize = 5;
+    let discovery = Discovery::start();
+    let host = Host::serving("ok");
+    let known: Vec<String> = (0..ENDPOINTS).map(|number| up(&format!("s-{number}"), &host)).collect();
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let text = with_admin_address(&config(listen, discovery.address, 1_024, &known));
+    let mut proxy = Proxy::with(&text);
+    let admin = proxy.operator();
+    let mut client = proxy.client();
+    assert_eq!(client.call("safe", "2000m").status(), 200);
+    proxy.reload(&text);
+    let mut answered = 0;
+    while metrics(admin).pointer("/reconfig_ok").and_then(serde_json::Value::as_u64) != Some(1) {
+        assert_eq!(client.call("safe", "2000m").status(), 200);
+        answered += 1;
+        assert!(answered < 100_000, "it is reloaded");
+    }
+    println!("{answered} calls were answered between SIGHUP and the reload");
+    assert!(answered >= MIN_CALLS_MEANWHILE, "{answered} calls");
+}
--- a/crates/proxy/src/config/mod.rs
+++ b/crates/proxy/src/config/mod.rs
@@ -105,7 +105,9 @@
     /// # Errors
     /// All errors of the file, or a key of this configuration that the file now lacks.
     pub fn reload(&self) -> Result<Self, Diagnostics> {
-        let next = Config::read(Some(&self.path))?;
+        let mut next = Config::read(Some(&self.path))?;
+        // Endpoints come from discovery by now.
+        next.known = None;
         match reload_check::missing_key(&self.given, &next.given) {
             Some(key) => {
                 let problem = format!("{key} is missing, which the file in force has; put it back");
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -21,6 +21,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, Signal, SignalKind};
@@ -155,7 +156,7 @@
         let Process { shares_listener, budget, pool, membership, .. } = self;
         let reloader = Reloader {
             hangup: self.hangup,
-            config: self.config,
+            config: Arc::new(self.config),
             dispatcher: self.dispatcher,
             membership: membership.clone(),
             metrics: self.metrics,
