--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -2,9 +2,10 @@
 
 mod peers;
 
+use peers::bodies::*;
 use peers::*;
-use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead, Read};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
@@ -14,91 +15,12 @@
 /// Far more than is buffered, and than the sockets between the peers hold.
 const LARGE_BODY_BYTES: usize = 24 << 20;
 
-/// An endpoint whose connections are served by `serve`, which gets each request's head and the stream after it.
-fn endpoint(serve: impl Fn(&str, &mut BufReader<TcpStream>) + Send + Sync + 'static) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("its address");
-    let serve = Arc::new(serve);
-    thread::spawn(move || {
-        for stream in listener.incoming().flatten() {
-            let serve = Arc::clone(&serve);
-            thread::spawn(move || {
-                let mut stream = BufReader::new(stream);
-                while let Some(head) = head(&mut stream) {
-                    serve(&head, &mut stream);
-                }
-            });
-        }
-    });
-    address
-}
-
-/// The lines of a message's head; None at the end of the connection.
-fn head(stream: &mut BufReader<TcpStream>) -> Option<String> {
-    let mut head = String::new();
-    while !head.ends_with("\r\n\r\n") {
-        if stream.read_line(&mut head).ok()? == 0 {
-            return None;
-        }
-    }
-    Some(head)
-}
-
-fn header_value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
-    let mut fields = head.lines().filter_map(|l| l.split_once(':'));
-    fields.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim())
-}
-
-/// The complete body that follows a head. None if it is truncated.
-fn body(head: &str, stream: &mut BufReader<TcpStream>) -> Option<Vec<u8>> {
-    if header_value(head, "transfer-encoding").is_none() {
-        let mut body =
-            vec![0; header_value(head, "content-length").map_or(0, |l| l.parse().expect("a length"))];
-        return stream.read_exact(&mut body).ok().map(|()| body);
-    }
-    let mut body = Vec::new();
-    loop {
-        let mut line = String::new();
-        stream.read_line(&mut line).ok()?;
-        let mut chunk = vec![0; usize::from_str_radix(line.trim(), 16).ok()?];
-        stream.read_exact(&mut chunk).ok()?;
-        stream.read_line(&mut line).ok()?;
-        if chunk.is_empty() {
-            return Some(body);
-        }
-        body.extend(chunk);
-    }
-}
-
 fn start(discovery: &Discovery, endpoints: &[SocketAddr]) -> Proxy {
     let known: Vec<String> =
         endpoints.iter().zip(1..).map(|(&a, n)| entry(&format!("s-{n}"), a, "up", 0)).collect();
     Proxy::start(discovery, &known)
 }
 
-fn request_head(class: &str, time: &str, framing: &str) -> String {
-    format!("POST /{class} HTTP/1.1\r\nHost: x\r\nX-Request-ID: 5\r\nX-Timeout: {time}\r\n{framing}\r\n")
-}
-
-fn test_pattern(size: usize) -> Vec<u8> {
-    (0..size).map(|n| (n / 7 % 251) as u8).collect()
-}
-
-fn chunked(body: &[u8], size: usize) -> Vec<u8> {
-    let mut text = Vec::new();
-    for chunk in body.chunks(size) {
-        text.extend(format!("{:x}\r\n", chunk.len()).bytes());
-        text.extend(chunk);
-        text.extend(b"\r\n");
-    }
-    text.extend(b"0\r\n\r\n");
-    text
-}
-
-fn send_bytes(stream: &mut BufReader<TcpStream>, bytes: &[u8]) -> bool {
-    stream.get_mut().write_all(bytes).is_ok()
-}
-
 #[test]
 fn a_large_response_is_streamed_from_its_first_bytes_and_past_the_client_timeout() {
     for framing in ["Content-Length", "Transfer-Encoding"] {
--- /dev/null
+++ b/crates/cli/tests/peers/bodies.rs
@@ -0,0 +1,89 @@
+//! Endpoints and messages for bodies that are larger than what a process holds, with either framing of HTTP/1.1.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::thread;
+
+/// An endpoint whose connections are served by `serve`, which gets each request's head and the stream after it.
+pub fn endpoint(serve: impl Fn(&str, &mut BufReader<TcpStream>) + Send + Sync + 'static) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("its address");
+    let serve = Arc::new(serve);
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = Arc::clone(&serve);
+            thread::spawn(move || {
+                let mut stream = BufReader::new(stream);
+                while let Some(head) = head(&mut stream) {
+                    serve(&head, &mut stream);
+                }
+            });
+        }
+    });
+    address
+}
+
+/// The lines of a message's head; None at the end of the connection.
+pub fn head(stream: &mut impl BufRead) -> Option<String> {
+    let mut head = String::new();
+    while !head.ends_with("\r\n\r\n") {
+        if stream.read_line(&mut head).ok()? == 0 {
+            return None;
+        }
+    }
+    Some(head)
+}
+
+pub fn header_value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    let mut fields = head.lines().filter_map(|l| l.split_once(':'));
+    fields.find(|(n, _)| n.eq_ignore_ascii_case(name)).map(|(_, v)| v.trim())
+}
+
+/// The complete body that follows a head. None if it is truncated.
+pub fn body(head: &str, stream: &mut impl BufRead) -> Option<Vec<u8>> {
+    if header_value(head, "transfer-encoding").is_none() {
+        let mut body =
+            vec![0; header_value(head, "content-length").map_or(0, |l| l.parse().expect("a length"))];
+        return stream.read_exact(&mut body).ok().map(|()| body);
+    }
+    let mut body = Vec::new();
+    loop {
+        let mut line = String::new();
+        stream.read_line(&mut line).ok()?;
+        let mut chunk = vec![0; usize::from_str_radix(line.trim(), 16).ok()?];
+        stream.read_exact(&mut chunk).ok()?;
+        stream.read_line(&mut line).ok()?;
+        if chunk.is_empty() {
+            return Some(body);
+        }
+        body.extend(chunk);
+    }
+}
+
+pub fn request_head(class: &str, time: &str, framing: &str) -> String {
+    format!("POST /{class} HTTP/1.1\r\nHost: x\r\nX-Request-ID: 5\r\nX-Timeout: {time}\r\n{framing}\r\n")
+}
+
+pub fn test_pattern(size: usize) -> Vec<u8> {
+    (0..size).map(|n| (n / 7 % 251) as u8).collect()
+}
+
+/// The end of a chunked body.
+pub const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// One chunk of a chunked body.
+pub fn chunk(content: &[u8]) -> Vec<u8> {
+    [format!("{:x}\r\n", content.len()).as_bytes(), content, b"\r\n"].concat()
+}
+
+/// A complete chunked body, in chunks of this size.
+pub fn chunked(body: &[u8], size: usize) -> Vec<u8> {
+    let mut text = body.chunks(size).map(chunk).collect::<Vec<_>>().concat();
+    text.extend(LAST_CHUNK);
+    text
+}
+
+pub fn send_bytes(stream: &mut BufReader<TcpStream>, bytes: &[u8]) -> bool {
+    stream.get_mut().write_all(bytes).is_ok()
+}
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod agent;
+pub mod bodies;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
