Write all that the system takes of a response before the kill that ends a shutdown

Cause: only what is in the system's send buffer is sent after the kill. The system calls a socket writable once a third of that buffer is free, so with a slow reader some KB waited in the process while a megabyte was read; and what exceeded the buffer waited anyway.

Change: once graceful shutdown has begun, a write to a full buffer is tried again every 20 ms whether or not the socket counts as writable, and the buffer is enlarged by 1 MiB at a time, out of the memory of bodies, up to what net.core.wmem_max allows. Where the system's own adaptation may reach as much, the size is left alone, since setting it would end the adaptation; whether it has grown is read back.

A send buffer cannot hold more than twice net.core.wmem_max (8 MB here), and an endpoint that is slow itself is not helped.

--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -77,6 +77,11 @@
         self.try_grow(reservation, kib)
     }
 
+    /// Makes a reservation larger by so many bytes. False if the memory does not suffice.
+    pub fn try_extend(&self, reservation: &mut MemoryReservation, additional_bytes: usize) -> bool {
+        self.try_grow(reservation, additional_bytes.div_ceil(BYTES_PER_KIB) as u32)
+    }
+
     /// Makes a reservation large enough for a body of this size, waiting until the memory suffices.
     pub async fn reserve(&self, reservation: &mut MemoryReservation, size_bytes: usize) {
         let kib = MemoryLimit::missing_kib(reservation, size_bytes);
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -5,6 +5,8 @@
 use super::open_request::OpenRequest;
 use super::request::RequestHandler;
 use super::response::TrackedBody;
+use super::shutdown::ShutdownSignal;
+use super::shutdown_writer::ShutdownWriter;
 use super::stream::ObservedStream;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -16,15 +18,11 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
-use tokio::sync::watch;
 use tokio::time::Instant;
 
 /// Most bytes of a request's head.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
-/// When graceful shutdown began; None: it has not.
-pub type ShutdownSignal = watch::Receiver<Option<Instant>>;
-
 /// How a connection ends.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum ConnectionEnd {
@@ -52,10 +50,12 @@
             let this = &self;
             let service =
                 service_fn(move |request| async move { Ok::<_, Infallible>(this.respond(request).await) });
+            let shutdown_writer = ShutdownWriter::new(self.shutdown.clone(), Rc::clone(&self.handler.memory));
+            let stream = ObservedStream::new(&self.connection, shutdown_writer);
             let serving = http1::Builder::new()
                 .max_buf_size(MAX_HEAD_BYTES)
                 .keep_alive(!self.at_capacity)
-                .serve_connection(TokioIo::new(ObservedStream::new(&self.connection)), service);
+                .serve_connection(TokioIo::new(stream), service);
             self.run_until_end(serving).await
         };
         match end {
@@ -88,7 +88,7 @@
         let mut peer_closed = pin!(connection.socket.peer_closed());
         let mut close_seen = false;
         loop {
-            let shutdown_began = *shutdown.borrow_and_update();
+            let shutdown_began = shutdown.borrow_and_update().map(|shutdown| shutdown.began);
             let deadline = connection.deadline(self.at_capacity, shutdown_began);
             tokio::select! {
                 // What has arrived is read before the time is looked at.
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -1,9 +1,10 @@
 //! Accepts clients' connections within the proxy's capacity, until graceful shutdown ends it.
 
 use super::connection::ClientConnection;
-use super::http_connection::{sleep_until, HttpConnection, ShutdownSignal};
+use super::http_connection::{sleep_until, HttpConnection};
 use super::idle::IdleConnections;
 use super::request::RequestHandler;
+use super::shutdown::{Shutdown, ShutdownSignal};
 use crate::descriptors::{Descriptor, Descriptors};
 use crate::socket::Socket;
 use crate::upstream::pool::ConnectionPool;
@@ -82,8 +83,9 @@
                 () = &mut stop, if accept_until.is_none() => {
                     // From now on each response closes its connection, and idle ones close at once, while new ones
                     // are still accepted: clients move over before the listener closes.
-                    accept_until = Some(Instant::now() + SHUTDOWN_ACCEPT_TIME);
-                    let _ = shutdown_sender.send(Some(Instant::now()));
+                    let shutdown = Shutdown { began: Instant::now() };
+                    accept_until = Some(shutdown.began + SHUTDOWN_ACCEPT_TIME);
+                    let _ = shutdown_sender.send(Some(shutdown));
                     dispatcher.set_accepting(false);
                     if shares_listener {
                         break;
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -10,6 +10,8 @@
 mod read_ahead;
 mod request;
 mod response;
+mod shutdown;
+mod shutdown_writer;
 mod stream;
 
 pub use idle::IdleConnections;
--- a/crates/proxy/src/downstream/stream.rs
+++ b/crates/proxy/src/downstream/stream.rs
@@ -1,6 +1,7 @@
 //! The byte stream of a client connection, which reports its progress to the connection.
 
 use super::connection::ClientConnection;
+use super::shutdown_writer::ShutdownWriter;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -10,11 +11,12 @@
 /// A client's stream: reads what was read ahead first, and reports reads and writes.
 pub struct ObservedStream {
     connection: Rc<ClientConnection>,
+    shutdown_writer: ShutdownWriter,
 }
 
 impl ObservedStream {
-    pub fn new(connection: &Rc<ClientConnection>) -> Self {
-        ObservedStream { connection: Rc::clone(connection) }
+    pub fn new(connection: &Rc<ClientConnection>, shutdown_writer: ShutdownWriter) -> Self {
+        ObservedStream { connection: Rc::clone(connection), shutdown_writer }
     }
 }
 
@@ -35,9 +37,14 @@
 }
 
 impl AsyncWrite for ObservedStream {
-    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let written = self.connection.socket.poll_write(cx, buf);
-        self.connection.record_write(written.is_ready());
+    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let this = &mut *self;
+        let socket = &this.connection.socket;
+        let written = match socket.poll_write(cx, buf) {
+            Poll::Pending => this.shutdown_writer.poll_write(cx, socket, buf),
+            written => written,
+        };
+        this.connection.record_write(written.is_ready());
         written
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,6 +25,7 @@
 mod request;
 mod response;
 mod socket;
+mod system_limits;
 mod upstream;
 
 pub use config::{Checked, Config, DiagnosticCounts, Diagnostics, Limits, MembershipConfig};
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -13,6 +13,9 @@
 /// Bytes that are read at a time, where the length is unknown.
 const READ_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Linux makes a send buffer this much larger than requested, for its own overhead (socket(7)).
+pub const SEND_BUFFER_OVERHEAD_FACTOR: usize = 2;
+
 /// A shared stream; each clone keeps it open.
 #[derive(Clone, Debug)]
 pub struct Socket(Rc<TcpStream>);
@@ -50,6 +53,27 @@
         }
     }
 
+    /// Writes some bytes and returns how many, whether or not the system calls the socket writable: it does so only once
+    /// a third of the send buffer is free.
+    ///
+    /// # Errors
+    /// The send buffer is full (`WouldBlock`), or the connection has failed.
+    pub fn write_now(&self, buf: &[u8]) -> io::Result<usize> {
+        socket2::SockRef::from(&*self.0).send_with_flags(buf, nix::libc::MSG_NOSIGNAL)
+    }
+
+    /// Size of the system's send buffer in bytes, its overhead included.
+    pub fn send_buffer_bytes(&self) -> io::Result<usize> {
+        socket2::SockRef::from(&*self.0).send_buffer_size()
+    }
+
+    /// Sets the size of the system's send buffer, and returns what it is now: the system may allow less. From then on
+    /// the system no longer adapts the size by itself.
+    pub fn set_send_buffer_bytes(&self, size_bytes: usize) -> io::Result<usize> {
+        socket2::SockRef::from(&*self.0).set_send_buffer_size(size_bytes / SEND_BUFFER_OVERHEAD_FACTOR)?;
+        self.send_buffer_bytes()
+    }
+
     /// Ends the writing side.
     pub fn shutdown_write(&self) -> io::Result<()> {
         socket2::SockRef::from(&*self.0).shutdown(Shutdown::Write)
