Reject an upload that is incomplete when a kill may come before its response

Callers saw the response to a slowly uploaded request end short of its end, or got none, when the process was killed after SIGTERM at the earliest moment that PROTOCOL allows; the endpoint had run the request.

Cause: an upload under way at SIGTERM was read on up to the kill. Complete 2 s after SIGTERM, with the kill at 2.7 s, it counts as taken (PROTOCOL: what comes more than 0.7 s after SIGTERM and is unanswered at SIGKILL is lost), and its response had less time than its client allows.

Change: the client side knows the earliest moment of the kill, the longest deadline in force (at most 3 s) and 0.7 s after SIGTERM. A request that is incomplete when its own timeout before that moment begins, and never earlier than 0.7 s after SIGTERM, is rejected with 503 and Retry-After before its last byte goes to the endpoint: it has not run and may be sent again, to the successor. What the client still sends is read and discarded, so that it sees the response.

--- a/crates/proxy/src/classes.rs
+++ b/crates/proxy/src/classes.rs
@@ -2,6 +2,7 @@
 
 use oakport_core::settings_wire::ParsedSettings;
 use oakport_core::{Class, ClassId, Settings, TenantId};
+use std::time::Duration;
 
 /// All classes that the settings have ever named, by their ids: a class that was removed keeps its id.
 #[derive(Debug)]
@@ -45,6 +46,12 @@
         position(&self.names, name).filter(|&index| self.classes[index].active).map(ClassId)
     }
 
+    /// The longest deadline of a class of the settings in force.
+    pub fn longest_deadline(&self) -> Duration {
+        let deadlines = self.classes.iter().filter(|class| class.active).map(|class| class.client_timeout);
+        Duration::from_micros(deadlines.max().unwrap_or_default())
+    }
+
     /// The tenant of this name, if the settings in force have one.
     pub fn tenant_id(&self, name: &str) -> Option<TenantId> {
         position(&self.tenants, name).map(TenantId)
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -19,6 +19,7 @@
 use state::DispatcherState;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tracing::info;
 
@@ -105,6 +106,11 @@
         self.state.borrow().classes.class_id(name)
     }
 
+    /// The longest deadline of a class of the settings in force.
+    pub fn longest_deadline(&self) -> Duration {
+        self.state.borrow().classes.longest_deadline()
+    }
+
     /// Sets whether new requests are accepted.
     pub fn set_accepting(&self, is_accepting: bool) {
         self.state.borrow_mut().is_accepting = is_accepting;
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -3,7 +3,7 @@
 use super::close::{close_gracefully, EVICTION_LINGER_TIMEOUT, LINGER_TIMEOUT};
 use super::connection::{ClientConnection, ClientPresence};
 use super::open_request::OpenRequest;
-use super::request::RequestHandler;
+use super::request::{RequestContext, RequestHandler};
 use super::response::TrackedBody;
 use super::shutdown::ShutdownSignal;
 use super::shutdown_writer::ShutdownWriter;
@@ -72,8 +72,12 @@
         let mut response = if self.at_capacity {
             self.handler.reject(&request)
         } else {
-            let client = ClientPresence::of(&self.connection);
-            self.handler.handle(request, &open, client).await
+            let context = RequestContext {
+                open: Rc::clone(&open),
+                client: ClientPresence::of(&self.connection),
+                shutdown: self.shutdown.clone(),
+            };
+            self.handler.handle(request, context).await
         };
         if self.shutdown.borrow().is_some() || self.connection.read_ahead_overflowed() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -83,7 +83,7 @@
                 () = &mut stop, if accept_until.is_none() => {
                     // From now on each response closes its connection, and idle ones close at once, while new ones
                     // are still accepted: clients move over before the listener closes.
-                    let shutdown = Shutdown { began: Instant::now() };
+                    let shutdown = Shutdown::begin(dispatcher.longest_deadline());
                     accept_until = Some(shutdown.began + SHUTDOWN_ACCEPT_TIME);
                     let _ = shutdown_sender.send(Some(shutdown));
                     dispatcher.set_accepting(false);
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -6,6 +6,7 @@
 use super::connection::ClientPresence;
 use super::open_request::OpenRequest;
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
+use super::shutdown::{completion_deadline, ShutdownSignal};
 use crate::body::{
     BodyError, MemoryLimit, MemoryReservation, RequestBodyReader, ResponseStream, Upload,
     MAX_BUFFERED_BODY_BYTES,
@@ -19,6 +20,7 @@
 use hyper::http::request::Parts;
 use hyper::{Method, Response, StatusCode};
 use oakport_core::{CallId, ClassId, Micros};
+use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,6 +44,14 @@
     pub memory: Rc<MemoryLimit>,
 }
 
+/// The connection that a request came on.
+pub struct RequestContext {
+    pub open: Rc<OpenRequest>,
+    /// Whether anybody still waits for the response.
+    pub client: ClientPresence,
+    pub shutdown: ShutdownSignal,
+}
+
 /// What the head of a valid request says.
 struct RequestHead {
     class: ClassId,
@@ -70,18 +80,17 @@
         rejected(CAPACITY_RETRY_AFTER_US)
     }
 
-    /// The response to a request. `client` says whether anybody still waits for it.
+    /// The response to a request.
     pub async fn handle(
         &self,
         request: hyper::Request<Incoming>,
-        open: &Rc<OpenRequest>,
-        client: ClientPresence,
+        context: RequestContext,
     ) -> Response<ResponseStream> {
         let (parts, body) = request.into_parts();
         if is_health_check(&parts) {
             return text_response(StatusCode::OK, "ok");
         }
-        match self.forward(parts, body, open, client).await {
+        match self.forward(parts, body, context).await {
             Ok(response) => final_response(response),
             Err(error) => error.into_response(),
         }
@@ -91,11 +100,18 @@
         &self,
         parts: Parts,
         body: Incoming,
-        open: &Rc<OpenRequest>,
-        client: ClientPresence,
+        context: RequestContext,
     ) -> Result<Option<FinalResponse>, RequestError> {
+        let RequestContext { open, client, mut shutdown } = context;
         let head = self.validate(&parts)?;
-        let body = self.receive_body(body, &head, open).await?;
+        let client_timeout = Duration::from_micros(head.client_timeout_us);
+        // A request that becomes complete later could lose its response with the process.
+        let mut completion_deadline = pin!(completion_deadline(&mut shutdown, client_timeout));
+        let body = tokio::select! {
+            biased;
+            body = self.receive_body(body, &head, &open) => body?,
+            () = completion_deadline.as_mut() => return Err(self.reject_incomplete(&head)),
+        };
         let attributes = CallAttributes {
             class: head.class,
             tenant: text_header(&parts.headers, TENANT_HEADER),
@@ -112,21 +128,34 @@
             client,
         };
         let Some((call, response)) = self.dispatcher.start_call(attributes, request) else {
-            discard_remaining(body.upload, open);
+            discard_remaining(body.upload, &open);
             return Err(RequestError::AtCapacity);
         };
         let _guard = CallGuard { dispatcher: &self.dispatcher, call };
         let response = match &body.upload {
             None => response.await.ok(),
-            Some(upload) => self.await_streamed(call, upload, response, open).await?,
+            Some(upload) => {
+                let response = self.await_streamed(call, upload, response, &open, completion_deadline).await;
+                if matches!(response, Err(RequestError::ShuttingDown)) {
+                    discard(Rc::clone(upload), &open);
+                    return Err(self.reject_incomplete(&head));
+                }
+                response?
+            }
         };
         // An endpoint that has begun its response may still be reading the request.
         if !matches!(response, Some(FinalResponse::Streaming(_))) {
-            discard_remaining(body.upload, open);
+            discard_remaining(body.upload, &open);
         }
         Ok(response)
     }
 
+    /// Counts a request that was still incomplete when it was too late to take it.
+    fn reject_incomplete(&self, head: &RequestHead) -> RequestError {
+        self.dispatcher.count_rejected(head.class);
+        RequestError::ShuttingDown
+    }
+
     fn validate(&self, parts: &Parts) -> Result<RequestHead, RequestError> {
         let timeout = parts.headers.get(TIMEOUT_HEADER);
         let timeout = timeout.and_then(|value| value.to_str().ok()).and_then(parse_timeout_us);
@@ -187,19 +216,22 @@
         })
     }
 
-    /// Waits for the response to a request whose body is still arriving. Fails if the body does first.
+    /// Waits for the response to a request whose body is still arriving. Fails if the body does first, or is incomplete
+    /// when `completion_deadline` resolves.
     async fn await_streamed(
         &self,
         call: CallId,
         upload: &Upload,
         response: oneshot::Receiver<FinalResponse>,
         open: &OpenRequest,
+        completion_deadline: impl Future<Output = ()>,
     ) -> Result<Option<FinalResponse>, RequestError> {
         let mut response = pin!(response);
         tokio::select! {
             biased;
             response = response.as_mut() => return Ok(response.ok()),
             end = upload.ended() => end.map_err(RequestError::Body)?,
+            () = completion_deadline => return Err(RequestError::ShuttingDown),
         }
         open.complete();
         self.dispatcher.complete_request(call);
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -28,6 +28,9 @@
     UnknownClass,
     #[error("refused")]
     AtCapacity,
+    /// Incomplete when its response might no longer be ready before the process ends.
+    #[error("refused")]
+    ShuttingDown,
     #[error(transparent)]
     Body(BodyError),
 }
@@ -38,7 +41,9 @@
         let status = match self {
             RequestError::InvalidTimeout | RequestError::MissingRequestId => StatusCode::BAD_REQUEST,
             RequestError::UnknownClass => StatusCode::NOT_FOUND,
-            RequestError::AtCapacity => return rejected(CAPACITY_RETRY_AFTER_US),
+            RequestError::AtCapacity | RequestError::ShuttingDown => {
+                return rejected(CAPACITY_RETRY_AFTER_US)
+            }
             RequestError::Body(error) => return body_error(error),
         };
         closing_response(status, self.to_string())
--- a/crates/proxy/src/downstream/shutdown.rs
+++ b/crates/proxy/src/downstream/shutdown.rs
@@ -1,14 +1,53 @@
-//! What the client side knows of a graceful shutdown.
+//! What the client side knows of a graceful shutdown: when it began, and when the process may be killed.
 
+#[cfg(test)]
+mod tests;
+
+use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
 
+/// A process may be killed so long after SIGTERM, beyond the longest deadline of a class (PROTOCOL).
+const KILL_MARGIN: Duration = Duration::from_millis(700);
+/// A longer deadline counts as this there.
+const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+
 /// A graceful shutdown that has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
     /// When SIGTERM came.
     pub began: Instant,
+    /// From then on the process may be killed.
+    pub earliest_kill: Instant,
 }
 
 /// The graceful shutdown; None: none has begun.
 pub type ShutdownSignal = watch::Receiver<Option<Shutdown>>;
+
+impl Shutdown {
+    /// One that begins now, where the classes' longest deadline is this.
+    pub fn begin(longest_deadline: Duration) -> Self {
+        let began = Instant::now();
+        let earliest_kill = began + longest_deadline.min(MAX_COUNTED_DEADLINE) + KILL_MARGIN;
+        Shutdown { began, earliest_kill }
+    }
+
+    /// Until when a request may become complete that is to be answered within this time: a later one might still be
+    /// without its response at the kill.
+    pub fn latest_completion(&self, client_timeout: Duration) -> Instant {
+        // What comes within the margin has the longest deadline left, and is never lost by the kill (PROTOCOL).
+        let latest_without_loss = self.began + KILL_MARGIN;
+        let latest = self.earliest_kill.checked_sub(client_timeout);
+        latest.unwrap_or(latest_without_loss).max(latest_without_loss)
+    }
+}
+
+/// Resolves once a request with this timeout that is not complete yet must not be taken any more.
+pub async fn completion_deadline(shutdown: &mut ShutdownSignal, client_timeout: Duration) {
+    let Ok(begun) = shutdown.wait_for(Option::is_some).await.map(|shutdown| *shutdown) else {
+        return std::future::pending().await;
+    };
+    if let Some(begun) = begun {
+        tokio::time::sleep_until(begun.latest_completion(client_timeout)).await;
+    }
+}
