Report graceful shutdown in the log and in DUMP

Cause: a clean end of a process could not be told from a kill: neither the log nor DUMP said that graceful shutdown had begun, what was still open, or that the process had ended. Change: client connections are counted by what they carry; the log tells the counts when graceful shutdown begins and each 500 ms while a connection is open, and its end; DUMP has them under `shutdown` once it has begun, and ctl's table shows them. A streamed response counts as being written from its head on, although its request's phase changes at its end.

--- a/crates/cli/src/ctl/tables.rs
+++ b/crates/cli/src/ctl/tables.rs
@@ -1,7 +1,7 @@
 //! Tables of `oakport ctl` for a terminal.
 
 use comfy_table::{presets, CellAlignment, Table};
-use oakport_proxy::{MembershipReport, MetricsReport, OutcomeCounts};
+use oakport_proxy::{MembershipReport, MetricsReport, OutcomeCounts, ShutdownReport};
 use std::time::Duration;
 
 /// A report from some time ago, for rates per second.
@@ -74,6 +74,10 @@
     let mut lines: Vec<String> = outcomes_table(now, earlier).lines().collect();
     lines.push(String::new());
     lines.extend(totals_table(now, earlier).lines());
+    if let Some(shutdown) = &now.shutdown {
+        lines.push(String::new());
+        lines.extend(shutdown_table(shutdown).lines());
+    }
     join_trimmed(lines)
 }
 
@@ -110,6 +114,18 @@
     table
 }
 
+fn shutdown_table(shutdown: &ShutdownReport) -> Table {
+    let mut table = Table::new();
+    table.load_preset(presets::NOTHING);
+    table.add_row(["graceful shutdown for", &whole_seconds(shutdown.began_ms_ago)]);
+    table.add_row(["client connections", &shutdown.open.connections.to_string()]);
+    table.add_row(["incomplete requests", &shutdown.open.incomplete_requests.to_string()]);
+    table.add_row(["awaiting response", &shutdown.open.awaiting_response.to_string()]);
+    table.add_row(["writing response", &shutdown.open.writing_response.to_string()]);
+    align_numbers_right(&mut table);
+    table
+}
+
 /// A counter, with its increase per second since the earlier report.
 fn with_rate(now: u64, earlier: Option<Earlier<'_>>, count: impl Fn(&MetricsReport) -> u64) -> String {
     let Some(earlier) = earlier else { return now.to_string() };
--- a/crates/proxy/src/admin.rs
+++ b/crates/proxy/src/admin.rs
@@ -3,6 +3,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::membership::MembershipService;
 use crate::metrics::MetricsReport;
+use crate::shutdown_progress::ShutdownProgress;
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
@@ -29,8 +30,27 @@
 /// Pause before listening or accepting is retried.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
+/// The parts of the program whose state is reported.
+#[derive(Clone)]
+pub struct Sources {
+    pub dispatcher: Dispatcher,
+    pub membership: Option<Rc<MembershipService>>,
+    pub shutdown: Rc<ShutdownProgress>,
+}
+
+impl Sources {
+    /// All metrics at this moment.
+    fn report(&self) -> MetricsReport {
+        MetricsReport {
+            membership: self.membership.as_deref().and_then(MembershipService::report),
+            shutdown: self.shutdown.report(),
+            ..self.dispatcher.report()
+        }
+    }
+}
+
 /// Serves the admin endpoint at `address` for as long as the program runs.
-pub async fn run(dispatcher: Dispatcher, membership: Option<Rc<MembershipService>>, address: SocketAddr) {
+pub async fn run(sources: Sources, address: SocketAddr) {
     let listener = listen(address).await;
     if let Ok(address) = listener.local_addr() {
         info!(%address, "admin endpoint listening");
@@ -47,7 +67,7 @@
                             oldest.abort();
                         }
                     }
-                    let connection = serve(dispatcher.clone(), membership.clone(), stream);
+                    let connection = serve(sources.clone(), stream);
                     oldest_first.push_back(connections.spawn_local(connection));
                 }
                 Err(_) => sleep(RETRY_PAUSE).await,
@@ -82,9 +102,9 @@
 }
 
 /// Serves one connection: reads a line, writes the response and closes.
-async fn serve(dispatcher: Dispatcher, membership: Option<Rc<MembershipService>>, mut stream: TcpStream) {
+async fn serve(sources: Sources, mut stream: TcpStream) {
     let response = match timeout(REQUEST_LINE_TIMEOUT, read_request_line(&mut stream)).await {
-        Ok(Some(line)) => respond(&dispatcher, membership.as_deref(), &line),
+        Ok(Some(line)) => respond(&sources, &line),
         Ok(None) => return,
         Err(_) => "NO not a whole line in time\n".to_owned(),
     };
@@ -119,18 +139,14 @@
     Some(line)
 }
 
-fn respond(dispatcher: &Dispatcher, membership: Option<&MembershipService>, line: &[u8]) -> String {
+fn respond(sources: &Sources, line: &[u8]) -> String {
     match line {
-        b"HEALTH" if dispatcher.is_accepting() => "YES\n".to_owned(),
+        b"HEALTH" if sources.dispatcher.is_accepting() => "YES\n".to_owned(),
         b"HEALTH" => "NO clients are not taken any more\n".to_owned(),
-        b"DUMP" => {
-            let membership = membership.and_then(MembershipService::report);
-            let report = MetricsReport { membership, ..dispatcher.report() };
-            match serde_json::to_string(&report) {
-                Ok(json) => format!("{json}\nEND\n"),
-                Err(error) => format!("NO {error}\n"),
-            }
-        }
+        b"DUMP" => match serde_json::to_string(&sources.report()) {
+            Ok(json) => format!("{json}\nEND\n"),
+            Err(error) => format!("NO {error}\n"),
+        },
         _ => "NO only HEALTH and DUMP are known\n".to_owned(),
     }
 }
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -2,6 +2,7 @@
 
 use super::deadline::{body_slack, ConnectionTimes, Phase};
 use super::idle::{IdleConnections, IdleKey};
+use super::open_connections::{Activity, OpenConnection};
 use super::read_ahead::ReadAhead;
 use crate::body::MemoryLimit;
 use crate::socket::Socket;
@@ -24,6 +25,9 @@
     request_count: Cell<u64>,
     accepted_at: Instant,
     phase: Cell<Phase>,
+    /// The response to the latest request has begun.
+    response_begun: Cell<bool>,
+    open_connection: OpenConnection,
     /// Since when the client has taken nothing of what is to be written.
     write_stalled_since: Cell<Option<Instant>>,
     /// The client has closed its side: it has disconnected, whatever of it is still unread.
@@ -34,7 +38,12 @@
 
 impl ClientConnection {
     /// A connection that has just been accepted, on which nothing has arrived.
-    pub fn new(socket: Socket, idle_connections: Rc<IdleConnections>, memory: Rc<MemoryLimit>) -> Rc<Self> {
+    pub fn new(
+        socket: Socket,
+        idle_connections: Rc<IdleConnections>,
+        memory: Rc<MemoryLimit>,
+        open_connection: OpenConnection,
+    ) -> Rc<Self> {
         let connection = ClientConnection {
             socket,
             idle_connections,
@@ -43,6 +52,8 @@
             request_count: Cell::new(0),
             accepted_at: Instant::now(),
             phase: Cell::new(Phase::RequestOpen),
+            response_begun: Cell::default(),
+            open_connection,
             write_stalled_since: Cell::default(),
             client_closed: Cell::default(),
             read_ahead: ReadAhead::new(memory),
@@ -59,6 +70,7 @@
 
     fn enter(&self, phase: Phase) {
         self.phase.set(phase);
+        self.open_connection.set_activity(activity(phase, self.response_begun.get()));
         self.state_changed.notify_one();
     }
 
@@ -91,6 +103,7 @@
     pub(super) fn begin_request(&self) -> u64 {
         self.record_read();
         self.request_count.set(self.request_count.get() + 1);
+        self.response_begun.set(false);
         // The notification also makes a close of the client be checked at once.
         self.enter(Phase::RequestOpen);
         self.request_count.get()
@@ -104,6 +117,14 @@
         }
     }
 
+    /// The response to the request with this number begins.
+    pub(super) fn begin_response(&self, number: u64) {
+        if self.request_count.get() == number {
+            self.response_begun.set(true);
+            self.open_connection.set_activity(activity(self.phase.get(), true));
+        }
+    }
+
     /// The response to the request with this number is there and nothing of the request is read any more.
     pub(super) fn end_request(&self, number: u64) {
         if self.request_count.get() == number {
@@ -202,6 +223,16 @@
     }
 }
 
+/// What a connection counts as in this phase. A response that is streamed begins long before its request ends.
+fn activity(phase: Phase, response_begun: bool) -> Activity {
+    match phase {
+        Phase::Idle { .. } | Phase::ReadingHead { .. } => Activity::NoRequest,
+        Phase::RequestOpen => Activity::IncompleteRequest,
+        Phase::AwaitingResponse if !response_begun => Activity::AwaitingResponse,
+        Phase::AwaitingResponse | Phase::WritingResponse => Activity::WritingResponse,
+    }
+}
+
 /// Whether the client of a request is still connected, without keeping its connection open.
 #[derive(Clone, Default)]
 pub struct ClientPresence(Option<Weak<ClientConnection>>);
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -3,6 +3,7 @@
 use super::connection::ClientConnection;
 use super::http_connection::{sleep_until, HttpConnection};
 use super::idle::IdleConnections;
+use super::open_connections::OpenConnections;
 use super::request::RequestHandler;
 use super::shutdown::{Shutdown, ShutdownSignal};
 use crate::descriptors::{Descriptor, Descriptors};
@@ -38,6 +39,7 @@
     /// Most further connections that are accepted to have their request rejected.
     pub max_rejected_connections: usize,
     pub idle_connections: Rc<IdleConnections>,
+    pub open_connections: Rc<OpenConnections>,
 }
 
 /// What an accepted connection holds of the proxy's capacity until it has closed.
@@ -182,6 +184,7 @@
                 Socket::new(stream),
                 Rc::clone(&downstream.idle_connections),
                 Rc::clone(&downstream.handler.memory),
+                downstream.open_connections.open(),
             ),
             handler: Rc::clone(&downstream.handler),
             shutdown: self.shutdown.clone(),
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -6,6 +6,7 @@
 mod http_connection;
 mod idle;
 mod listener;
+pub mod open_connections;
 mod open_request;
 mod read_ahead;
 mod request;
--- a/crates/proxy/src/downstream/open_request.rs
+++ b/crates/proxy/src/downstream/open_request.rs
@@ -23,6 +23,11 @@
         self.connection.complete_request(self.number);
     }
 
+    /// Its response begins.
+    pub fn begin_response(&self) {
+        self.connection.begin_response(self.number);
+    }
+
     /// How long its body may stall in total, beyond what its size explains. To be called as the request begins.
     pub fn body_slack(&self) -> Duration {
         self.connection.body_slack()
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -115,6 +115,7 @@
 
 impl TrackedBody {
     pub fn new(body: ResponseStream, open: Rc<OpenRequest>) -> Self {
+        open.begin_response();
         TrackedBody { body, _open: open }
     }
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -24,6 +24,7 @@
 mod reload;
 mod request;
 mod response;
+mod shutdown_progress;
 mod socket;
 mod system_limits;
 mod upstream;
@@ -32,5 +33,5 @@
 pub use descriptor_budget::{client_capacity, ClientCapacity};
 pub use hot_restart::{inherited_listener, InheritedListenerError};
 pub use membership::{MemberReport, MembershipReport, ScopeReport};
-pub use metrics::{ConnectionCounts, MetricsReport, OutcomeCounts};
+pub use metrics::{ConnectionCounts, MetricsReport, OpenConnectionCounts, OutcomeCounts, ShutdownReport};
 pub use process::{Process, ServeError, StartError};
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -41,6 +41,30 @@
     pub unsolicited: u64,
 }
 
+/// What is open on the clients' connections. Each request is counted in one of the three states; a connection without
+/// one is idle, sends a head, or is closing.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct OpenConnectionCounts {
+    /// Client connections.
+    pub connections: usize,
+    /// Requests of whose body some has still to arrive.
+    pub incomplete_requests: usize,
+    /// Complete requests whose response has not begun.
+    pub awaiting_response: usize,
+    /// Responses that are not yet written in full.
+    pub writing_response: usize,
+}
+
+/// How far a graceful shutdown has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
+pub struct ShutdownReport {
+    /// Time since it began, in milliseconds.
+    pub began_ms_ago: u64,
+    /// What is still open.
+    #[serde(flatten)]
+    pub open: OpenConnectionCounts,
+}
+
 /// Counters since the start of the process.
 #[derive(Debug, Default)]
 pub struct Metrics {
@@ -94,6 +118,9 @@
     /// The other client proxies, where they are known.
     #[serde(default, skip_serializing_if = "Option::is_none", rename = "peers")]
     pub membership: Option<MembershipReport>,
+    /// The graceful shutdown, once it has begun.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub shutdown: Option<ShutdownReport>,
 }
 
 impl Metrics {
@@ -157,6 +184,7 @@
             reloads_succeeded: self.reloads_succeeded.get(),
             reloads_failed: self.reloads_failed.get(),
             membership: None,
+            shutdown: None,
         }
     }
 }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -10,11 +10,13 @@
 use crate::descriptors::Descriptors;
 use crate::discovery::EndpointWatcher;
 use crate::dispatcher::Dispatcher;
+use crate::downstream::open_connections::OpenConnections;
 use crate::downstream::{Downstream, IdleConnections, RequestHandler};
 use crate::hot_restart::{bind_when_free, newer_list, HandoverDirectory};
 use crate::membership::MembershipService;
 use crate::metrics::Metrics;
 use crate::reload::Reloader;
+use crate::shutdown_progress::ShutdownProgress;
 use crate::upstream::pool::ConnectionPool;
 use oakport_core::ListUpdateKind;
 use std::cell::RefCell;
@@ -147,12 +149,14 @@
         let (discovery_sender, discovery_address) = watch::channel(self.config.discovery);
         let mut timers = self.spawn_timers();
         let mut discovery = self.spawn_discovery(discovery_address);
-        self.spawn_admin_and_membership();
+        let open_connections = Rc::<OpenConnections>::default();
+        let shutdown = Rc::new(ShutdownProgress::new(Rc::clone(&open_connections)));
+        self.spawn_admin_and_membership(&shutdown);
         if let Ok(address) = self.listener.local_addr() {
             info!(%address, "listening");
         }
         let idle_connections = Rc::<IdleConnections>::default();
-        let downstream = Rc::new(self.downstream(&idle_connections));
+        let downstream = Rc::new(self.downstream(&idle_connections, open_connections));
         let Process { shares_listener, budget, pool, membership, .. } = self;
         let reloader = Reloader {
             hangup: self.hangup,
@@ -165,6 +169,7 @@
         let stopped = Notify::new();
         let stop = async {
             self.terminate.recv().await;
+            shutdown.begin(shares_listener);
             stopped.notify_one();
             if shares_listener {
                 budget.hand_over(&pool);
@@ -180,10 +185,14 @@
         let serve_clients =
             async { tokio::join!(downstream.serve(self.listener, shares_listener, stop), leave_membership) };
         tokio::select! {
-            ((), ()) = serve_clients => Ok(()),
+            ((), ()) = serve_clients => {
+                shutdown.end();
+                Ok(())
+            }
             ended = &mut timers => Err(ServeError::TimersEnded(ended)),
             ended = &mut discovery => Err(ServeError::DiscoveryEnded(ended)),
             () = check_periodically(&budget, &pool, &idle_connections) => Ok(()),
+            () = shutdown.log_open_connections() => Ok(()),
             () = reloader.run() => Err(ServeError::SignalsEnded),
         }
     }
@@ -200,16 +209,25 @@
         tokio::task::spawn_local(watcher.run())
     }
 
-    fn spawn_admin_and_membership(&self) {
+    fn spawn_admin_and_membership(&self, shutdown: &Rc<ShutdownProgress>) {
         if let Some(address) = self.config.admin_address {
-            tokio::task::spawn_local(admin::run(self.dispatcher.clone(), self.membership.clone(), address));
+            let sources = admin::Sources {
+                dispatcher: self.dispatcher.clone(),
+                membership: self.membership.clone(),
+                shutdown: Rc::clone(shutdown),
+            };
+            tokio::task::spawn_local(admin::run(sources, address));
         }
         if let Some(membership) = &self.membership {
             tokio::task::spawn_local(Rc::clone(membership).run(self.dispatcher.clone()));
         }
     }
 
-    fn downstream(&self, idle_connections: &Rc<IdleConnections>) -> Downstream {
+    fn downstream(
+        &self,
+        idle_connections: &Rc<IdleConnections>,
+        open_connections: Rc<OpenConnections>,
+    ) -> Downstream {
         let capacity = client_capacity(self.budget.max_sockets);
         let handler = RequestHandler { dispatcher: self.dispatcher.clone(), memory: Rc::clone(&self.memory) };
         Downstream {
@@ -220,6 +238,7 @@
             max_client_connections: capacity.max_connections,
             max_rejected_connections: capacity.max_rejected,
             idle_connections: Rc::clone(idle_connections),
+            open_connections,
         }
     }
 }
