--- a/crates/cli/tests/shutdown_report.rs
+++ b/crates/cli/tests/shutdown_report.rs
@@ -4,9 +4,11 @@
 
 use peers::*;
 use std::io::{BufRead, Read};
+use std::net::SocketAddr;
 use std::process::Command;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Mutex;
+use std::thread;
 use std::time::{Duration, Instant};
 
 /// More than the system's buffers on both sides of the proxy hold.
@@ -80,14 +82,20 @@
         self.upload.write(&"u".repeat(UPLOAD_CHUNK_BYTES));
     }
 
-    /// Lets all of them end: 3 chunks of the upload are left.
-    fn finish(mut self, release: &Sender<()>) {
+    /// Sends the 3 chunks that are left.
+    fn finish_upload(&mut self) {
         for _ in 0..3 {
             self.upload_chunk();
         }
         assert_eq!(self.upload.answer().expect("a response").status(), 200);
-        release.send(()).expect("the endpoint waits");
+    }
+
+    fn finish_held(&mut self, endpoint: &Endpoint) {
+        endpoint.release.send(()).expect("the endpoint waits");
         assert_eq!(self.held.answer().expect("a response").status(), 200);
+    }
+
+    fn finish_large(&mut self) {
         while read_line(&mut self.large) != "\r\n" {}
         let mut body = vec![0; LARGE_BODY_BYTES];
         self.large.stream.read_exact(&mut body).expect("the whole body");
@@ -100,6 +108,21 @@
     line
 }
 
+/// Waits until these are open: connections, incomplete requests, awaited responses, responses being written.
+fn await_open(admin: SocketAddr, expected: [u64; 4]) {
+    let asked = Instant::now();
+    loop {
+        let metrics = metrics(admin);
+        let keys = ["connections", "incomplete_requests", "awaiting_response", "writing_response"];
+        let open = keys.map(|key| metrics["shutdown"][key].as_u64().expect("a count"));
+        if open == expected {
+            return;
+        }
+        assert!(asked.elapsed() < LONG, "{open:?} are open, not {expected:?}");
+        thread::sleep(Duration::from_millis(10));
+    }
+}
+
 /// The rest of the log of a process that has ended.
 fn remaining_log(proxy: &mut Proxy) -> String {
     let mut text = String::new();
@@ -112,7 +135,7 @@
     let (discovery, endpoint) = (Discovery::start(), endpoint());
     let mut proxy = Proxy::with(&config_with_admin_address(&discovery, &endpoint));
     let admin = proxy.operator();
-    let open = OpenRequests::begin(&proxy, &endpoint);
+    let mut open = OpenRequests::begin(&proxy, &endpoint);
     assert_eq!(metrics(admin).get("shutdown"), None, "it has not begun");
     let terminated = Instant::now();
     proxy.terminate();
@@ -134,7 +157,12 @@
         assert_eq!(cells(row), Some("1"), "{table}");
     }
     proxy.log_tells("graceful shutdown in progress", ALL_OPEN);
-    open.finish(&endpoint.release);
+    open.finish_upload();
+    await_open(admin, [2, 0, 1, 1]);
+    open.finish_held(&endpoint);
+    await_open(admin, [1, 0, 0, 1]);
+    open.finish_large();
+    drop(open);
     assert!(proxy.ended());
     let log = remaining_log(&mut proxy);
     let last = log.lines().last().expect("a line");
