Let no deadline end the held request of the shutdown report's test

Cause: with one mutation of the counts the test waited 20 s and found the held request ended before it was released; the class's deadline of 3 s is the likely reason, not traced further. Change: the test's classes have a deadline of 60 s.

--- a/crates/cli/tests/shutdown_report.rs
+++ b/crates/cli/tests/shutdown_report.rs
@@ -25,6 +25,8 @@
     let listen = "127.0.0.1:0".parse().expect("an address");
     let known = [entry("s-1", endpoint.host.address, "up", 0)];
     let text = config(listen, discovery.address, 1_024, &known);
+    // No deadline may end the held request before the test does.
+    let text = text.replace(r#""deadline_us":3000000"#, r#""deadline_us":60000000"#);
     text.replacen('{', r#"{"operator":"127.0.0.1:0","#, 1)
 }
 
