Force uploads that are served after the kill, and those that must still be served

Cause: an upload that completes more than 0.7 s after SIGTERM may be served within its deadline and yet after SIGKILL. No send buffer helps there.

Change: tests alone. Uploads whose endpoint takes 600 and 850 ms, to an end 50 and 200 ms after the kill; and, so that closing on every upload is no remedy, uploads that complete 0.5 s after SIGTERM and must be served.

--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -32,8 +32,6 @@
     [3_600_000, 3_700_000, 3_800_000, 3_900_000, 4_000_000, 4_100_000, 4_200_000, 4_300_000];
 /// ... and one that leaves a large one.
 const RESPONSE_BYTES_BEYOND_A_SEND_BUFFER: usize = 5_000_000;
-/// How long the endpoint works on an upload.
-const UPLOAD_SERVICE_TIME: Duration = Duration::from_millis(100);
 const FRAMINGS: [&str; 2] = ["length", "chunked"];
 
 /// The body of a response of this length. Made before the first request: it takes longer than a deadline allows.
@@ -240,6 +238,8 @@
     framing: &'static str,
     /// Its last byte is sent this long after SIGTERM.
     completed_after: Duration,
+    /// How long the endpoint works on it once it is complete.
+    service_time: Duration,
     response_bytes: usize,
 }
 
@@ -278,7 +278,12 @@
         if self.framing == "chunked" {
             parts.last_mut().expect("a part").extend(LAST_CHUNK);
         }
-        let target = format!("unsafe?number={number}&framing={}&size={}", self.framing, self.response_bytes);
+        let target = format!(
+            "unsafe?number={number}&framing={}&size={}&service_ms={}",
+            self.framing,
+            self.response_bytes,
+            self.service_time.as_millis()
+        );
         client.write(&request_head(&target, "900m", &header));
         assert!(send_bytes(&mut client.stream, &parts.remove(0)));
         parts
@@ -332,11 +337,12 @@
         if stream.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
             let _ = begun_sender.send(());
         }
-        let number = query_value(head, "number").and_then(|n| n.parse().ok()).expect("a number");
+        let number_of = |name| query_value(head, name).and_then(|n| n.parse().ok()).expect("a number");
+        let (number, service_ms): (usize, usize) = (number_of("number"), number_of("service_ms"));
         let is_complete = body(head, stream).is_some();
         let _ = ended_sender.send((number, is_complete));
         if is_complete {
-            thread::sleep(UPLOAD_SERVICE_TIME);
+            thread::sleep(Duration::from_millis(service_ms as u64));
             write_response(stream, framing, response_body(size));
         }
     });
@@ -377,16 +383,16 @@
     outcomes.enumerate().map(|(number, outcome)| (outcome, ended.contains(&(number, true)))).collect()
 }
 
-/// Uploads of either framing, whose last bytes come from well before the kill to just before it.
-fn assert_no_complete_upload_is_lost(restart: Restart) {
-    let completed_after_ms = [1_000, 1_200, 1_400, 1_600];
-    let plans: Vec<UploadPlan> = completed_after_ms
-        .into_iter()
-        .flat_map(|milliseconds| {
+/// Uploads of either framing that complete this long after SIGTERM, and are worked on for so long.
+fn assert_no_complete_upload_is_lost(restart: Restart, milliseconds: &[(u64, u64)], response_bytes: usize) {
+    let plans: Vec<UploadPlan> = milliseconds
+        .iter()
+        .flat_map(|&(completed_after_ms, service_ms)| {
             FRAMINGS.map(|framing| UploadPlan {
                 framing,
-                completed_after: Duration::from_millis(milliseconds),
-                response_bytes: RESPONSE_BYTES_BEYOND_A_SEND_BUFFER,
+                completed_after: Duration::from_millis(completed_after_ms),
+                service_time: Duration::from_millis(service_ms),
+                response_bytes,
             })
         })
         .collect();
@@ -402,16 +408,62 @@
     );
 }
 
+/// From well before the kill to just before it, with a service time that is short.
+const UPLOADS_OF_LARGE_RESPONSES_MS: [(u64, u64); 4] =
+    [(1_000, 100), (1_200, 100), (1_400, 100), (1_600, 100)];
+/// Served within their client timeout, but after the kill.
+const UPLOADS_SERVED_AFTER_THE_KILL_MS: [(u64, u64); 2] = [(900, 850), (1_300, 600)];
+const SMALL_RESPONSE_BYTES: usize = 1_000;
+
+#[test]
+fn an_upload_with_a_large_response_is_not_lost_by_the_kill_that_ends_a_hot_restart() {
+    // Guards against a response being cut that began shortly before the kill.
+    let uploads = &UPLOADS_OF_LARGE_RESPONSES_MS;
+    assert_no_complete_upload_is_lost(Restart::Hot, uploads, RESPONSE_BYTES_BEYOND_A_SEND_BUFFER);
+}
+
+#[test]
+fn an_upload_with_a_large_response_is_not_lost_by_the_kill_that_ends_a_planned_restart() {
+    // Guards against the same where no successor shares the listener.
+    let uploads = &UPLOADS_OF_LARGE_RESPONSES_MS;
+    assert_no_complete_upload_is_lost(Restart::Planned, uploads, RESPONSE_BYTES_BEYOND_A_SEND_BUFFER);
+}
+
+#[test]
+fn an_upload_that_is_served_after_the_kill_is_not_lost_in_a_hot_restart() {
+    // Guards against forwarding the end of an upload whose response need not come before the kill.
+    let uploads = &UPLOADS_SERVED_AFTER_THE_KILL_MS;
+    assert_no_complete_upload_is_lost(Restart::Hot, uploads, SMALL_RESPONSE_BYTES);
+}
+
+#[test]
+fn an_upload_that_is_served_after_the_kill_is_not_lost_in_a_planned_restart() {
+    // Guards against the same where no successor shares the listener.
+    let uploads = &UPLOADS_SERVED_AFTER_THE_KILL_MS;
+    assert_no_complete_upload_is_lost(Restart::Planned, uploads, SMALL_RESPONSE_BYTES);
+}
+
+/// Completed at a moment at which it counts as taken, and served well before the kill.
+fn assert_timely_upload_is_served(restart: Restart) {
+    let plans = FRAMINGS.map(|framing| UploadPlan {
+        framing,
+        completed_after: Duration::from_millis(500),
+        service_time: Duration::from_millis(100),
+        response_bytes: SMALL_RESPONSE_BYTES,
+    });
+    assert_eq!(play_uploads(restart, &plans), [(UploadOutcome::Served, true); 2], "{restart:?}");
+}
+
 #[test]
-fn no_upload_is_complete_at_its_endpoint_and_lost_by_the_kill_that_ends_a_hot_restart() {
-    // Guards against forwarding the end of an upload whose response cannot be through before the kill.
-    assert_no_complete_upload_is_lost(Restart::Hot);
+fn an_upload_that_is_complete_in_time_is_served_in_a_hot_restart() {
+    // Guards against keeping uploads from being lost by closing on all of them.
+    assert_timely_upload_is_served(Restart::Hot);
 }
 
 #[test]
-fn no_upload_is_complete_at_its_endpoint_and_lost_by_the_kill_that_ends_a_planned_restart() {
+fn an_upload_that_is_complete_in_time_is_served_in_a_planned_restart() {
     // Guards against the same where no successor shares the listener.
-    assert_no_complete_upload_is_lost(Restart::Planned);
+    assert_timely_upload_is_served(Restart::Planned);
 }
 
 /// When the last of a head arrives that must still be served.
