--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod agent;
 pub mod bodies;
+pub mod shutdown;
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
--- /dev/null
+++ b/crates/cli/tests/upload_shutdown.rs
@@ -0,0 +1,252 @@
+//! Uploads under way in a graceful shutdown. An endpoint must see no complete request whose response its client does not
+//! get, as the process is killed at the protocol's earliest moment.
+
+mod peers;
+
+use peers::bodies::*;
+use peers::shutdown::*;
+use peers::*;
+use std::io::BufRead;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{channel, Receiver};
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Part of an upload that is sent in each [`UPLOAD_INTERVAL`]: 64 KB a second.
+const UPLOAD_CHUNK_BYTES: usize = 3_200;
+const UPLOAD_INTERVAL: Duration = Duration::from_millis(50);
+/// So much that an upload is streamed to its endpoint, which has its beginning before SIGTERM.
+const UPLOAD_BYTES_BEFORE_SHUTDOWN: usize = 80_000;
+/// From well before the kill to just before it, with a service time that is short.
+const UPLOADS_OF_LARGE_RESPONSES_MS: [(u64, u64); 4] =
+    [(1_000, 100), (1_200, 100), (1_400, 100), (1_600, 100)];
+/// Served within their client timeout, but after the kill.
+const UPLOADS_SERVED_AFTER_THE_KILL_MS: [(u64, u64); 2] = [(900, 850), (1_300, 600)];
+const SMALL_RESPONSE_BYTES: usize = 1_000;
+
+/// An upload under way as SIGTERM is sent, and the response that it asks for.
+#[derive(Clone, Copy, Debug)]
+struct UploadPlan {
+    framing: &'static str,
+    /// Its last byte is sent this long after SIGTERM.
+    completed_after: Duration,
+    /// How long the endpoint works on it once it is complete.
+    service_time: Duration,
+    response_bytes: usize,
+}
+
+/// What a client got for its upload.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UploadOutcome {
+    Served,
+    /// 503 with Retry-After, and its connection was closed.
+    Rejected,
+    /// Closed on without a response.
+    Closed,
+    /// Anything else, such as a part of the response.
+    Broken,
+}
+
+impl UploadPlan {
+    fn body(&self) -> Vec<u8> {
+        let chunk_count = self.completed_after.as_millis() / UPLOAD_INTERVAL.as_millis();
+        test_pattern(UPLOAD_BYTES_BEFORE_SHUTDOWN + chunk_count as usize * UPLOAD_CHUNK_BYTES)
+    }
+
+    /// Writes the head and the beginning of the body. Returns the rest, as it goes onto the connection.
+    fn begin(&self, number: usize, client: &mut Client) -> Vec<Vec<u8>> {
+        let body = self.body();
+        let (beginning, rest) = body.split_at(UPLOAD_BYTES_BEFORE_SHUTDOWN);
+        let parts = std::iter::once(beginning).chain(rest.chunks(UPLOAD_CHUNK_BYTES));
+        let (header, mut parts): (String, Vec<Vec<u8>>) = match self.framing {
+            "chunked" => ("Transfer-Encoding: chunked\r\n".to_owned(), parts.map(chunk).collect()),
+            _ => (format!("Content-Length: {}\r\n", body.len()), parts.map(<[u8]>::to_vec).collect()),
+        };
+        if self.framing == "chunked" {
+            parts.last_mut().expect("a part").extend(LAST_CHUNK);
+        }
+        let target = format!(
+            "unsafe?number={number}&framing={}&size={}&service_ms={}",
+            self.framing,
+            self.response_bytes,
+            self.service_time.as_millis()
+        );
+        client.write(&request_head(&target, "900m", &header));
+        assert!(send_bytes(&mut client.stream, &parts.remove(0)));
+        parts
+    }
+
+    fn outcome(&self, response: &[u8]) -> UploadOutcome {
+        if response.is_empty() {
+            return UploadOutcome::Closed;
+        }
+        let mut rest = response;
+        let head = head(&mut rest).unwrap_or_default();
+        let is_rejection = head.starts_with("HTTP/1.1 503")
+            && header_value(&head, "retry-after").is_some()
+            && header_value(&head, "connection") == Some("close");
+        match body(&head, &mut rest) {
+            Some(_) if is_rejection => UploadOutcome::Rejected,
+            Some(content) if content == response_body(self.response_bytes) => UploadOutcome::Served,
+            _ => UploadOutcome::Broken,
+        }
+    }
+}
+
+/// Sends the rest of an upload, its last part at that moment, and reads the response slowly.
+fn finish_upload(mut client: Client, parts: Vec<Vec<u8>>, last: Instant, killed: &AtomicBool) -> Vec<u8> {
+    let intervals = (0..parts.len() as u32).rev();
+    for (part, intervals_left) in parts.iter().zip(intervals) {
+        let moment = last - UPLOAD_INTERVAL * intervals_left;
+        thread::sleep(moment.saturating_duration_since(Instant::now()));
+        // A client that has been closed on stops.
+        if !send_bytes(&mut client.stream, part) {
+            break;
+        }
+    }
+    read_slowly(client.stream, killed)
+}
+
+/// What an endpoint of uploads reports.
+struct UploadReports {
+    /// An upload's first bytes have arrived.
+    begun: Receiver<()>,
+    /// The number of an upload that has ended, and whether it was complete.
+    ended: Receiver<(usize, bool)>,
+}
+
+/// An endpoint of the uploads of [`UploadPlan::begin`]. Other requests are answered at once.
+fn upload_endpoint() -> (SocketAddr, UploadReports) {
+    let ((begun_sender, begun), (ended_sender, ended)) = (channel(), channel());
+    let address = endpoint(move |head, stream| {
+        let Some((framing, size)) = requested_response(head) else {
+            let _ = body(head, stream);
+            write_response(stream, "length", b"ok");
+            return;
+        };
+        if stream.fill_buf().is_ok_and(|bytes| !bytes.is_empty()) {
+            let _ = begun_sender.send(());
+        }
+        let number_of =
+            |name| query_value(head, name).and_then(|n| n.parse::<usize>().ok()).expect("a number");
+        let (number, service_ms) = (number_of("number"), number_of("service_ms"));
+        let is_complete = body(head, stream).is_some();
+        let _ = ended_sender.send((number, is_complete));
+        if is_complete {
+            thread::sleep(Duration::from_millis(service_ms as u64));
+            write_response(stream, framing, response_body(size));
+        }
+    });
+    (address, UploadReports { begun, ended })
+}
+
+/// Plays these uploads side by side and kills the process at the earliest moment. Returns what each client got, and whether
+/// the endpoint saw the complete request.
+fn play_uploads(restart: Restart, plans: &[UploadPlan]) -> Vec<(UploadOutcome, bool)> {
+    let (endpoint, reports) = upload_endpoint();
+    let mut shutdown = Shutdown::prepare(restart, endpoint);
+    let mut clients = shutdown.connected_clients(plans.len());
+    let successor = shutdown.start_successor();
+    let remaining_parts: Vec<_> =
+        plans.iter().zip(&mut clients).enumerate().map(|(n, (plan, client))| plan.begin(n, client)).collect();
+    for _ in plans {
+        reports.begun.recv_timeout(LONG).expect("the beginning of each upload at the endpoint");
+    }
+    let terminated = shutdown.terminate();
+    let killed = Arc::<AtomicBool>::default();
+    let uploads = clients.into_iter().zip(remaining_parts).zip(plans).map(|((client, parts), plan)| {
+        let (last, killed) = (terminated + plan.completed_after, Arc::clone(&killed));
+        thread::spawn(move || finish_upload(client, parts, last, &killed))
+    });
+    let uploads: Vec<_> = uploads.collect();
+    shutdown.kill(terminated);
+    killed.store(true, Ordering::SeqCst);
+    let responses: Vec<_> = uploads.into_iter().map(|upload| upload.join().expect("a client")).collect();
+    // Each that had begun has ended, as the process has; a successor may have sent it once more.
+    let mut ended: Vec<(usize, bool)> =
+        plans.iter().map(|_| reports.ended.recv_timeout(LONG).expect("the end of each upload")).collect();
+    ended.extend(reports.ended.try_iter());
+    if let Some(successor) = successor {
+        assert_eq!(successor.call("safe", "900m").status(), 200, "the successor serves on");
+    }
+    let outcomes = plans.iter().zip(&responses).map(|(plan, response)| plan.outcome(response));
+    outcomes.enumerate().map(|(number, outcome)| (outcome, ended.contains(&(number, true)))).collect()
+}
+
+/// Uploads of either framing that complete this long after SIGTERM, and are worked on for so long.
+fn assert_no_complete_upload_is_lost(restart: Restart, milliseconds: &[(u64, u64)], response_bytes: usize) {
+    let plans: Vec<UploadPlan> = milliseconds
+        .iter()
+        .flat_map(|&(completed_after_ms, service_ms)| {
+            FRAMINGS.map(|framing| UploadPlan {
+                framing,
+                completed_after: Duration::from_millis(completed_after_ms),
+                service_time: Duration::from_millis(service_ms),
+                response_bytes,
+            })
+        })
+        .collect();
+    let results = play_uploads(restart, &plans);
+    let is_kept = |(outcome, complete_at_endpoint): &(UploadOutcome, bool)| match outcome {
+        UploadOutcome::Served => *complete_at_endpoint,
+        UploadOutcome::Rejected | UploadOutcome::Closed => !complete_at_endpoint,
+        UploadOutcome::Broken => false,
+    };
+    assert!(
+        results.iter().all(is_kept),
+        "{restart:?}: by upload, what the client got and whether the endpoint saw all: {results:?}"
+    );
+}
+
+#[test]
+fn an_upload_with_a_large_response_is_not_lost_by_the_kill_that_ends_a_hot_restart() {
+    // Guards against a response being cut that began shortly before the kill.
+    let uploads = &UPLOADS_OF_LARGE_RESPONSES_MS;
+    assert_no_complete_upload_is_lost(Restart::Hot, uploads, RESPONSE_BYTES_BEYOND_A_SEND_BUFFER);
+}
+
+#[test]
+fn an_upload_with_a_large_response_is_not_lost_by_the_kill_that_ends_a_planned_restart() {
+    // Guards against the same where no successor shares the listener.
+    let uploads = &UPLOADS_OF_LARGE_RESPONSES_MS;
+    assert_no_complete_upload_is_lost(Restart::Planned, uploads, RESPONSE_BYTES_BEYOND_A_SEND_BUFFER);
+}
+
+#[test]
+fn an_upload_that_is_served_after_the_kill_is_not_lost_in_a_hot_restart() {
+    // Guards against forwarding the end of an upload whose response need not come before the kill.
+    let uploads = &UPLOADS_SERVED_AFTER_THE_KILL_MS;
+    assert_no_complete_upload_is_lost(Restart::Hot, uploads, SMALL_RESPONSE_BYTES);
+}
+
+#[test]
+fn an_upload_that_is_served_after_the_kill_is_not_lost_in_a_planned_restart() {
+    // Guards against the same where no successor shares the listener.
+    let uploads = &UPLOADS_SERVED_AFTER_THE_KILL_MS;
+    assert_no_complete_upload_is_lost(Restart::Planned, uploads, SMALL_RESPONSE_BYTES);
+}
+
+/// Completed at a moment at which it counts as taken, and served well before the kill.
+fn assert_timely_upload_is_served(restart: Restart) {
+    let plans = FRAMINGS.map(|framing| UploadPlan {
+        framing,
+        completed_after: Duration::from_millis(500),
+        service_time: Duration::from_millis(100),
+        response_bytes: SMALL_RESPONSE_BYTES,
+    });
+    assert_eq!(play_uploads(restart, &plans), [(UploadOutcome::Served, true); 2], "{restart:?}");
+}
+
+#[test]
+fn an_upload_that_is_complete_in_time_is_served_in_a_hot_restart() {
+    // Guards against keeping uploads from being lost by closing on all of them.
+    assert_timely_upload_is_served(Restart::Hot);
+}
+
+#[test]
+fn an_upload_that_is_complete_in_time_is_served_in_a_planned_restart() {
+    // Guards against the same where no successor shares the listener.
+    assert_timely_upload_is_served(Restart::Planned);
+}
