--- a/crates/cli/tests/shutdown.rs
+++ b/crates/cli/tests/shutdown.rs
@@ -11,8 +11,8 @@
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// Sizes of responses, of which some leave a small rest beyond what the system takes for a slow reader: about 4 MB, as is
-/// the usual limit of a send buffer (`net.ipv4.tcp_wmem`).
+/// Sizes of responses, of which some leave a small rest beyond what the system takes for a slow reader: about 4 MB, the
+/// usual limit of a send buffer (`net.ipv4.tcp_wmem`).
 const SIZES_ABOUT_A_FULL_SEND_BUFFER: [usize; 8] =
     [3_600_000, 3_700_000, 3_800_000, 3_900_000, 4_000_000, 4_100_000, 4_200_000, 4_300_000];
 /// When the last of a head arrives that must still be served.
@@ -21,7 +21,7 @@
 const LATEST_HEAD_TOLERANCE: Duration = Duration::from_millis(20);
 const MAX_LATE_PLAYS: usize = 10;
 
-/// Slow readers, alternately of either framing, whose requests are complete at the endpoint as SIGTERM is sent and whose
+/// Slow readers, alternately of either framing, whose requests are complete at the endpoint as SIGTERM is sent. Their
 /// responses are this long.
 fn assert_slow_readers_get_all(restart: Restart, response_bytes: &[usize]) {
     let (endpoint, arrivals) = gated_endpoint();
@@ -88,8 +88,8 @@
     assert_slow_readers_get_all(Restart::Planned, &[RESPONSE_BYTES_BEYOND_A_SEND_BUFFER; 6]);
 }
 
-/// Completes the head of a small request [`LATEST_HEAD`] after SIGTERM. Returns the response, or None if the machine was
-/// too busy to send it then.
+/// Completes the head of a small request [`LATEST_HEAD`] after SIGTERM. Returns the response, or None if the machine
+/// was too busy to send it then.
 fn play_late_head(restart: Restart) -> Option<Option<Message>> {
     let host = Host::serving("ok");
     let shutdown = Shutdown::prepare(restart, host.address);
--- a/crates/cli/tests/upload_shutdown.rs
+++ b/crates/cli/tests/upload_shutdown.rs
@@ -1,5 +1,5 @@
-//! Uploads under way in a graceful shutdown. An endpoint must see no complete request whose response its client does not
-//! get, as the process is killed at the protocol's earliest moment.
+//! Uploads under way in a graceful shutdown. An endpoint must see no complete request whose response its client does
+//! not get, as the process is killed at the protocol's earliest moment.
 
 mod peers;
 
@@ -142,8 +142,8 @@
     (address, UploadReports { begun, ended })
 }
 
-/// Plays these uploads side by side and kills the process at the earliest moment. Returns what each client got, and whether
-/// the endpoint saw the complete request.
+/// Plays these uploads side by side and kills the process at the earliest moment. Returns what each client got, and
+/// whether the endpoint saw the complete request.
 fn play_uploads(restart: Restart, plans: &[UploadPlan]) -> Vec<(UploadOutcome, bool)> {
     let (endpoint, reports) = upload_endpoint();
     let mut shutdown = Shutdown::prepare(restart, endpoint);
