--- a/crates/cli/tests/shutdown_report.rs
+++ b/crates/cli/tests/shutdown_report.rs
@@ -70,7 +70,7 @@
         assert!(read_line(&mut large).starts_with("HTTP/1.1 200"));
         let mut upload = proxy.client();
         upload.write(&format!(
-            "POST /safe HTTP/1.1\r\nHost: x\r\nX-Request-ID: 7e1d0003\r\nX-Timeout: 60000m\r\n\
+            "POST /safe HTTP/1.1\r\nHost: x\r\nX-Request-ID: 7e1d0003\r\nX-Timeout: 1000m\r\n\
              Expect: 100-continue\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n"
         ));
         assert!(read_line(&mut upload).starts_with("HTTP/1.1 100"));
