Read a request's head in a module of its own

Cause: request.rs read heads, received bodies and awaited responses, and had grown by the rejection of late uploads. Change: RequestHead::parse with its headers and limits moves to request_head.rs, its test with it; nothing else changes.

--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -10,6 +10,7 @@
 mod open_request;
 mod read_ahead;
 mod request;
+mod request_head;
 mod response;
 mod shutdown;
 mod shutdown_writer;
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -1,10 +1,8 @@
-//! Reads and validates a client's request, starts its call and waits for the final response.
-
-#[cfg(test)]
-mod tests;
+//! Reads a client's request, starts its call and waits for the final response.
 
 use super::connection::ClientPresence;
 use super::open_request::OpenRequest;
+use super::request_head::{class_id, is_health_check, RequestHead, REQUEST_ID_HEADER};
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
 use super::shutdown::{completion_deadline, ShutdownSignal};
 use crate::body::{
@@ -16,28 +14,18 @@
 use crate::response::FinalResponse;
 use bytes::Bytes;
 use hyper::body::Incoming;
-use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
-use hyper::{Method, Response, StatusCode};
-use oakport_core::{CallId, ClassId, Micros};
+use hyper::{Response, StatusCode};
+use oakport_core::{CallId, Micros};
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// Taken off the client's timeout, so that the final response arrives before it is over.
-const RESPONSE_MARGIN_US: Micros = 2_000;
-/// Longest client timeout; a longer one counts as this.
-const MAX_CLIENT_TIMEOUT_US: Micros = 600_000_000;
 /// A body waits for memory for this part of the client's timeout, which does not take that wait into account.
 const MEMORY_WAIT_DIVISOR: Micros = 8;
 
-const TIMEOUT_HEADER: &str = "x-timeout";
-const REQUEST_ID_HEADER: &str = "x-request-id";
-const TENANT_HEADER: &str = "x-tenant-id";
-const RETRIED_HEADER: &str = "x-retried";
-
 /// Answers the requests of all client connections.
 pub struct RequestHandler {
     pub dispatcher: Dispatcher,
@@ -52,12 +40,6 @@
     pub shutdown: ShutdownSignal,
 }
 
-/// What the head of a valid request says.
-struct RequestHead {
-    class: ClassId,
-    client_timeout_us: Micros,
-}
-
 /// A request's body, complete or as far as it is buffered.
 struct ReceivedBody {
     buffered: Bytes,
@@ -73,7 +55,7 @@
     /// The response to a request for which there is no capacity.
     pub fn reject(&self, request: &hyper::Request<Incoming>) -> Response<ResponseStream> {
         if request.headers().contains_key(REQUEST_ID_HEADER) {
-            if let Some(class) = self.class_id(request.uri().path()) {
+            if let Some(class) = class_id(&self.dispatcher, request.uri().path()) {
                 self.dispatcher.count_rejected(class);
             }
         }
@@ -103,7 +85,7 @@
         context: RequestContext,
     ) -> Result<Option<FinalResponse>, RequestError> {
         let RequestContext { open, client, mut shutdown } = context;
-        let head = self.validate(&parts)?;
+        let head = RequestHead::parse(&self.dispatcher, &parts)?;
         let client_timeout = Duration::from_micros(head.client_timeout_us);
         // A request that becomes complete later could lose its response with the process.
         let mut completion_deadline = pin!(completion_deadline(&mut shutdown, client_timeout));
@@ -112,11 +94,8 @@
             body = self.receive_body(body, &head, &open) => body?,
             () = completion_deadline.as_mut() => return Err(self.reject_incomplete(&head)),
         };
-        let attributes = CallAttributes {
-            class: head.class,
-            tenant: text_header(&parts.headers, TENANT_HEADER),
-            is_retry: parts.headers.get(RETRIED_HEADER).is_some_and(|value| value.as_bytes() == b"1"),
-        };
+        let attributes =
+            CallAttributes { class: head.class, tenant: head.tenant.clone(), is_retry: head.is_retry };
         let request = Request {
             method: parts.method,
             uri: parts.uri,
@@ -156,25 +135,6 @@
         RequestError::ShuttingDown
     }
 
-    fn validate(&self, parts: &Parts) -> Result<RequestHead, RequestError> {
-        let timeout = parts.headers.get(TIMEOUT_HEADER);
-        let timeout = timeout.and_then(|value| value.to_str().ok()).and_then(parse_timeout_us);
-        let timeout_us = timeout.ok_or(RequestError::InvalidTimeout)?;
-        if !parts.headers.contains_key(REQUEST_ID_HEADER) {
-            return Err(RequestError::MissingRequestId);
-        }
-        // No endpoint knows what the settings do not name: it would only answer with an error.
-        let class = self.class_id(parts.uri.path()).ok_or(RequestError::UnknownClass)?;
-        let client_timeout_us = timeout_us.saturating_sub(RESPONSE_MARGIN_US).max(1);
-        Ok(RequestHead { class, client_timeout_us })
-    }
-
-    /// The class is the first segment of the path.
-    fn class_id(&self, path: &str) -> Option<ClassId> {
-        let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
-        self.dispatcher.class_id(name)
-    }
-
     /// Reads the body to its end, or as much of it as is buffered.
     async fn receive_body(
         &self,
@@ -239,10 +199,6 @@
     }
 }
 
-fn is_health_check(parts: &Parts) -> bool {
-    parts.uri.path() == "/_health" && matches!(parts.method, Method::GET | Method::HEAD)
-}
-
 /// Reads on what a client still sends after its response is there: it may look for that only then.
 fn discard(upload: Rc<Upload>, open: &Rc<OpenRequest>) {
     let open = Rc::clone(open);
@@ -269,23 +225,3 @@
         self.dispatcher.disconnect_client(self.call);
     }
 }
-
-fn text_header(headers: &HeaderMap, name: &str) -> Option<String> {
-    headers.get(name)?.to_str().ok().map(str::to_owned)
-}
-
-/// Reads a number and a unit: `m` milliseconds or `u` microseconds. None if it is neither, or zero.
-fn parse_timeout_us(text: &str) -> Option<Micros> {
-    let text = text.trim();
-    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
-    let unit_us = match unit {
-        "m" => 1_000,
-        "u" => 1,
-        _ => return None,
-    };
-    if !number.bytes().all(|byte| byte.is_ascii_digit()) {
-        return None;
-    }
-    let timeout_us = number.parse::<Micros>().ok()?.saturating_mul(unit_us);
-    (timeout_us > 0).then_some(timeout_us.min(MAX_CLIENT_TIMEOUT_US))
-}
--- /dev/null
+++ b/crates/proxy/src/downstream/request_head.rs
@@ -0,0 +1,86 @@
+//! What the head of a client's request says.
+
+#[cfg(test)]
+mod tests;
+
+use super::response::RequestError;
+use crate::dispatcher::Dispatcher;
+use hyper::header::HeaderMap;
+use hyper::http::request::Parts;
+use hyper::Method;
+use oakport_core::{ClassId, Micros};
+
+/// Identifies a request; a client's retry has an id of its own.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+const TIMEOUT_HEADER: &str = "x-timeout";
+const TENANT_HEADER: &str = "x-tenant-id";
+const RETRIED_HEADER: &str = "x-retried";
+
+/// Taken off the client's timeout, so that the final response arrives before it is over.
+const RESPONSE_MARGIN_US: Micros = 2_000;
+/// Longest client timeout; a longer one counts as this.
+const MAX_CLIENT_TIMEOUT_US: Micros = 600_000_000;
+
+/// What the head of a valid request says.
+pub struct RequestHead {
+    pub class: ClassId,
+    /// How long the client waits for the final response, from the request's last byte on.
+    pub client_timeout_us: Micros,
+    pub tenant: Option<String>,
+    /// It is a client's retry, and marked as such.
+    pub is_retry: bool,
+}
+
+impl RequestHead {
+    /// Reads a head, by the settings in force.
+    ///
+    /// # Errors
+    /// The head lacks what each request must say, or names a class that the settings do not.
+    pub fn parse(dispatcher: &Dispatcher, parts: &Parts) -> Result<Self, RequestError> {
+        let timeout = parts.headers.get(TIMEOUT_HEADER);
+        let timeout = timeout.and_then(|value| value.to_str().ok()).and_then(parse_timeout_us);
+        let timeout_us = timeout.ok_or(RequestError::InvalidTimeout)?;
+        if !parts.headers.contains_key(REQUEST_ID_HEADER) {
+            return Err(RequestError::MissingRequestId);
+        }
+        // No endpoint knows what the settings do not name: it would only answer with an error.
+        let class = class_id(dispatcher, parts.uri.path()).ok_or(RequestError::UnknownClass)?;
+        Ok(RequestHead {
+            class,
+            client_timeout_us: timeout_us.saturating_sub(RESPONSE_MARGIN_US).max(1),
+            tenant: text_header(&parts.headers, TENANT_HEADER),
+            is_retry: parts.headers.get(RETRIED_HEADER).is_some_and(|value| value.as_bytes() == b"1"),
+        })
+    }
+}
+
+/// The class of a path: its first segment names it.
+pub fn class_id(dispatcher: &Dispatcher, path: &str) -> Option<ClassId> {
+    let name = path.trim_start_matches('/').split('/').next().unwrap_or_default();
+    dispatcher.class_id(name)
+}
+
+/// Is it a query whether this process serves?
+pub fn is_health_check(parts: &Parts) -> bool {
+    parts.uri.path() == "/_health" && matches!(parts.method, Method::GET | Method::HEAD)
+}
+
+fn text_header(headers: &HeaderMap, name: &str) -> Option<String> {
+    headers.get(name)?.to_str().ok().map(str::to_owned)
+}
+
+/// Reads a number and a unit: `m` milliseconds or `u` microseconds. None if it is neither, or zero.
+fn parse_timeout_us(text: &str) -> Option<Micros> {
+    let text = text.trim();
+    let (number, unit) = text.split_at_checked(text.len().checked_sub(1)?)?;
+    let unit_us = match unit {
+        "m" => 1_000,
+        "u" => 1,
+        _ => return None,
+    };
+    if !number.bytes().all(|byte| byte.is_ascii_digit()) {
+        return None;
+    }
+    let timeout_us = number.parse::<Micros>().ok()?.saturating_mul(unit_us);
+    (timeout_us > 0).then_some(timeout_us.min(MAX_CLIENT_TIMEOUT_US))
+}
