Leave bodies half of their memory, whatever read-ahead and send buffers take

Callers could lose a response to this: the send buffers that a shutdown enlarges could take all the memory of bodies, and a large response that begins then waits for memory up to the kill.

Cause: MemoryLimit::try_extend took whatever was free. Read-ahead kept to half by a rule of its own. Change: try_extend_spare holds that rule for both, in one place. Evidence: extensions_leave_half_of_the_memory_to_bodies takes 1 MiB at a time until it is refused: with the rule a streamed body is still let in; without it, the loop ends with none left (read, not run).

--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -1,5 +1,8 @@
 //! The memory that bodies may take, and each body's reservation of it.
 
+#[cfg(test)]
+mod tests;
+
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
@@ -14,6 +17,8 @@
 const STREAMED_BODY_BYTES: usize = MAX_BUFFERED_BODY_BYTES + 3 * MAX_CONNECTION_BUFFER_BYTES;
 /// Bodies may take this part of the memory: two processes may be there, and each needs some for itself.
 const BODY_MEMORY_DIVISOR: usize = 3;
+/// This part of it is left to uploads, buffered bodies and responses that begin, whatever else takes memory.
+const SPARED_DIVISOR: usize = 2;
 /// The limit allows at least so many streamed bodies.
 const MIN_STREAMED_BODIES: usize = 4;
 const BYTES_PER_KIB: usize = 1024;
@@ -91,9 +96,12 @@
         self.try_grow(reservation, kib)
     }
 
-    /// Makes a reservation larger by so many bytes. False if the memory does not suffice.
-    pub fn try_extend(&self, reservation: &mut MemoryReservation, additional_bytes: usize) -> bool {
-        self.try_grow(reservation, additional_bytes.div_ceil(BYTES_PER_KIB) as u32)
+    /// Makes a reservation larger by so many bytes that no body needs to make progress. False if less than
+    /// [`SPARED_DIVISOR`] says would be left to bodies.
+    pub fn try_extend_spare(&self, reservation: &mut MemoryReservation, additional_bytes: usize) -> bool {
+        let spared_bytes = self.total_bytes() / SPARED_DIVISOR;
+        self.available_bytes() >= spared_bytes + additional_bytes
+            && self.try_grow(reservation, additional_bytes.div_ceil(BYTES_PER_KIB) as u32)
     }
 
     /// Makes a reservation large enough for a body of this size, waiting until the memory suffices.
--- a/crates/proxy/src/body/read_ahead_buffer.rs
+++ b/crates/proxy/src/body/read_ahead_buffer.rs
@@ -1,5 +1,8 @@
 //! What has been read of a streamed response before its client takes it.
 
+#[cfg(test)]
+mod tests;
+
 use super::memory_limit::{MemoryLimit, MemoryReservation, MAX_CONNECTION_BUFFER_BYTES};
 use bytes::{Bytes, BytesMut};
 use std::collections::VecDeque;
@@ -8,8 +11,6 @@
 /// The unit in which memory is reserved. Chunks are copied into blocks: a small chunk may keep a much larger read buffer
 /// allocated.
 const BLOCK_BYTES: usize = 64 * 1024;
-/// The part of the memory that read-ahead leaves to uploads, buffered bodies and responses that begin.
-const MEMORY_LEFT_DIVISOR: usize = 2;
 
 /// How much of one response is read ahead of its client, within the memory limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -29,12 +30,8 @@
 impl Block {
     /// `None` if the memory does not suffice.
     fn try_allocate(memory: &MemoryLimit) -> Option<Self> {
-        let left_bytes = memory.total_bytes() / MEMORY_LEFT_DIVISOR;
-        if memory.available_bytes() < left_bytes + BLOCK_BYTES {
-            return None;
-        }
         let mut reservation = MemoryReservation::default();
-        let is_reserved = memory.try_extend(&mut reservation, BLOCK_BYTES);
+        let is_reserved = memory.try_extend_spare(&mut reservation, BLOCK_BYTES);
         is_reserved.then(|| Block { bytes: BytesMut::with_capacity(BLOCK_BYTES), _reservation: reservation })
     }
 
@@ -121,6 +118,3 @@
         next
     }
 }
-
-#[cfg(test)]
-mod tests;
--- a/crates/proxy/src/downstream/shutdown_writer.rs
+++ b/crates/proxy/src/downstream/shutdown_writer.rs
@@ -72,7 +72,7 @@
             return false;
         };
         // Other bodies may return memory later.
-        if !self.memory.try_extend(&mut self.reservation, SEND_BUFFER_STEP_BYTES) {
+        if !self.memory.try_extend_spare(&mut self.reservation, SEND_BUFFER_STEP_BYTES) {
             return false;
         }
         let is_enlarged = socket.set_send_buffer_bytes(size_bytes).is_ok_and(|now| now >= size_bytes);
