Take no request that becomes complete too late before a kill, behind a response or with an early one

Callers got no response to a request that the endpoint had run, when the process was killed at the earliest moment: (1) a request behind a response that began before SIGTERM, and so told its client nothing of the close, pipelined or sent as that ended; (2) an upload whose endpoint began its response before the upload was complete; (3) an upload complete at the latest moment, whose final response was due in the moment of the kill.

Cause: the deadline for completion was looked at only while a body was incomplete, only until a response began, and left nothing to write a final response in. Change: it is looked at before a request is started, ends a streamed response whose upload is still incomplete then (the client sees it cut, its request is not complete), and lies 50 ms earlier, but never within 0.7 s of SIGTERM.

--- a/crates/proxy/src/body/response_stream.rs
+++ b/crates/proxy/src/body/response_stream.rs
@@ -3,6 +3,7 @@
 use super::upload::BodyError;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
+use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use tokio::sync::mpsc;
@@ -14,19 +15,35 @@
     End,
 }
 
+/// Resolves when a response may have to be given up, with whether it must.
+pub type AbortCondition = Pin<Box<dyn Future<Output = bool>>>;
+
 /// A response's body as it goes to the client: complete, or its first chunk and a channel for the remaining ones.
-#[derive(Debug)]
 pub struct ResponseStream {
     first_chunk: Bytes,
     chunks: Option<mpsc::Receiver<BodyChunk>>,
     /// What is still to be sent, where the length is known.
     remaining_bytes: Option<u64>,
+    abort_condition: Option<AbortCondition>,
 }
 
 impl ResponseStream {
     /// A body that is still arriving, with its length in bytes where that is known.
     pub fn stream(first_chunk: Bytes, chunks: mpsc::Receiver<BodyChunk>, length: Option<u64>) -> Self {
-        ResponseStream { first_chunk, chunks: Some(chunks), remaining_bytes: length }
+        ResponseStream { first_chunk, chunks: Some(chunks), remaining_bytes: length, abort_condition: None }
+    }
+
+    /// Gives the response up, incomplete, if this says so before its end.
+    pub fn abort_if(&mut self, condition: AbortCondition) {
+        self.abort_condition = Some(condition);
+    }
+
+    /// Must the response be given up?
+    fn poll_abort(&mut self, cx: &mut Context<'_>) -> bool {
+        let Some(condition) = &mut self.abort_condition else { return false };
+        let Poll::Ready(is_aborted) = condition.as_mut().poll(cx) else { return false };
+        self.abort_condition = None;
+        is_aborted
     }
 
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Result<BodyChunk, BodyError>> {
@@ -42,7 +59,7 @@
 impl From<Bytes> for ResponseStream {
     fn from(complete: Bytes) -> Self {
         let remaining_bytes = Some(complete.len() as u64);
-        ResponseStream { first_chunk: complete, chunks: None, remaining_bytes }
+        ResponseStream { first_chunk: complete, chunks: None, remaining_bytes, abort_condition: None }
     }
 }
 
@@ -54,6 +71,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.poll_abort(cx) {
+            return Poll::Ready(Some(Err(BodyError::Aborted)));
+        }
         match std::task::ready!(self.poll_chunk(cx)) {
             Ok(BodyChunk::Data(chunk)) => {
                 if let Some(remaining_bytes) = &mut self.remaining_bytes {
--- a/crates/proxy/src/body/upload.rs
+++ b/crates/proxy/src/body/upload.rs
@@ -195,6 +195,11 @@
         is_unread
     }
 
+    /// Has some of the body still to be read?
+    pub fn is_incomplete(&self) -> bool {
+        !matches!(self.state.get(), UploadState::Ended(_))
+    }
+
     /// Did the body end incomplete?
     pub fn has_failed(&self) -> bool {
         matches!(self.state.get(), UploadState::Ended(Err(_)))
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -72,10 +72,8 @@
         if is_health_check(&parts) {
             return text_response(StatusCode::OK, "ok");
         }
-        match self.forward(parts, body, context).await {
-            Ok(response) => final_response(response),
-            Err(error) => error.into_response(),
-        }
+        let response = self.forward(parts, body, context).await;
+        response.unwrap_or_else(RequestError::into_response)
     }
 
     async fn forward(
@@ -83,16 +81,17 @@
         parts: Parts,
         body: Incoming,
         context: RequestContext,
-    ) -> Result<Option<FinalResponse>, RequestError> {
-        let RequestContext { open, client, mut shutdown } = context;
+    ) -> Result<Response<ResponseStream>, RequestError> {
+        let RequestContext { open, client, shutdown } = context;
         let head = RequestHead::parse(&self.dispatcher, &parts)?;
         let client_timeout = Duration::from_micros(head.client_timeout_us);
         // A request that becomes complete later could lose its response with the process.
-        let mut completion_deadline = pin!(completion_deadline(&mut shutdown, client_timeout));
+        let mut completion_deadline = Box::pin(completion_deadline(shutdown, client_timeout));
         let body = tokio::select! {
+            // One that is complete may have become so after the deadline.
             biased;
-            body = self.receive_body(body, &head, &open) => body?,
             () = completion_deadline.as_mut() => return Err(self.reject_incomplete(&head)),
+            body = self.receive_body(body, &head, &open) => body?,
         };
         let attributes =
             CallAttributes { class: head.class, tenant: head.tenant.clone(), is_retry: head.is_retry };
@@ -114,7 +113,8 @@
         let response = match &body.upload {
             None => response.await.ok(),
             Some(upload) => {
-                let response = self.await_streamed(call, upload, response, &open, completion_deadline).await;
+                let deadline = completion_deadline.as_mut();
+                let response = self.await_streamed(call, upload, response, &open, deadline).await;
                 if matches!(response, Err(RequestError::ShuttingDown)) {
                     discard(Rc::clone(upload), &open);
                     return Err(self.reject_incomplete(&head));
@@ -122,9 +122,18 @@
                 response?
             }
         };
-        // An endpoint that has begun its response may still be reading the request.
-        if !matches!(response, Some(FinalResponse::Streaming(_))) {
-            discard_remaining(body.upload, &open);
+        let is_streaming = matches!(response, Some(FinalResponse::Streaming(_)));
+        let mut response = final_response(response);
+        match body.upload {
+            // An endpoint that has begun its response may still be reading the request.
+            Some(upload) if is_streaming => {
+                let is_late = async move {
+                    completion_deadline.await;
+                    upload.is_incomplete()
+                };
+                response.body_mut().abort_if(Box::pin(is_late));
+            }
+            upload => discard_remaining(upload, &open),
         }
         Ok(response)
     }
--- a/crates/proxy/src/downstream/shutdown.rs
+++ b/crates/proxy/src/downstream/shutdown.rs
@@ -11,6 +11,8 @@
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// A longer deadline counts as this there.
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
+/// A final response at the very end of its client's timeout is written so long before the kill.
+const RESPONSE_MARGIN: Duration = Duration::from_millis(50);
 
 /// A graceful shutdown that has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -37,17 +39,17 @@
     pub fn latest_completion(&self, client_timeout: Duration) -> Instant {
         // What comes within the margin has the longest deadline left, and is never lost by the kill (PROTOCOL).
         let latest_without_loss = self.began + KILL_MARGIN;
-        let latest = self.earliest_kill.checked_sub(client_timeout);
+        let latest = self.earliest_kill.checked_sub(client_timeout.saturating_add(RESPONSE_MARGIN));
         latest.unwrap_or(latest_without_loss).max(latest_without_loss)
     }
 }
 
 /// Resolves once a request with this timeout that is not complete yet must not be taken any more.
-pub async fn completion_deadline(shutdown: &mut ShutdownSignal, client_timeout: Duration) {
-    let Ok(begun) = shutdown.wait_for(Option::is_some).await.map(|shutdown| *shutdown) else {
-        return std::future::pending().await;
-    };
-    if let Some(begun) = begun {
-        tokio::time::sleep_until(begun.latest_completion(client_timeout)).await;
+pub async fn completion_deadline(mut shutdown: ShutdownSignal, client_timeout: Duration) {
+    let begun = shutdown.wait_for(Option::is_some).await.ok().and_then(|shutdown| *shutdown);
+    match begun {
+        Some(begun) => tokio::time::sleep_until(begun.latest_completion(client_timeout)).await,
+        // The client side has ended: no shutdown will begin.
+        None => std::future::pending().await,
     }
 }
--- a/crates/proxy/src/downstream/shutdown/tests.rs
+++ b/crates/proxy/src/downstream/shutdown/tests.rs
@@ -1,4 +1,4 @@
-use super::{completion_deadline, Shutdown, KILL_MARGIN};
+use super::{completion_deadline, Shutdown, KILL_MARGIN, RESPONSE_MARGIN};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -17,20 +17,19 @@
 fn a_request_may_become_complete_while_its_timeout_ends_before_the_kill() {
     let shutdown = Shutdown::begin(Duration::from_secs(2));
     let latest = |timeout_ms| shutdown.latest_completion(Duration::from_millis(timeout_ms)) - shutdown.began;
-    assert_eq!(latest(500), Duration::from_millis(2_200));
+    assert_eq!(latest(500), Duration::from_millis(2_200) - RESPONSE_MARGIN);
     assert_eq!(latest(2_000), KILL_MARGIN);
     assert_eq!(latest(600_000), KILL_MARGIN, "it is not lost before that");
 }
 
 #[tokio::test]
 async fn the_completion_deadline_waits_for_the_shutdown_and_then_for_its_moment() {
-    let (sender, mut signal) = watch::channel(None);
+    let (sender, signal) = watch::channel(None);
     let timeout = Duration::from_millis(500);
-    let early =
-        tokio::time::timeout(Duration::from_secs(60), completion_deadline(&mut signal, timeout)).await;
+    let early = tokio::time::timeout(KILL_MARGIN, completion_deadline(signal.clone(), timeout)).await;
     assert!(early.is_err(), "no shutdown has begun");
-    let shutdown = Shutdown::begin(Duration::from_secs(2));
+    let shutdown = Shutdown::begin(Duration::ZERO);
     sender.send_replace(Some(shutdown));
-    completion_deadline(&mut signal, timeout).await;
+    completion_deadline(signal, timeout).await;
     assert!(Instant::now() >= shutdown.latest_completion(timeout));
 }
