Keep a connection until its client has received the response

What callers saw: a client that reads a large response slowly got 4.3 to 5.9 MB of 8 and then a reset, if it sent anything while the rest was on its way: past the idle limit of 2.1 s, after its eviction at capacity, in a graceful shutdown (with and without other work in the process), or behind a response with Connection: close. A client that read all of it and then sent its next request at once got no response to that one.

Cause: a connection counted as idle as soon as the last byte of its response was in the system's send buffer (ClientConnection::record_flush), which holds megabytes, and was closed with 250 ms of linger. What is in the buffer is sent after the close too, but anything that arrives for a closed connection is answered with a reset, and what was not sent yet goes with it.

Why it works: the system tells how many bytes the other side has not acknowledged (TIOCOUTQ, a small unsafe call as no safe wrapper is at hand). A connection is idle once there are none; until then it is in Phase::Delivering, serves a next request as always, is not evicted, and lingers before a close until all is acknowledged, discarding what arrives. A client that acknowledges nothing for 30 s is given up. Where the response did not fill the send buffer the system is asked only before a close or an eviction. In a shutdown such a connection takes a next request for 0.65 s, then it ends its writing side and lingers; the process ends after that.

--- a/crates/proxy/src/downstream/close.rs
+++ b/crates/proxy/src/downstream/close.rs
@@ -1,5 +1,6 @@
 //! Closes a client connection so that all that was written to it arrives.
 
+use super::delivery::delivered;
 use crate::socket::Socket;
 use std::time::Duration;
 
@@ -9,14 +10,24 @@
 pub const LINGER_TIMEOUT: Duration = Duration::from_millis(250);
 /// The same where the connection's capacity is needed for another.
 pub const EVICTION_LINGER_TIMEOUT: Duration = Duration::from_millis(50);
-/// A client that sends more than this while its connection closes is cut off.
+/// What a client sends beyond this while its connection closes is not read any more.
 const MAX_LINGER_BYTES: usize = 256 * 1024;
 
-/// Ends the writing side, then reads until the client has ended its own or the linger timeout is over.
+/// Ends the writing side, then reads until the client has ended its own, or the linger timeout is over and the client's
+/// system has received all that was written.
 pub async fn close_gracefully(socket: &Socket, linger_timeout: Duration) {
-    if socket.shutdown_write().is_ok() {
-        let _ = tokio::time::timeout(linger_timeout, discard_until_end(socket)).await;
+    if socket.shutdown_write().is_err() {
+        return;
     }
+    tokio::select! {
+        () = discard_until_end(socket) => {}
+        () = linger(socket, linger_timeout) => {}
+    }
+}
+
+async fn linger(socket: &Socket, linger_timeout: Duration) {
+    tokio::time::sleep(linger_timeout).await;
+    delivered(socket).await;
 }
 
 async fn discard_until_end(socket: &Socket) {
@@ -27,4 +38,5 @@
             count => remaining_bytes = remaining_bytes.saturating_sub(count),
         }
     }
+    socket.peer_closed().await;
 }
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -1,6 +1,7 @@
 //! One client connection: its phase, its time limits and whether the client is still there.
 
 use super::deadline::{body_slack, ConnectionTimes, Phase};
+use super::delivery::{PendingDelivery, DELIVERY_CHECK_INTERVAL};
 use super::idle::{IdleConnections, IdleKey};
 use super::open_connections::{Activity, OpenConnection};
 use super::read_ahead::ReadAhead;
@@ -30,6 +31,8 @@
     open_connection: OpenConnection,
     /// Since when the client has taken nothing of what is to be written.
     write_stalled_since: Cell<Option<Instant>>,
+    /// The response has filled the system's buffer, which the client is likely to be still reading at the last write.
+    filled_send_buffer: Cell<bool>,
     /// The client has closed its side: it has disconnected, whatever of it is still unread.
     client_closed: Cell<bool>,
     read_ahead: ReadAhead,
@@ -55,6 +58,7 @@
             response_begun: Cell::default(),
             open_connection,
             write_stalled_since: Cell::default(),
+            filled_send_buffer: Cell::default(),
             client_closed: Cell::default(),
             read_ahead: ReadAhead::new(memory),
             state_changed: Notify::new(),
@@ -64,7 +68,7 @@
     }
 
     fn become_idle(&self) {
-        self.idle_key.set(self.idle_connections.insert(&self.evicted));
+        self.idle_key.set(self.idle_connections.insert(&self.evicted, &self.socket));
         self.enter(Phase::Idle { since: Instant::now() });
     }
 
@@ -78,6 +82,9 @@
     pub(super) fn record_flush(&self) {
         if let Phase::WritingResponse = self.phase.get() {
             self.become_idle();
+            if self.filled_send_buffer.replace(false) {
+                self.await_delivery();
+            }
         }
     }
 
@@ -87,13 +94,14 @@
             self.write_stalled_since.set(None);
         } else if self.write_stalled_since.get().is_none() {
             self.write_stalled_since.set(Some(Instant::now()));
+            self.filled_send_buffer.set(true);
             self.state_changed.notify_one();
         }
     }
 
     /// Some bytes of a request have arrived.
     pub(super) fn record_read(&self) {
-        if let Phase::Idle { .. } = self.phase.get() {
+        if let Phase::Idle { .. } | Phase::Delivering(_) = self.phase.get() {
             self.idle_connections.remove(self.idle_key.get());
             self.enter(Phase::ReadingHead { since: Instant::now() });
         }
@@ -153,6 +161,46 @@
         matches!(self.phase.get(), Phase::Idle { .. })
     }
 
+    /// Makes an idle connection wait for its client's system to receive all of the last response. False if there is nothing
+    /// to wait for.
+    pub fn await_delivery(&self) -> bool {
+        if !self.is_idle() {
+            return false;
+        }
+        let unacknowledged_bytes = self.socket.unacknowledged_bytes();
+        let Some(delivery) = PendingDelivery::begin(unacknowledged_bytes, Instant::now()) else {
+            return false;
+        };
+        self.idle_connections.remove(self.idle_key.get());
+        self.enter(Phase::Delivering(delivery));
+        true
+    }
+
+    /// Has the client's system still to receive some of the last response?
+    pub fn is_delivering(&self) -> bool {
+        matches!(self.phase.get(), Phase::Delivering(_))
+    }
+
+    /// Checks after a while how much of the last response is still to be received. The connection is idle from the moment
+    /// at which that is nothing.
+    pub async fn check_delivery(&self) {
+        tokio::time::sleep(DELIVERY_CHECK_INTERVAL).await;
+        let Phase::Delivering(delivery) = self.phase.get() else { return };
+        match delivery.update(self.socket.unacknowledged_bytes(), Instant::now()) {
+            Some(delivery) => self.phase.set(Phase::Delivering(delivery)),
+            None => self.become_idle(),
+        }
+    }
+
+    /// Does the client take nothing of its response, as far as its deadline is over?
+    pub fn is_stalled(&self) -> bool {
+        match self.phase.get() {
+            Phase::Idle { .. } | Phase::ReadingHead { .. } => false,
+            Phase::RequestOpen | Phase::AwaitingResponse | Phase::WritingResponse => true,
+            Phase::Delivering(delivery) => delivery.stalls_at() <= Instant::now(),
+        }
+    }
+
     /// The client has closed its side.
     pub fn record_client_close(&self) {
         self.client_closed.set(true);
@@ -226,7 +274,7 @@
 /// What a connection counts as in this phase. A response that is streamed begins long before its request ends.
 fn activity(phase: Phase, response_begun: bool) -> Activity {
     match phase {
-        Phase::Idle { .. } | Phase::ReadingHead { .. } => Activity::NoRequest,
+        Phase::Idle { .. } | Phase::ReadingHead { .. } | Phase::Delivering(_) => Activity::NoRequest,
         Phase::RequestOpen => Activity::IncompleteRequest,
         Phase::AwaitingResponse if !response_begun => Activity::AwaitingResponse,
         Phase::AwaitingResponse | Phase::WritingResponse => Activity::WritingResponse,
--- a/crates/proxy/src/downstream/deadline.rs
+++ b/crates/proxy/src/downstream/deadline.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::delivery::{PendingDelivery, WRITE_STALL_TIMEOUT};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -22,9 +23,6 @@
 const AT_CAPACITY_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 /// ... and to the first byte of it.
 const AT_CAPACITY_IDLE_TIMEOUT: Duration = Duration::from_millis(250);
-/// How long a client may take nothing of its response. A slow client empties the system's buffer, which may hold
-/// megabytes, by a third before more is written.
-const WRITE_STALL_TIMEOUT: Duration = Duration::from_secs(30);
 /// In a graceful shutdown an idle connection closes after this, in which all that has arrived is read.
 const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(3);
 /// ... one that has carried no request yet is given longer, as its first may be in transit.
@@ -46,6 +44,9 @@
     AwaitingResponse,
     /// The response is there and not yet written in full.
     WritingResponse,
+    /// The response is written in full, and nothing of a next request has arrived. The client's system has still to
+    /// receive some of the response.
+    Delivering(PendingDelivery),
 }
 
 /// What the time limits of a connection depend on.
@@ -67,6 +68,7 @@
             Phase::RequestOpen | Phase::AwaitingResponse | Phase::WritingResponse => {
                 return self.write_stalled_since.map(|since| since + WRITE_STALL_TIMEOUT);
             }
+            Phase::Delivering(delivery) => delivery.stalls_at(),
             Phase::Idle { since } => self.idle_deadline(since),
             Phase::ReadingHead { since } => self.head_deadline(since),
         };
@@ -114,6 +116,8 @@
             Phase::ReadingHead { since } => {
                 Some((began + SHUTDOWN_HEAD_TIMEOUT).max(since + SHUTDOWN_IDLE_TIMEOUT))
             }
+            // Until then it may send a next request, as any other.
+            Phase::Delivering(_) => Some(began + SHUTDOWN_HEAD_TIMEOUT),
             _ => None,
         }
     }
--- a/crates/proxy/src/downstream/deadline/tests.rs
+++ b/crates/proxy/src/downstream/deadline/tests.rs
@@ -57,3 +57,13 @@
     let late_head = times(Phase::ReadingHead { since: late }, late, true);
     assert_eq!(late_head.deadline(false, Some(began)), Some(late + 3 * MILLISECOND));
 }
+
+#[test]
+fn a_connection_on_which_a_response_is_under_way_closes_when_its_client_takes_nothing() {
+    let accepted = Instant::now();
+    let began = accepted + 100 * MILLISECOND;
+    let delivery = PendingDelivery::begin(1, accepted).expect("a byte is left");
+    let delivering = times(Phase::Delivering(delivery), accepted, false);
+    assert_eq!(delivering.deadline(false, None), Some(accepted + 30_000 * MILLISECOND));
+    assert_eq!(delivering.deadline(false, Some(began)), Some(began + 650 * MILLISECOND));
+}
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -30,7 +30,7 @@
     Finished,
     /// The same, and its capacity is needed for another.
     Evicted,
-    /// The client has disconnected before it had its response.
+    /// The client has disconnected before it had its response, or takes nothing of it.
     Abandoned,
 }
 
@@ -85,6 +85,15 @@
         response.map(|body| TrackedBody::new(body, open))
     }
 
+    /// How the connection ends as its deadline is over.
+    fn end_at_deadline(&self) -> ConnectionEnd {
+        if self.connection.is_stalled() {
+            ConnectionEnd::Abandoned
+        } else {
+            ConnectionEnd::Finished
+        }
+    }
+
     async fn run_until_end(&self, serving: impl Future) -> ConnectionEnd {
         let connection = &self.connection;
         let mut shutdown = self.shutdown.clone();
@@ -105,10 +114,12 @@
                 }
                 // Unread bytes beyond the system's buffer would keep a close behind them from arriving.
                 () = connection.read_ahead(), if connection.awaits_response() => {}
+                () = connection.check_delivery(), if connection.is_delivering() => {}
                 () = sleep_until(deadline) => {
                     let deadline = connection.deadline(self.at_capacity, shutdown_began);
-                    if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
-                        return ConnectionEnd::Finished;
+                    let is_over = deadline.is_some_and(|deadline| deadline <= Instant::now());
+                    if is_over && !connection.await_delivery() {
+                        return self.end_at_deadline();
                     }
                 }
                 () = connection.state_changed() => {}
--- a/crates/proxy/src/downstream/idle.rs
+++ b/crates/proxy/src/downstream/idle.rs
@@ -1,5 +1,6 @@
 //! Clients' connections without an open request, and their eviction when capacity runs out.
 
+use crate::socket::Socket;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -19,6 +20,7 @@
 struct IdleConnection {
     since: Instant,
     evicted: Rc<Notify>,
+    socket: Socket,
 }
 
 /// The idle connections, the one that has been idle longest first. Evicting them at capacity lets others connect although
@@ -31,10 +33,11 @@
 
 impl IdleConnections {
     /// Adds a connection that is idle from now on; `evicted` is notified when it must close.
-    pub fn insert(&self, evicted: &Rc<Notify>) -> IdleKey {
+    pub fn insert(&self, evicted: &Rc<Notify>, socket: &Socket) -> IdleKey {
         let key = IdleKey(self.next_key.get());
         self.next_key.set(key.0 + 1);
-        let connection = IdleConnection { since: Instant::now(), evicted: Rc::clone(evicted) };
+        let connection =
+            IdleConnection { since: Instant::now(), evicted: Rc::clone(evicted), socket: socket.clone() };
         self.by_age.borrow_mut().insert(key, connection);
         key
     }
@@ -44,14 +47,17 @@
         self.by_age.borrow_mut().remove(&key);
     }
 
-    /// Evicts the connection that has been idle longest. False if none has been idle for long enough.
+    /// Evicts the connection that has been idle longest, among those whose clients have received their responses. False
+    /// if none has been idle for long enough.
     pub fn evict_longest_idle(&self) -> bool {
         let mut by_age = self.by_age.borrow_mut();
-        let Some(longest_idle) = by_age.first_entry() else { return false };
-        if longest_idle.get().since.elapsed() < MIN_IDLE_BEFORE_EVICTION {
-            return false;
-        }
-        longest_idle.remove().evicted.notify_one();
+        let longest_idle = by_age
+            .iter()
+            .take_while(|(_, connection)| connection.since.elapsed() >= MIN_IDLE_BEFORE_EVICTION)
+            .find(|(_, connection)| connection.socket.unacknowledged_bytes() == 0)
+            .map(|(&key, _)| key);
+        let Some(evicted) = longest_idle.and_then(|key| by_age.remove(&key)) else { return false };
+        evicted.evicted.notify_one();
         true
     }
 }
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -3,6 +3,7 @@
 mod close;
 pub mod connection;
 mod deadline;
+mod delivery;
 mod http_connection;
 mod idle;
 mod listener;
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, AsRawFd};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{Interest, ReadBuf};
@@ -129,6 +129,20 @@
                 .is_ok_and(|count| count > 0)
     }
 
+    /// Bytes that were written and that the other side's system has not acknowledged; an end of the writing side counts as
+    /// one. 0 where the system cannot tell.
+    #[allow(unsafe_code)]
+    pub fn unacknowledged_bytes(&self) -> usize {
+        let mut count: nix::libc::c_int = 0;
+        // SAFETY: the descriptor stays open during the call, which writes one `c_int` to `count` and keeps no pointer.
+        let result = unsafe { nix::libc::ioctl(self.0.as_raw_fd(), nix::libc::TIOCOUTQ, &mut count) };
+        if result == 0 {
+            usize::try_from(count).unwrap_or(0)
+        } else {
+            0
+        }
+    }
+
     /// Resolves when there is something to be read, an end or a failure included; the bytes stay unread.
     pub async fn arrival(&self) {
         let _ = self.0.peek(&mut [0]).await;
