Draw large bodies, slow clients and kills at the earliest in the soak

Cause: the soak had no large bodies, so a response that is cut by the kill after SIGTERM could not be seen by it. The checker counts a cut response as lost unless its request's last byte was not written or its endpoint broke off, and tells what was written, read and given by when.

--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -255,6 +255,57 @@
     /// Whether it may run again.
     #[serde(default)]
     pub idempotency: Again,
+    /// Large bodies that a client sends and reads slowly; on sockets only. Else bodies are small.
+    #[serde(default)]
+    pub transfer: Option<TransferSpec>,
+}
+
+/// Large bodies of a class, and the pace of its clients.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TransferSpec {
+    /// The least and the most bytes of a request's body; each request draws its own. None where it may run again.
+    #[serde(default)]
+    pub request_bytes: [usize; 2],
+    /// The least and the most bytes of a response's body.
+    pub response_bytes: [usize; 2],
+    /// Bytes a second that a server writes of its response.
+    pub give_rate: usize,
+    /// Bytes a second that a client writes of its request.
+    pub write_rate: usize,
+    /// Bytes a second that a client reads of its response.
+    pub read_rate: usize,
+    /// A client writes its next request right behind each request, before it has read the response.
+    #[serde(default)]
+    pub pipelined: bool,
+}
+
+impl TransferSpec {
+    /// Smaller responses are judged by their last byte, others by their first (a body of a small message holds no more).
+    pub const MIN_RESPONSE_BYTES: usize = 65_537;
+
+    /// What makes no sense although it can be read, for this class of requests.
+    fn odd(&self, idempotency: Again) -> Option<&'static str> {
+        let ordered = |[least, most]: [usize; 2]| least <= most;
+        match () {
+            () if !ordered(self.request_bytes) || !ordered(self.response_bytes) => {
+                Some("of bytes give the least first, then the most")
+            }
+            () if self.response_bytes[0] < Self::MIN_RESPONSE_BYTES => {
+                Some("response_bytes must be above 65,536")
+            }
+            () if [self.give_rate, self.write_rate, self.read_rate].contains(&0) => {
+                Some("rates must be above 0")
+            }
+            () if idempotency == Again::Free && self.request_bytes[1] > 0 => {
+                Some("request_bytes needs idempotency = \"single_shot\", as other requests have no body")
+            }
+            () if idempotency != Again::Free && self.pipelined => {
+                Some("pipelined needs idempotency = \"free\": what may not run again is not written ahead")
+            }
+            () => None,
+        }
+    }
 }
 
 fn one() -> f64 {
@@ -518,6 +569,11 @@
             let bad = self.classes.iter().find(|c| !fine(c))?;
             Some(format!("class {}: share, work and deadline must be above 0, worth not below", bad.name))
         };
+        let transfer = || {
+            let odd = |c: &ClassSpec| c.transfer.as_ref().and_then(|transfer| transfer.odd(c.idempotency));
+            let (class, odd) = self.classes.iter().find_map(|c| Some((c, odd(c)?)))?;
+            Some(format!("class {}: transfer: {odd}", class.name))
+        };
         let event = || {
             let fine = |t: &Trouble| {
                 let known = t.zone.as_ref().is_none_or(|z| self.zones.contains(z));
@@ -561,7 +617,7 @@
             let line = line_of(text, "[[event]]", number);
             Some(format!("line {line}: event: signals must name at least one of hup, hup_invalid, term"))
         };
-        odd.or_else(class).or_else(event).or_else(link).or_else(signals).or_else(expect)
+        odd.or_else(class).or_else(transfer).or_else(event).or_else(link).or_else(signals).or_else(expect)
     }
 }
 
--- a/crates/testbed/src/cluster/chain.rs
+++ b/crates/testbed/src/cluster/chain.rs
@@ -233,7 +233,7 @@
              X-Timeout: {time}u\r\nContent-Length: 1\r\n\r\n1"
         );
         let Ok(Ok(answer)) = timeout(left + SLACK, caller.ask(&text)).await else { return false };
-        let server = author(&answer.body, &named).filter(|_| answer.status() == 200);
+        let server = author(&answer.body, &named, None).filter(|_| answer.status() == 200);
         server.is_some_and(|server| server / SERVERS == usize::from(id.hop))
     }
 
@@ -272,7 +272,9 @@
                             () = http::closed(&stream) => return,
                         };
                         match called {
-                            true => http::answer(200, "", &body(&name(hop * SERVERS + server), &id.text())),
+                            true => {
+                                http::answer(200, "", &body(&name(hop * SERVERS + server), &id.text(), None))
+                            }
                             false => http::answer(500, "", ""),
                         }
                     }
--- a/crates/testbed/src/cluster/clients.rs
+++ b/crates/testbed/src/cluster/clients.rs
@@ -1,12 +1,13 @@
 //! The application beside a proxy: an open loop of requests, with the retries that the site's clients make.
 
-use super::http::{self, Side};
-use super::record::{Seen, Shared, Try, TryEnd};
+use super::http::{self, Message, Side};
+use super::record::{Moved, Seen, Shared, Try, TryEnd};
 use super::servers::author;
+use super::transfers;
 use bytes::BytesMut;
 use oakport_core::Micros;
 use oakport_simulator::chance::{self, Part};
-use oakport_simulator::scenario::Again;
+use oakport_simulator::scenario::{Again, TransferSpec};
 use rand::Rng;
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -19,31 +20,43 @@
 /// Time after a deadline in which an answer still counts as given (PROTOCOL, "The rules on sockets").
 pub const SLACK: Micros = 50_000;
 /// A client watches for so much longer, so that an answer that is late is told from none.
-const WATCH: Micros = 30_000;
+pub const WATCH: Micros = 30_000;
 /// The least time for which a try is made.
 const LEAST: Micros = 2_000;
 
 /// An open connection, and what has been read of it.
-type Open = (TcpStream, BytesMut);
+pub type Open = (TcpStream, BytesMut);
+
+/// Open connections that rest.
+#[derive(Default)]
+struct Pool(Mutex<Vec<Open>>);
+
+impl Pool {
+    fn open(&self) -> MutexGuard<'_, Vec<Open>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
 
 /// The application beside one proxy.
 pub struct App {
-    proxy: usize,
+    pub(super) proxy: usize,
     address: SocketAddr,
-    pool: Mutex<Vec<Open>>,
+    pool: Pool,
+    /// Connections of clients with large bodies, whose buffers are small.
+    large_pool: Pool,
     /// It asks nothing, for it stops and starts with its proxy.
     away: watch::Sender<bool>,
     /// It uses the connections that it has, and opens none.
     opens_none: AtomicBool,
-    shared: Arc<Shared>,
+    pub(super) shared: Arc<Shared>,
 }
 
 impl App {
     /// Beside the proxy that listens there.
     pub fn new(shared: &Arc<Shared>, proxy: usize, address: SocketAddr) -> Arc<Self> {
-        let (pool, away) = (Mutex::default(), watch::Sender::new(false));
+        let (pool, large_pool, away) = (Pool::default(), Pool::default(), watch::Sender::new(false));
         let opens_none = AtomicBool::new(false);
-        Arc::new(App { proxy, address, pool, away, opens_none, shared: Arc::clone(shared) })
+        Arc::new(App { proxy, address, pool, large_pool, away, opens_none, shared: Arc::clone(shared) })
     }
 
     /// Where its proxy listens.
@@ -56,22 +69,19 @@
         self.opens_none.store(opens_none, Ordering::Relaxed);
     }
 
-    fn pool(&self) -> MutexGuard<'_, Vec<Open>> {
-        self.pool.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
     /// It stops asking, or asks again.
     pub fn away(&self, away: bool) {
         self.away.send_replace(away);
         if away {
-            self.pool().clear();
+            self.pool.open().clear();
+            self.large_pool.open().clear();
         }
     }
 
     /// A connection that rests; what has come on one unasked is told.
-    fn resting(&self) -> Option<Open> {
+    fn resting(&self, pool: &Pool) -> Option<Open> {
         loop {
-            let (stream, mut buffer) = self.pool().pop()?;
+            let (stream, mut buffer) = pool.open().pop()?;
             match stream.try_read_buf(&mut buffer) {
                 Err(e) if e.kind() == std::io::ErrorKind::WouldBlock && buffer.is_empty() => {
                     return Some((stream, buffer))
@@ -84,7 +94,15 @@
 
     /// Looks at all connections for the last time.
     pub fn close(&self) {
-        while self.resting().is_some() {}
+        while self.resting(&self.pool).is_some() {}
+        while self.resting(&self.large_pool).is_some() {}
+    }
+
+    /// Keeps a connection on which large bodies have been moved for the next.
+    pub(super) fn keep_large(&self, open: Open) {
+        if !*self.away.borrow() {
+            self.large_pool.open().push(open);
+        }
     }
 
     /// One request, over all its tries.
@@ -129,10 +147,22 @@
     async fn attempt(&self, request: usize, number: u32, deadline: Micros) -> Try {
         let shared = &self.shared;
         let sent = shared.now();
-        let mut done =
-            Try { request, number, sent, again: None, deadline, ended: sent, end: TryEnd::Unreachable };
+        let mut done = Try {
+            request,
+            number,
+            sent,
+            again: None,
+            deadline,
+            ended: sent,
+            end: TryEnd::Unreachable,
+            is_written: true,
+            moved: Moved::default(),
+        };
+        if let Some(spec) = shared.transfer(request) {
+            return self.attempt_transfer(spec, done).await;
+        }
         let watched = shared.instant(deadline + SLACK + WATCH);
-        if let Some(open) = self.resting() {
+        if let Some(open) = self.resting(&self.pool) {
             match timeout_at(watched, self.exchange(open, &done)).await {
                 Ok(Some(end)) => return Try { end, ..done },
                 Err(_) => return Try { end: TryEnd::Silent, ..done },
@@ -159,6 +189,32 @@
         Try { end, ..done }
     }
 
+    /// One try with large bodies, whose time ends with the first byte of its answer.
+    async fn attempt_transfer(&self, spec: &TransferSpec, mut done: Try) -> Try {
+        done.is_written = false;
+        if let Some(open) = self.resting(&self.large_pool) {
+            match self.transfer(open, spec, &mut done).await {
+                Some(end) => return Try { end, ..done },
+                // Its end may have crossed the request: once more, on a new connection.
+                None => done.again = Some(self.shared.now()),
+            }
+        }
+        if self.opens_none.load(Ordering::Relaxed) {
+            return done;
+        }
+        let connected =
+            timeout_at(self.shared.instant(done.deadline), transfers::connect(self.address)).await;
+        done.is_written = false;
+        done.end = match connected {
+            Ok(Ok(stream)) => {
+                let end = self.transfer((stream, BytesMut::new()), spec, &mut done).await;
+                end.unwrap_or(TryEnd::Lost)
+            }
+            _ => TryEnd::Unreachable,
+        };
+        done
+    }
+
     /// One question and its answer. None: the connection ended before one had come whole.
     async fn exchange(&self, (mut stream, mut buffer): Open, asked: &Try) -> Option<TryEnd> {
         let shared = &self.shared;
@@ -183,13 +239,18 @@
         if !buffer.is_empty() {
             shared.saw(Seen::Extra { proxy: self.proxy, at: shared.now() });
         } else if !answer.closes() && !*self.away.borrow() {
-            self.pool().push((stream, buffer));
+            self.pool.open().push((stream, buffer));
         }
+        Some(self.end_of(&answer, &id, None))
+    }
+
+    /// What an answer to the try of this id is; `bytes` is the size of its body if that is large.
+    pub(super) fn end_of(&self, answer: &Message, id: &str, bytes: Option<usize>) -> TryEnd {
         let told = answer.header("retry-after").and_then(|text| text.parse::<f64>().ok()).unwrap_or(0.0);
-        Some(match answer.status() {
-            200 => author(&answer.body, &id).map_or(TryEnd::Foreign, TryEnd::Served),
+        match answer.status() {
+            200 => author(&answer.body, id, bytes).map_or(TryEnd::Foreign, TryEnd::Served),
             429 | 503 => TryEnd::Refused((told.max(0.0) * 1e6) as Micros),
             status => TryEnd::Failed(status),
-        })
+        }
     }
 }
--- a/crates/testbed/src/cluster/http.rs
+++ b/crates/testbed/src/cluster/http.rs
@@ -44,7 +44,7 @@
     }
 
     /// Takes a whole message out of what has been read.
-    fn take(buffer: &mut BytesMut, side: Side) -> Result<Option<Message>> {
+    pub(super) fn take(buffer: &mut BytesMut, side: Side) -> Result<Option<Message>> {
         let mut room = [httparse::EMPTY_HEADER; HEADERS];
         let odd = |e| Error::new(ErrorKind::InvalidData, format!("no HTTP: {e}"));
         let (length, first, headers) = match side {
--- a/crates/testbed/src/cluster/judge.rs
+++ b/crates/testbed/src/cluster/judge.rs
@@ -3,6 +3,7 @@
 use super::calls::Calls;
 use super::clients::SLACK;
 use super::cold::Window;
+use super::delivery::{Delivery, Given};
 use super::membership;
 use super::record::{histogram, Late, Seen, Shared, Signal, Try, TryEnd, Word, TOO_LATE};
 use oakport_core::{EndpointState, Micros, Outcome};
@@ -73,6 +74,8 @@
     pub expect: Vec<(String, bool)>,
     /// The day by seconds.
     pub seconds: Vec<Second>,
+    /// Each try with large bodies: how it ended, and what was moved when.
+    pub transfers: Vec<String>,
 }
 
 impl Verdict {
@@ -134,6 +137,7 @@
     /// How long after that was told the last attempt of a proxy went to a server that left.
     after_told: BTreeMap<(usize, usize), Micros>,
     list_calls: Calls,
+    delivery: Delivery,
     signals: HashMap<usize, Vec<(Micros, Signal)>>,
     rules: BTreeMap<&'static str, u64>,
     stories: Vec<String>,
@@ -160,6 +164,7 @@
         coldness: Coldness::default(),
         after_told: BTreeMap::new(),
         list_calls: Calls::default(),
+        delivery: Delivery::default(),
         signals: HashMap::new(),
         rules: RULES.map(|rule| (rule, 0)).into(),
         stories: Vec::new(),
@@ -183,6 +188,7 @@
     evidence.places();
     evidence.cold();
     let (figures, seconds) = evidence.figures(servers);
+    let transfers = evidence.transfers();
     let (rules, stories) = (evidence.rules, evidence.stories);
     let mut expect = Vec::new();
     for wanted in &shared.day.expects {
@@ -194,7 +200,7 @@
         let (least, most) = (bound("at least", wanted.least), bound("at most", wanted.most));
         expect.push((format!("{}{least}{most}: {found}", wanted.figure), held));
     }
-    Verdict { figures, rules, stories, expect, seconds }
+    Verdict { figures, rules, stories, expect, seconds, transfers }
 }
 
 impl Evidence<'_> {
@@ -213,6 +219,11 @@
             Seen::Cold { attempt, server, started, at, bound } => {
                 self.chilled.entry((server, started)).or_default().push(Chilled { at, attempt, bound });
             }
+            Seen::Given { attempt, at, bytes, length } => {
+                self.delivery.gave(attempt, Given { at, bytes, length });
+            }
+            Seen::BrokeOff { attempt, at } => self.delivery.broke_off(attempt, at),
+            Seen::Relieved { proxy, at, is_killed } => self.delivery.ended(proxy, at, is_killed),
             Seen::Try(done) => self.tries.push(done),
             Seen::Done { request, at, end } => self.done.push((request, at, end)),
             Seen::Extra { proxy, at } => {
@@ -231,6 +242,9 @@
                 if what == Signal::Crashed {
                     later.push(("no_crash", at, format!("proxy {proxy} ended by itself")));
                 }
+                if matches!(what, Signal::Told | Signal::KilledAfterTold) {
+                    self.delivery.ended(proxy, at, what == Signal::KilledAfterTold);
+                }
                 self.signals.entry(proxy).or_default().push((at, what));
             }
             Seen::Held { proxy, at, held } => self.views.push((at, proxy, held)),
@@ -281,12 +295,14 @@
         sum
     }
 
-    /// Each request that a proxy has taken is answered once, in time, with what a server made for it.
+    /// Each request that a proxy has taken is answered once, in time, with what a server made for it. One whose last byte was
+    /// not written ended at the door and is counted alone, as is one whose endpoint broke off its response.
     fn answers(&mut self) {
         /// What ends when a process is killed is seen by its client so much later.
         const SEEN_LATER: Micros = 200_000;
         let mut arrived: HashMap<(usize, u32), Micros> = HashMap::new();
-        for attempt in self.attempts.values() {
+        for (number, attempt) in &self.attempts {
+            self.delivery.came(*number, (attempt.request, attempt.number));
             let first = arrived.entry((attempt.request, attempt.number)).or_insert(attempt.whole);
             *first = attempt.whole.min(*first);
         }
@@ -306,19 +322,27 @@
                 || self.late.spans.iter().any(|(from, to)| *from <= done.ended && *to >= done.deadline);
             let too_late = match done.end {
                 TryEnd::Served(_) | TryEnd::Refused(_) | TryEnd::Failed(_) => {
-                    done.ended > done.deadline + SLACK
+                    // The time of a request that was refused before its last byte has not begun.
+                    done.is_written && done.moved.first.unwrap_or(done.ended) > done.deadline + SLACK
                 }
                 end => end == TryEnd::Silent,
             };
             match done.end {
                 _ if excused => {}
                 _ if too_late && rig_late() => self.unjudged += 1,
+                TryEnd::Lost if !done.is_written => self.delivery.unwritten += 1,
+                TryEnd::Lost | TryEnd::HeldBack if self.delivery.is_broken_off(&done) => {
+                    self.delivery.excused += 1;
+                }
+                TryEnd::HeldBack => {
+                    let trace = self.delivery.trace(self.shared, &done);
+                    let story = format!("{name}: the rest of its answer was held back for 2 s{trace}");
+                    self.broke("one_answer", done.ended, story);
+                }
                 _ if lost => {
-                    self.broke(
-                        "one_answer",
-                        done.ended,
-                        format!("{name}: its connection ended without an answer"),
-                    );
+                    let trace = self.delivery.trace(self.shared, &done);
+                    let story = format!("{name}: its connection ended without a whole answer{trace}");
+                    self.broke("one_answer", done.ended, story);
                 }
                 TryEnd::Silent => {
                     self.broke("in_time", done.ended, format!("{name}: no answer by its deadline and 50 ms"));
@@ -340,6 +364,17 @@
         }
     }
 
+    /// Each try with large bodies, in words.
+    fn transfers(&self) -> Vec<String> {
+        let large = self.tries.iter().filter(|done| self.shared.transfer(done.request).is_some());
+        let told = |done: &Try| {
+            let proxy = self.shared.arrivals[done.request].proxy;
+            let trace = self.delivery.trace(self.shared, done);
+            format!("request {}, try {}, proxy {proxy}: {:?}{trace}", done.request, done.number, done.end)
+        };
+        large.map(told).collect()
+    }
+
     /// What may have run is not sent again, nor refused, unless its class permits.
     fn repeats(&mut self) {
         // What a client sent again because its connection had ended is told by `answers`.
@@ -575,6 +610,8 @@
         self.list_calls.figures(self.shared).iter().for_each(|(name, value)| put(name, *value));
         put("rig.late_p99_ms", self.late.by.value_at_quantile(0.99) as f64 / 1e3);
         put("rig.unjudged", self.unjudged as f64);
+        put("transfers.unwritten", self.delivery.unwritten as f64);
+        put("transfers.broken_off", self.delivery.excused as f64);
         put("rig.late_max_ms", self.late.by.max() as f64 / 1e3);
         let end = start + day.length;
         let membership = membership::figures(self.shared, &self.views, &self.signals, end);
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -5,6 +5,7 @@
 mod clients;
 mod cold;
 mod crowd;
+mod delivery;
 pub(crate) mod discovery;
 mod ending;
 mod events;
@@ -22,6 +23,7 @@
 pub(crate) mod record;
 mod servers;
 pub(crate) mod site;
+mod transfers;
 
 pub use judge::{Second, Verdict, RULES};
 pub use plan::{Play, Progress, Tell};
--- a/crates/testbed/src/cluster/processes.rs
+++ b/crates/testbed/src/cluster/processes.rs
@@ -334,8 +334,15 @@
     /// Tells a process that another has relieved to end, and waits for it. The seat is never without a process, so that
     /// nothing is excused by this end.
     pub async fn relieve(&self, old: Child, most: Duration) {
+        self.saw_relieved(false);
         self.signal(Some(&old), Number::SIGTERM);
-        finish(old, most).await;
+        if finish(old, most).await {
+            self.saw_relieved(true);
+        }
+    }
+
+    fn saw_relieved(&self, is_killed: bool) {
+        self.shared.saw(Seen::Relieved { proxy: self.number, at: self.shared.now(), is_killed });
     }
 
     /// Notes an end that nobody had asked for.
--- a/crates/testbed/src/cluster/record.rs
+++ b/crates/testbed/src/cluster/record.rs
@@ -2,8 +2,10 @@
 
 use hdrhistogram::Histogram;
 use oakport_core::{EndpointState, Micros, Outcome};
-use oakport_simulator::scenario::Scenario;
+use oakport_simulator::chance::{self, Part};
+use oakport_simulator::scenario::{Scenario, TransferSpec};
 use oakport_simulator::Arrival;
+use rand::Rng;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
@@ -26,6 +28,8 @@
     Unreachable,
     /// No answer came in its time.
     Silent,
+    /// The rest of a large answer was held back for too long.
+    HeldBack,
 }
 
 /// What was done to a process.
@@ -64,6 +68,23 @@
     pub ended: Micros,
     /// How.
     pub end: TryEnd,
+    /// Its last byte was written while the connection stood, so that its proxy has taken it.
+    pub is_written: bool,
+    /// What has been moved, if its bodies are large.
+    pub moved: Moved,
+}
+
+/// What a client has moved in a try with large bodies.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Moved {
+    /// When the last byte of the request was written.
+    pub written: Option<Micros>,
+    /// When the first byte of the response was read; by this it is in time.
+    pub first: Option<Micros>,
+    /// Bytes of the response that were read, the head included.
+    pub read: usize,
+    /// When the last of them was read.
+    pub last: Option<Micros>,
 }
 
 /// What a proxy says of its peers.
@@ -108,6 +129,12 @@
     Began { attempt: u64, request: usize, number: u32, server: usize, first: Micros, whole: Micros },
     /// The server is done with it; the work that was done for nobody, in microseconds of a core.
     Ended { attempt: u64, outcome: Outcome, wasted: f64 },
+    /// The server has written so much of the answer, which is so long.
+    Given { attempt: u64, at: Micros, bytes: usize, length: usize },
+    /// The server has reset the connection of an attempt while or after it answered.
+    BrokeOff { attempt: u64, at: Micros },
+    /// A process that another relieved was told to end, or killed when it had not ended in its time.
+    Relieved { proxy: usize, at: Micros, is_killed: bool },
     /// An attempt has come to a server that is cold since `started`, and so many it bears within the fall time.
     Cold { attempt: u64, server: usize, started: Micros, at: Micros, bound: f64 },
     /// A try has ended.
@@ -157,6 +184,11 @@
     pub spans: Vec<(Micros, Micros)>,
 }
 
+/// Marks the number of a try that is written right behind another, before that one's response has been read.
+const AHEAD: u32 = 0x80;
+/// The sizes of bodies are drawn from streams from this number on.
+const FIRST_SIZE_STREAM: usize = 3_000_000;
+
 /// A rig that is later than this cannot tell what is late, in microseconds.
 pub const TOO_LATE: Micros = 20_000;
 
@@ -244,6 +276,37 @@
         (std::mem::take(&mut *lock(&self.seen)), lock(&self.late).clone())
     }
 
+    /// Bytes of the body of a large request; none if it is small.
+    pub fn request_bytes(&self, request: usize) -> Option<usize> {
+        let [least, most] = self.transfer(request)?.request_bytes;
+        (most > 0).then(|| self.sizes(request).gen_range(least..=most))
+    }
+
+    /// Bytes of the body of the large response to a try; none if it is small.
+    pub fn response_bytes(&self, request: usize, number: u32) -> Option<usize> {
+        let [least, most] = self.transfer(request)?.response_bytes;
+        (!Shared::is_ahead(number)).then(|| self.sizes(request).gen_range(least..=most))
+    }
+
+    /// What is large about a request.
+    pub fn transfer(&self, request: usize) -> Option<&TransferSpec> {
+        self.day.classes[self.arrivals[request].class].transfer.as_ref()
+    }
+
+    fn sizes(&self, request: usize) -> impl Rng {
+        chance::stream(self.seed, Part::Policy(FIRST_SIZE_STREAM + request))
+    }
+
+    /// The number of the try that is written right behind this one.
+    pub fn ahead(number: u32) -> u32 {
+        number | AHEAD
+    }
+
+    /// The try was written behind another.
+    pub fn is_ahead(number: u32) -> bool {
+        number & AHEAD != 0
+    }
+
     /// The id of a try.
     pub fn id(request: usize, number: u32) -> String {
         format!("{request:08x}{number:02x}")
--- a/crates/testbed/src/cluster/servers.rs
+++ b/crates/testbed/src/cluster/servers.rs
@@ -4,6 +4,7 @@
 use super::gate::{address, gone, heard, Gate, Party};
 use super::http::{self, Side};
 use super::record::{Seen, Shared};
+use super::transfers;
 use bytes::BytesMut;
 use oakport_core::{Micros, Outcome};
 use oakport_simulator::chance::{self, Part};
@@ -28,6 +29,9 @@
 /// would be another fault than the one asked for.
 const MAX_EXTRA_RESPONSE_DELAY_US: Micros = 2_000;
 
+/// What a server writes of a large answer at a time.
+const GIVEN_CHUNK_BYTES: usize = 16 * 1024;
+
 /// What a server does wrong on its connections.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Quirks {
@@ -221,10 +225,14 @@
         let _ = stream.set_nodelay(true);
         let mut phase = self.gate.watch();
         let mut buffer = BytesMut::new();
+        let mut last = None;
         loop {
             let began = tokio::select! {
                 began = tokio::time::timeout(self.idle_time(), http::begun(&mut stream, &mut buffer)) => began,
-                () = gone(&mut phase, life) => return http::reset(stream),
+                () = gone(&mut phase, life) => {
+                    last.into_iter().for_each(|attempt| self.broke_off(attempt));
+                    return http::reset(stream);
+                }
             };
             if !matches!(began, Ok(Ok(true))) {
                 return;
@@ -253,7 +261,7 @@
             };
             self.shared.saw(Seen::Ended { attempt, outcome, wasted });
             let text = match outcome {
-                Outcome::Served => http::answer(200, "", &body(&self.name(), &Shared::id(request, number))),
+                Outcome::Served => self.answer(request, number, &message.body),
                 Outcome::Rejected => http::answer(503, "X-Not-Processed: 1\r\n", ""),
                 Outcome::Error => http::answer(500, "", ""),
                 _ => return http::reset(stream),
@@ -262,13 +270,43 @@
                 () = heard(self.gate.watch()) => {}
                 () = gone(&mut phase, life) => return http::reset(stream),
             }
-            let written = stream.write_all(text.as_bytes()).await;
-            if written.is_err() || self.repeat_response(&mut stream, &text).await.is_err() {
+            let given = tokio::select! {
+                given = give(&mut stream, text.as_bytes(), self.give_rate(request)) => given,
+                () = gone(&mut phase, life) => {
+                    self.broke_off(attempt);
+                    return http::reset(stream);
+                }
+            };
+            let (at, length) = (self.shared.now(), text.len());
+            self.shared.saw(Seen::Given { attempt, at, bytes: given, length });
+            if given < length || self.repeat_response(&mut stream, &text).await.is_err() {
                 return;
             }
+            last = Some(attempt);
         }
     }
 
+    /// The served answer to a request with this body.
+    fn answer(&self, request: usize, number: u32, found: &[u8]) -> String {
+        let id = Shared::id(request, number);
+        let sent = self.shared.request_bytes(request).filter(|_| !Shared::is_ahead(number));
+        let text = match sent {
+            Some(bytes) if found != upload(&id, bytes).as_bytes() => format!("{id} came with another body\n"),
+            _ => body(&self.name(), &id, self.shared.response_bytes(request, number)),
+        };
+        http::answer(200, "", &text)
+    }
+
+    /// Bytes a second that it writes of the answer to a request, if that is large.
+    fn give_rate(&self, request: usize) -> Option<usize> {
+        self.shared.transfer(request).map(|transfer| transfer.give_rate)
+    }
+
+    /// The connection of an attempt is reset by the server, which throws away what its client has not read yet.
+    fn broke_off(&self, attempt: u64) {
+        self.shared.saw(Seen::BrokeOff { attempt, at: self.shared.now() });
+    }
+
     /// What comes of an attempt, and the work that was done for nobody.
     async fn serve(&self, stream: &mut TcpStream, attempt: u64, request: usize) -> (Outcome, f64) {
         let (work, proxy) = (self.shared.arrivals[request].work, self.shared.arrivals[request].proxy);
@@ -357,21 +395,53 @@
     }
 }
 
+/// Writes an answer at this many bytes a second, or as fast as it is read; how many of its bytes were written before the
+/// connection ended.
+async fn give(stream: &mut TcpStream, text: &[u8], rate: Option<usize>) -> usize {
+    let mut given = 0;
+    let chunk_bytes = if rate.is_some() { GIVEN_CHUNK_BYTES } else { text.len() };
+    while given < text.len() {
+        let end = text.len().min(given + chunk_bytes);
+        match stream.write(&text[given..end]).await {
+            Ok(bytes) if bytes > 0 => given += bytes,
+            _ => break,
+        }
+        if let Some(rate) = rate {
+            tokio::time::sleep(transfers::pace(chunk_bytes, rate)).await;
+        }
+    }
+    given
+}
+
+/// The body of a large request.
+pub fn upload(id: &str, bytes: usize) -> String {
+    body("client", id, Some(bytes))
+}
+
 /// The name of a server in the list.
 pub fn name(number: usize) -> String {
     format!("s-{number:04}")
 }
 
-/// The body of an answer, which no other server would have given, nor this one to another request.
-pub fn body(server: &str, id: &str) -> String {
-    format!("{server} served {id} whole\n")
+/// The body of an answer, which no other server would have given, nor this one to another request. A large one repeats its
+/// line up to this size.
+pub fn body(server: &str, id: &str, bytes: Option<usize>) -> String {
+    let line = format!("{server} served {id} whole\n");
+    match bytes {
+        None => line,
+        Some(bytes) => {
+            let mut text = line.repeat(bytes.div_ceil(line.len()));
+            text.truncate(bytes);
+            text
+        }
+    }
 }
 
 /// The server whose answer to this try a body is.
-pub fn author(found: &[u8], id: &str) -> Option<usize> {
+pub fn author(found: &[u8], id: &str, bytes: Option<usize>) -> Option<usize> {
     let text = std::str::from_utf8(found).ok()?;
     let number = text.strip_prefix("s-")?.split(' ').next()?.parse().ok()?;
-    (text == body(&name(number), id)).then_some(number)
+    (text == body(&name(number), id, bytes)).then_some(number)
 }
 
 /// An open connection in a server's count.
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -1,10 +1,13 @@
 //! Draws the plan of a soak's play from its seed: a small world and what goes wrong in it, written as a scenario.
 
+mod transfers;
+
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::fmt::Write;
 use std::ops::RangeInclusive;
+use transfers::Transfers;
 
 const CLIENT_PROXIES: RangeInclusive<usize> = 2..=8;
 const ENDPOINTS: RangeInclusive<usize> = 3..=12;
@@ -38,8 +41,12 @@
 /// The plan of this seed, as the text of a scenario.
 pub fn plan(seed: u64) -> String {
     let mut plan = Plan { random: Pcg64::seed_from_u64(seed), text: String::new() };
-    plan.world(seed);
-    plan.process_event();
+    let transfers = Transfers::draw(seed);
+    let world = plan.world(seed);
+    if let Some(transfers) = &transfers {
+        transfers.classes(&world).iter().for_each(|class| plan.line(format_args!("{class}")));
+    }
+    plan.process_event(transfers.as_ref());
     plan.endpoint_habits();
     for _ in 0..plan.random.gen_range(1..=MAX_OTHER_EVENTS) {
         plan.other_event();
@@ -47,6 +54,13 @@
     plan.text
 }
 
+/// What a world's requests come to.
+struct World {
+    requests_per_second: f64,
+    /// Its classes, each with a share of 1.
+    classes: usize,
+}
+
 /// A class of requests.
 struct Class {
     name: &'static str,
@@ -71,7 +85,7 @@
         self.random.gen_ratio(1, count)
     }
 
-    fn world(&mut self, seed: u64) {
+    fn world(&mut self, seed: u64) -> World {
         let proxies = self.random.gen_range(CLIENT_PROXIES);
         let endpoints = self.random.gen_range(ENDPOINTS);
         let zones = &ZONES[..self.random.gen_range(1..=ZONES.len())];
@@ -92,6 +106,7 @@
         self.server();
         self.clients_and_discovery();
         classes.iter().for_each(|class| self.class(class));
+        World { requests_per_second: rate, classes: classes.len() }
     }
 
     fn server(&mut self) {
@@ -153,9 +168,14 @@
         self.line(format_args!("part = {part:.2}"));
     }
 
-    /// What happens to the processes of the client proxies.
-    fn process_event(&mut self) {
+    /// What happens to the processes of the client proxies. Large bodies are to meet their planned ends.
+    fn process_event(&mut self, transfers: Option<&Transfers>) {
         let at_ms = self.random.gen_range(PROCESS_EVENT_AT_MS);
+        if let Some(transfers) = transfers {
+            self.event(at_ms, 0, transfers.process_event);
+            self.line(format_args!("clients_stay = true"));
+            return self.part(0.5..=1.0);
+        }
         match self.random.gen_range(0..10) {
             0..=4 => {
                 let length_ms = self.random.gen_range(20..=800);
--- a/crates/testbed/tests/soak.rs
+++ b/crates/testbed/tests/soak.rs
@@ -53,6 +53,13 @@
     let all = plans("1", "300");
     let each: Vec<String> = all.split("purpose = ").skip(1).map(|rest| format!("purpose = {rest}")).collect();
     assert_eq!(each.len(), 300);
+    let with_transfers: Vec<bool> = each.iter().map(|plan| plan.contains("[class.transfer]")).collect();
+    assert!(!with_transfers[..100].contains(&true), "large bodies are drawn from seed 101 on");
+    for what in ["restart", "upgrade"] {
+        let meets =
+            |plan: &&String| plan.contains("[class.transfer]") && plan.contains(&format!("\"{what}\""));
+        assert!(each.iter().filter(meets).count() > 20, "few plans have large bodies and {what}");
+    }
     for plan in each {
         let read = oakport_simulator::scenario::Scenario::parse(&plan);
         assert!(read.is_ok(), "{read:?}: {plan}");
