Draw responses larger than the send buffer, and time extra responses from the last byte

Cause: no response was left in the process at the kill, as the system's buffer took up to 3.65 MB; and a server paused after the last chunk of a response, so that its extra response came later than its plan says. Change: responses of up to 4.5 MB; no pause after the last chunk.

--- a/crates/testbed/src/cluster/servers.rs
+++ b/crates/testbed/src/cluster/servers.rs
@@ -406,7 +406,8 @@
             Ok(bytes) if bytes > 0 => given += bytes,
             _ => break,
         }
-        if let Some(rate) = rate {
+        // An extra response is timed from the last byte.
+        if let Some(rate) = rate.filter(|_| given < text.len()) {
             tokio::time::sleep(transfers::pace(chunk_bytes, rate)).await;
         }
     }
--- a/crates/testbed/src/soak/plan/transfers.rs
+++ b/crates/testbed/src/soak/plan/transfers.rs
@@ -15,7 +15,7 @@
 /// Requests a second of each class with large bodies, over all client proxies.
 const REQUESTS_PER_SECOND: RangeInclusive<f64> = 1.0..=3.0;
 /// Around what the system's buffers of a connection hold before they grow, and more.
-const RESPONSE_BYTES: RangeInclusive<usize> = 2_500_000..=3_500_000;
+const RESPONSE_BYTES: RangeInclusive<usize> = 2_500_000..=4_500_000;
 const REQUEST_BYTES: RangeInclusive<usize> = 150_000..=700_000;
 const GIVE_BYTES_PER_SECOND: RangeInclusive<usize> = 1_000_000..=8_000_000;
 const READ_BYTES_PER_SECOND: RangeInclusive<usize> = 48_000..=96_000;
