Reject a late request only behind another on its connection, or with a late body

Cause: went by the moment of reading for each request. The first request of a connection comes within 0.65 s, by the limits for heads, however late it is read. Change: a head that is read too late is rejected only where it is not the first of its connection; a body has 3 ms for what came with its head.

--- a/crates/proxy/src/downstream/open_request.rs
+++ b/crates/proxy/src/downstream/open_request.rs
@@ -18,6 +18,11 @@
         Rc::new(OpenRequest { connection: Rc::clone(connection), number })
     }
 
+    /// Is it the first request of its connection?
+    pub fn is_first(&self) -> bool {
+        self.number == 1
+    }
+
     /// All of the request has arrived.
     pub fn complete(&self) {
         self.connection.complete_request(self.number);
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -4,7 +4,7 @@
 use super::open_request::OpenRequest;
 use super::request_head::{class_id, is_health_check, RequestHead, REQUEST_ID_HEADER};
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
-use super::shutdown::{completion_deadline, ShutdownSignal};
+use super::shutdown::{completion_deadline, is_too_late, ShutdownSignal};
 use crate::body::{
     BodyError, MemoryLimit, MemoryReservation, RequestBodyReader, ResponseStream, Upload,
     MAX_BUFFERED_BODY_BYTES,
@@ -85,13 +85,16 @@
         let RequestContext { open, client, shutdown } = context;
         let head = RequestHead::parse(&self.dispatcher, &parts)?;
         let client_timeout = Duration::from_micros(head.client_timeout_us);
+        // The first request of a connection comes early in a shutdown, however late it is read.
+        if !open.is_first() && is_too_late(&shutdown, client_timeout) {
+            return Err(self.reject_late(&head));
+        }
         // A request that becomes complete later could lose its response with the process.
         let mut completion_deadline = Box::pin(completion_deadline(shutdown, client_timeout));
         let body = tokio::select! {
-            // One that is complete may have become so after the deadline.
             biased;
-            () = completion_deadline.as_mut() => return Err(self.reject_incomplete(&head)),
             body = self.receive_body(body, &head, &open) => body?,
+            () = completion_deadline.as_mut() => return Err(self.reject_late(&head)),
         };
         let attributes =
             CallAttributes { class: head.class, tenant: head.tenant.clone(), is_retry: head.is_retry };
@@ -117,7 +120,7 @@
                 let response = self.await_streamed(call, upload, response, &open, deadline).await;
                 if matches!(response, Err(RequestError::ShuttingDown)) {
                     discard(Rc::clone(upload), &open);
-                    return Err(self.reject_incomplete(&head));
+                    return Err(self.reject_late(&head));
                 }
                 response?
             }
@@ -138,8 +141,8 @@
         Ok(response)
     }
 
-    /// Counts a request that was still incomplete when it was too late to take it.
-    fn reject_incomplete(&self, head: &RequestHead) -> RequestError {
+    /// Counts a request that was not complete until it was too late to take it. Returns its rejection.
+    fn reject_late(&self, head: &RequestHead) -> RequestError {
         self.dispatcher.count_rejected(head.class);
         RequestError::ShuttingDown
     }
--- a/crates/proxy/src/downstream/shutdown.rs
+++ b/crates/proxy/src/downstream/shutdown.rs
@@ -14,6 +14,9 @@
 /// A final response at the very end of its client's timeout is written so long before the kill.
 const RESPONSE_MARGIN: Duration = Duration::from_millis(50);
 
+/// What arrived together with a request's head is read within this time.
+const READ_GRACE: Duration = Duration::from_millis(3);
+
 /// A graceful shutdown that has begun.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Shutdown {
@@ -44,11 +47,21 @@
     }
 }
 
-/// Resolves once a request with this timeout that is not complete yet must not be taken any more.
+/// Is it too late to take a request with this timeout?
+pub fn is_too_late(shutdown: &ShutdownSignal, client_timeout: Duration) -> bool {
+    let latest = shutdown.borrow().map(|shutdown| shutdown.latest_completion(client_timeout));
+    latest.is_some_and(|latest| latest < Instant::now())
+}
+
+/// Resolves once a request with this timeout, whose head is complete now, must not be taken any more if it is incomplete.
 pub async fn completion_deadline(mut shutdown: ShutdownSignal, client_timeout: Duration) {
+    let head_read_at = Instant::now();
     let begun = shutdown.wait_for(Option::is_some).await.ok().and_then(|shutdown| *shutdown);
     match begun {
-        Some(begun) => tokio::time::sleep_until(begun.latest_completion(client_timeout)).await,
+        Some(begun) => {
+            let latest = begun.latest_completion(client_timeout);
+            tokio::time::sleep_until(latest.max(head_read_at + READ_GRACE)).await;
+        }
         // The client side has ended: no shutdown will begin.
         None => std::future::pending().await,
     }
