--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -14,6 +14,7 @@
 use hyper::service::service_fn;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
+use std::cell::RefCell;
 use std::convert::Infallible;
 use std::future::Future;
 use std::pin::pin;
@@ -46,12 +47,14 @@
 impl HttpConnection {
     /// Serves the connection, then closes it.
     pub async fn serve(self) {
+        // It holds the memory of an enlarged send buffer until the client has received what is there.
+        let shutdown_writer = ShutdownWriter::new(self.shutdown.clone(), Rc::clone(&self.handler.memory));
+        let shutdown_writer = Rc::new(RefCell::new(shutdown_writer));
         let end = {
             let this = &self;
             let service =
                 service_fn(move |request| async move { Ok::<_, Infallible>(this.respond(request).await) });
-            let shutdown_writer = ShutdownWriter::new(self.shutdown.clone(), Rc::clone(&self.handler.memory));
-            let stream = ObservedStream::new(&self.connection, shutdown_writer);
+            let stream = ObservedStream::new(&self.connection, Rc::clone(&shutdown_writer));
             let serving = http1::Builder::new()
                 .max_buf_size(MAX_HEAD_BYTES)
                 .keep_alive(!self.at_capacity)
--- a/crates/proxy/src/downstream/shutdown_writer.rs
+++ b/crates/proxy/src/downstream/shutdown_writer.rs
@@ -4,7 +4,7 @@
 use super::shutdown::ShutdownSignal;
 use crate::body::{MemoryLimit, MemoryReservation};
 use crate::socket::Socket;
-use crate::system_limits::max_send_buffer_bytes;
+use crate::system_limits::send_buffer_limits;
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -22,7 +22,7 @@
 pub struct ShutdownWriter {
     shutdown: ShutdownSignal,
     memory: Rc<MemoryLimit>,
-    /// Memory of the send buffer beyond the size that the system gave it.
+    /// Memory of the send buffer beyond the size that the system would give it.
     reservation: MemoryReservation,
     /// The send buffer cannot be enlarged any further.
     is_at_limit: bool,
@@ -41,7 +41,7 @@
     }
 
     /// Writes some bytes and returns how many, enlarging the send buffer where it is full. To be called once the socket
-    /// is not writable. Pending before graceful shutdown, without a wake-up at its beginning.
+    /// is not writable. Pending before graceful shutdown: the connection's task polls again when that begins.
     pub fn poll_write(
         &mut self,
         cx: &mut Context<'_>,
@@ -71,11 +71,11 @@
             self.is_at_limit = true;
             return false;
         };
-        // Other bodies may return memory later.
+        // Other bodies may return memory later. Until then the system goes on adapting the size.
         if !self.memory.try_extend_spare(&mut self.reservation, SEND_BUFFER_STEP_BYTES) {
             return false;
         }
-        let is_enlarged = socket.set_send_buffer_bytes(size_bytes).is_ok_and(|now| now >= size_bytes);
+        let is_enlarged = socket.enlarge_send_buffer(size_bytes);
         self.is_at_limit = !is_enlarged;
         is_enlarged
     }
@@ -89,8 +89,11 @@
     }
 }
 
-/// The size of the send buffer after one step more. `None` if the system does not allow it.
+/// The size of the send buffer after one step more, which is beyond what the system may give it by itself. `None` if the
+/// system does not allow it.
 fn next_send_buffer_bytes(socket: &Socket) -> Option<usize> {
-    let size_bytes = socket.send_buffer_bytes().ok()? + SEND_BUFFER_STEP_BYTES;
-    (size_bytes <= max_send_buffer_bytes()?).then_some(size_bytes)
+    let limits = send_buffer_limits()?;
+    let current_bytes = socket.send_buffer_bytes().ok()?;
+    let size_bytes = current_bytes.max(limits.max_adapted_bytes) + SEND_BUFFER_STEP_BYTES;
+    (size_bytes <= limits.max_settable_bytes).then_some(size_bytes)
 }
--- a/crates/proxy/src/downstream/stream.rs
+++ b/crates/proxy/src/downstream/stream.rs
@@ -2,6 +2,7 @@
 
 use super::connection::ClientConnection;
 use super::shutdown_writer::ShutdownWriter;
+use std::cell::RefCell;
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -11,11 +12,11 @@
 /// A client's stream: reads what was read ahead first, and reports reads and writes.
 pub struct ObservedStream {
     connection: Rc<ClientConnection>,
-    shutdown_writer: ShutdownWriter,
+    shutdown_writer: Rc<RefCell<ShutdownWriter>>,
 }
 
 impl ObservedStream {
-    pub fn new(connection: &Rc<ClientConnection>, shutdown_writer: ShutdownWriter) -> Self {
+    pub fn new(connection: &Rc<ClientConnection>, shutdown_writer: Rc<RefCell<ShutdownWriter>>) -> Self {
         ObservedStream { connection: Rc::clone(connection), shutdown_writer }
     }
 }
@@ -37,14 +38,13 @@
 }
 
 impl AsyncWrite for ObservedStream {
-    fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
-        let this = &mut *self;
-        let socket = &this.connection.socket;
+    fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let socket = &self.connection.socket;
         let written = match socket.poll_write(cx, buf) {
-            Poll::Pending => this.shutdown_writer.poll_write(cx, socket, buf),
+            Poll::Pending => self.shutdown_writer.borrow_mut().poll_write(cx, socket, buf),
             written => written,
         };
-        this.connection.record_write(written.is_ready());
+        self.connection.record_write(written.is_ready());
         written
     }
 
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -67,11 +67,12 @@
         socket2::SockRef::from(&*self.0).send_buffer_size()
     }
 
-    /// Sets the size of the system's send buffer, and returns what it is now: the system may allow less. From then on
-    /// the system no longer adapts the size by itself.
-    pub fn set_send_buffer_bytes(&self, size_bytes: usize) -> io::Result<usize> {
-        socket2::SockRef::from(&*self.0).set_send_buffer_size(size_bytes / SEND_BUFFER_OVERHEAD_FACTOR)?;
-        self.send_buffer_bytes()
+    /// Enlarges the system's send buffer, after which the system no longer adapts its size. False if it has not grown.
+    pub fn enlarge_send_buffer(&self, size_bytes: usize) -> bool {
+        let previous_bytes = self.send_buffer_bytes().unwrap_or(usize::MAX);
+        let requested_bytes = size_bytes / SEND_BUFFER_OVERHEAD_FACTOR;
+        let is_set = socket2::SockRef::from(&*self.0).set_send_buffer_size(requested_bytes).is_ok();
+        is_set && self.send_buffer_bytes().is_ok_and(|size_bytes| size_bytes > previous_bytes)
     }
 
     /// Ends the writing side.
