Name the optional memory, split the handling of a request by its steps

Change: the request of an attempt, its attributes and the abort of an early response stand in functions of their own; names. Nothing else.

--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -18,7 +18,7 @@
 /// Bodies may take this part of the memory: two processes may be there, and each needs some for itself.
 const BODY_MEMORY_DIVISOR: usize = 3;
 /// This part of it is left to uploads, buffered bodies and responses that begin, whatever else takes memory.
-const SPARED_DIVISOR: usize = 2;
+const BODY_RESERVE_DIVISOR: usize = 2;
 /// The limit allows at least so many streamed bodies.
 const MIN_STREAMED_BODIES: usize = 4;
 const BYTES_PER_KIB: usize = 1024;
@@ -97,10 +97,10 @@
     }
 
     /// Makes a reservation larger by so many bytes that no body needs to make progress. False if less than
-    /// [`SPARED_DIVISOR`] says would be left to bodies.
-    pub fn try_extend_spare(&self, reservation: &mut MemoryReservation, additional_bytes: usize) -> bool {
-        let spared_bytes = self.total_bytes() / SPARED_DIVISOR;
-        self.available_bytes() >= spared_bytes + additional_bytes
+    /// [`BODY_RESERVE_DIVISOR`] says would be left to bodies.
+    pub fn try_reserve_optional(&self, reservation: &mut MemoryReservation, additional_bytes: usize) -> bool {
+        let body_reserve_bytes = self.total_bytes() / BODY_RESERVE_DIVISOR;
+        self.available_bytes() >= body_reserve_bytes + additional_bytes
             && self.try_grow(reservation, additional_bytes.div_ceil(BYTES_PER_KIB) as u32)
     }
 
--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -12,5 +12,5 @@
 };
 pub use read_ahead_buffer::{ReadAheadBuffer, ReadAheadLimit};
 pub use request_stream::{RequestStream, WriteProgress};
-pub use response_stream::{BodyChunk, ResponseStream};
+pub use response_stream::{AbortCondition, BodyChunk, ResponseStream};
 pub use upload::{BodyError, RequestBodyReader, Upload};
--- a/crates/proxy/src/body/read_ahead_buffer.rs
+++ b/crates/proxy/src/body/read_ahead_buffer.rs
@@ -31,7 +31,7 @@
     /// `None` if the memory does not suffice.
     fn try_allocate(memory: &MemoryLimit) -> Option<Self> {
         let mut reservation = MemoryReservation::default();
-        let is_reserved = memory.try_extend_spare(&mut reservation, BLOCK_BYTES);
+        let is_reserved = memory.try_reserve_optional(&mut reservation, BLOCK_BYTES);
         is_reserved.then(|| Block { bytes: BytesMut::with_capacity(BLOCK_BYTES), _reservation: reservation })
     }
 
@@ -71,8 +71,8 @@
         self.first_chunk.is_none() && self.blocks.is_empty()
     }
 
-    /// Makes room for another chunk. False if the limit does not permit it now.
-    pub fn make_room(&mut self, limit: ReadAheadLimit) -> bool {
+    /// Reserves the memory of another chunk. False if the limit does not permit it now.
+    pub fn try_reserve_chunk(&mut self, limit: ReadAheadLimit) -> bool {
         if self.is_empty() {
             return true;
         }
@@ -90,7 +90,7 @@
         reserved_blocks.map(Block::free_bytes).sum()
     }
 
-    /// Adds a chunk for which there is room.
+    /// Adds a chunk whose memory is reserved.
     pub fn push(&mut self, mut chunk: Bytes) {
         if self.is_empty() {
             self.first_chunk = Some(chunk);
@@ -102,7 +102,7 @@
         if chunk.is_empty() {
             return;
         }
-        // Without a block there was no room: the chunk is kept all the same.
+        // Without a block no memory was reserved: the chunk is kept all the same.
         let mut next = self.next_block.take().unwrap_or_default();
         next.bytes.extend_from_slice(&chunk);
         self.blocks.push_back(next);
--- a/crates/proxy/src/body/read_ahead_buffer/tests.rs
+++ b/crates/proxy/src/body/read_ahead_buffer/tests.rs
@@ -12,7 +12,7 @@
 /// Fills the buffer as far as the limit permits. Returns how many chunks it took.
 fn fill(buffer: &mut ReadAheadBuffer, limit: ReadAheadLimit) -> usize {
     let mut count = 0;
-    while buffer.make_room(limit) {
+    while buffer.try_reserve_chunk(limit) {
         buffer.push(chunk(count as u8));
         count += 1;
     }
@@ -53,5 +53,5 @@
     assert_eq!(fill(&mut buffer, ReadAheadLimit::OneChunk), 1);
     assert_eq!(memory.available_bytes(), memory.total_bytes());
     assert_eq!(buffer.pop(), Some(chunk(0)));
-    assert!(buffer.is_empty() && buffer.make_room(ReadAheadLimit::OneChunk));
+    assert!(buffer.is_empty() && buffer.try_reserve_chunk(ReadAheadLimit::OneChunk));
 }
--- a/crates/proxy/src/downstream/deadline/tests.rs
+++ b/crates/proxy/src/downstream/deadline/tests.rs
@@ -59,7 +59,7 @@
 }
 
 #[test]
-fn a_connection_on_which_a_response_is_under_way_closes_when_its_client_takes_nothing() {
+fn a_connection_whose_response_is_being_received_closes_when_nothing_is_acknowledged() {
     let accepted = Instant::now();
     let began = accepted + 100 * MILLISECOND;
     let delivery = PendingDelivery::begin(1, accepted).expect("a byte is left");
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -6,11 +6,11 @@
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
 use super::shutdown::{completion_deadline, is_too_late, ShutdownSignal};
 use crate::body::{
-    BodyError, MemoryLimit, MemoryReservation, RequestBodyReader, ResponseStream, Upload,
+    AbortCondition, BodyError, MemoryLimit, MemoryReservation, RequestBodyReader, ResponseStream, Upload,
     MAX_BUFFERED_BODY_BYTES,
 };
 use crate::dispatcher::Dispatcher;
-use crate::request::{CallAttributes, Request};
+use crate::request::Request;
 use crate::response::FinalResponse;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -51,6 +51,22 @@
     _reservation: MemoryReservation,
 }
 
+impl ReceivedBody {
+    /// The request that an attempt sends, with this body.
+    fn request(&self, parts: Parts, head: &RequestHead, client: ClientPresence) -> Request {
+        Request {
+            method: parts.method,
+            uri: parts.uri,
+            headers: parts.headers,
+            body: self.buffered.clone(),
+            upload: self.upload.clone(),
+            length: self.length,
+            client_timeout: head.client_timeout_us,
+            client,
+        }
+    }
+}
+
 impl RequestHandler {
     /// The response to a request for which there is no capacity.
     pub fn reject(&self, request: &hyper::Request<Incoming>) -> Response<ResponseStream> {
@@ -84,59 +100,38 @@
     ) -> Result<Response<ResponseStream>, RequestError> {
         let RequestContext { open, client, shutdown } = context;
         let head = RequestHead::parse(&self.dispatcher, &parts)?;
-        let client_timeout = Duration::from_micros(head.client_timeout_us);
         // The first request of a connection comes early in a shutdown, however late it is read.
-        if !open.is_first() && is_too_late(&shutdown, client_timeout) {
+        if !open.is_first() && is_too_late(&shutdown, head.client_timeout()) {
             return Err(self.reject_late(&head));
         }
         // A request that becomes complete later could lose its response with the process.
-        let mut completion_deadline = Box::pin(completion_deadline(shutdown, client_timeout));
+        let mut completion_deadline = Box::pin(completion_deadline(shutdown, head.client_timeout()));
         let body = tokio::select! {
             biased;
             body = self.receive_body(body, &head, &open) => body?,
             () = completion_deadline.as_mut() => return Err(self.reject_late(&head)),
         };
-        let attributes =
-            CallAttributes { class: head.class, tenant: head.tenant.clone(), is_retry: head.is_retry };
-        let request = Request {
-            method: parts.method,
-            uri: parts.uri,
-            headers: parts.headers,
-            body: body.buffered,
-            upload: body.upload.clone(),
-            length: body.length,
-            client_timeout: head.client_timeout_us,
-            client,
-        };
-        let Some((call, response)) = self.dispatcher.start_call(attributes, request) else {
+        let started = self.dispatcher.start_call(head.call_attributes(), body.request(parts, &head, client));
+        let Some((call, response)) = started else {
             discard_remaining(body.upload, &open);
             return Err(RequestError::AtCapacity);
         };
         let _guard = CallGuard { dispatcher: &self.dispatcher, call };
-        let response = match &body.upload {
-            None => response.await.ok(),
-            Some(upload) => {
-                let deadline = completion_deadline.as_mut();
-                let response = self.await_streamed(call, upload, response, &open, deadline).await;
-                if matches!(response, Err(RequestError::ShuttingDown)) {
-                    discard(Rc::clone(upload), &open);
-                    return Err(self.reject_late(&head));
-                }
-                response?
-            }
-        };
+        let Some(upload) = body.upload else { return Ok(final_response(response.await.ok())) };
+        let response =
+            self.await_streamed(call, &upload, response, &open, completion_deadline.as_mut()).await;
+        if matches!(response, Err(RequestError::ShuttingDown)) {
+            discard(upload, &open);
+            return Err(self.reject_late(&head));
+        }
+        let response = response?;
         let is_streaming = matches!(response, Some(FinalResponse::Streaming(_)));
         let mut response = final_response(response);
-        match body.upload {
-            // An endpoint that has begun its response may still be reading the request.
-            Some(upload) if is_streaming => {
-                let is_late = async move {
-                    completion_deadline.await;
-                    upload.is_incomplete()
-                };
-                response.body_mut().abort_if(Box::pin(is_late));
-            }
-            upload => discard_remaining(upload, &open),
+        if is_streaming {
+            // The endpoint that has begun its response may still be reading the request.
+            response.body_mut().abort_if(incomplete_after(completion_deadline, upload));
+        } else {
+            discard(upload, &open);
         }
         Ok(response)
     }
@@ -211,6 +206,14 @@
     }
 }
 
+/// Resolves at the deadline, with whether some of the upload has still to be read.
+fn incomplete_after(deadline: impl Future<Output = ()> + 'static, upload: Rc<Upload>) -> AbortCondition {
+    Box::pin(async move {
+        deadline.await;
+        upload.is_incomplete()
+    })
+}
+
 /// Reads on what a client still sends after its response is there: it may look for that only then.
 fn discard(upload: Rc<Upload>, open: &Rc<OpenRequest>) {
     let open = Rc::clone(open);
--- a/crates/proxy/src/downstream/request_head.rs
+++ b/crates/proxy/src/downstream/request_head.rs
@@ -5,10 +5,12 @@
 
 use super::response::RequestError;
 use crate::dispatcher::Dispatcher;
+use crate::request::CallAttributes;
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::Method;
 use oakport_core::{ClassId, Micros};
+use std::time::Duration;
 
 /// Identifies a request; a client's retry has an id of its own.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -52,6 +54,16 @@
             is_retry: parts.headers.get(RETRIED_HEADER).is_some_and(|value| value.as_bytes() == b"1"),
         })
     }
+
+    /// How long the client waits for the final response.
+    pub fn client_timeout(&self) -> Duration {
+        Duration::from_micros(self.client_timeout_us)
+    }
+
+    /// What the dispatcher needs to know of the call.
+    pub fn call_attributes(&self) -> CallAttributes {
+        CallAttributes { class: self.class, tenant: self.tenant.clone(), is_retry: self.is_retry }
+    }
 }
 
 /// The class of a path: its first segment names it.
--- a/crates/proxy/src/downstream/shutdown_writer.rs
+++ b/crates/proxy/src/downstream/shutdown_writer.rs
@@ -72,7 +72,7 @@
             return false;
         };
         // Other bodies may return memory later. Until then the system goes on adapting the size.
-        if !self.memory.try_extend_spare(&mut self.reservation, SEND_BUFFER_STEP_BYTES) {
+        if !self.memory.try_reserve_optional(&mut self.reservation, SEND_BUFFER_STEP_BYTES) {
             return false;
         }
         let is_enlarged = socket.enlarge_send_buffer(size_bytes);
--- a/crates/proxy/src/upstream/response_forwarder.rs
+++ b/crates/proxy/src/upstream/response_forwarder.rs
@@ -98,7 +98,7 @@
         let mut outdated = pin!(outdated);
         let mut reading_since = Some(Instant::now());
         loop {
-            let may_read = self.buffer.make_room(self.limit);
+            let may_read = self.buffer.try_reserve_chunk(self.limit);
             reading_since = may_read.then(|| reading_since.unwrap_or_else(Instant::now));
             // The connection is driven also while nothing is read: a part of the request may still have to be written.
             let next_step = self.next_step(&mut body, reading_since, outdated.as_mut());
