Take the pace of slow streams out of two circles of imports in the testbed

Cause: clients and servers imported the transfers that import them, and the soak's plan imported a module that imports it; no_two_modules_of_a_crate_import_each_other failed. Change: connect and pace stand in slow_stream.rs; the plan passes a rate instead of its world.

--- a/crates/testbed/src/cluster/clients.rs
+++ b/crates/testbed/src/cluster/clients.rs
@@ -3,7 +3,7 @@
 use super::http::{self, Message, Side};
 use super::record::{Moved, Seen, Shared, Try, TryEnd};
 use super::servers::author;
-use super::transfers;
+use super::slow_stream;
 use bytes::BytesMut;
 use oakport_core::Micros;
 use oakport_simulator::chance::{self, Part};
@@ -203,7 +203,7 @@
             return done;
         }
         let connected =
-            timeout_at(self.shared.instant(done.deadline), transfers::connect(self.address)).await;
+            timeout_at(self.shared.instant(done.deadline), slow_stream::connect(self.address)).await;
         done.is_written = false;
         done.end = match connected {
             Ok(Ok(stream)) => {
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -23,6 +23,7 @@
 pub(crate) mod record;
 mod servers;
 pub(crate) mod site;
+mod slow_stream;
 mod transfers;
 
 pub use judge::{Second, Verdict, RULES};
--- a/crates/testbed/src/cluster/servers.rs
+++ b/crates/testbed/src/cluster/servers.rs
@@ -4,7 +4,7 @@
 use super::gate::{address, gone, heard, Gate, Party};
 use super::http::{self, Side};
 use super::record::{Seen, Shared};
-use super::transfers;
+use super::slow_stream;
 use bytes::BytesMut;
 use oakport_core::{Micros, Outcome};
 use oakport_simulator::chance::{self, Part};
@@ -408,7 +408,7 @@
         }
         // An extra response is timed from the last byte.
         if let Some(rate) = rate.filter(|_| given < text.len()) {
-            tokio::time::sleep(transfers::pace(chunk_bytes, rate)).await;
+            tokio::time::sleep(slow_stream::pace(chunk_bytes, rate)).await;
         }
     }
     given
--- a/crates/testbed/src/cluster/transfers.rs
+++ b/crates/testbed/src/cluster/transfers.rs
@@ -4,22 +4,20 @@
 use super::http::{self, Message, Side};
 use super::record::{Moved, Seen, Shared, Try, TryEnd};
 use super::servers::upload;
+use super::slow_stream::pace;
 use bytes::{BufMut, BytesMut};
 use oakport_core::Micros;
 use oakport_simulator::scenario::{Again, TransferSpec};
-use std::io::{ErrorKind, Result};
-use std::net::SocketAddr;
+use std::io::ErrorKind;
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpSocket, TcpStream};
+use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout, timeout_at};
 
 /// The rest of a large response may be held back for less than this (the bench's page, "Hard days").
 const MAX_HELD_BACK: Duration = Duration::from_micros(2_000_000 + SLACK);
 /// What a slow client writes or reads at a time.
 const CHUNK_BYTES: usize = 8 * 1024;
-/// The receive buffer of a slow client, so that what it has not read yet waits at its proxy.
-const RECEIVE_BUFFER_BYTES: u32 = 16 * 1024;
 
 /// How the writing of a request ended.
 enum Written {
@@ -31,21 +29,6 @@
     Ended,
 }
 
-/// Connects as a client does whose buffers are small.
-pub async fn connect(address: SocketAddr) -> Result<TcpStream> {
-    let socket = match address {
-        SocketAddr::V4(_) => TcpSocket::new_v4()?,
-        SocketAddr::V6(_) => TcpSocket::new_v6()?,
-    };
-    socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES)?;
-    socket.connect(address).await
-}
-
-/// How long so many bytes take at so many a second.
-pub fn pace(bytes: usize, rate: usize) -> Duration {
-    Duration::from_secs_f64(bytes as f64 / rate.max(1) as f64)
-}
-
 impl App {
     /// One try with large bodies on this connection. None: the connection ended before anything of a response had come.
     pub(super) async fn transfer(
@@ -122,7 +105,7 @@
         buffer: &mut BytesMut,
         spec: &TransferSpec,
         done: &mut Try,
-    ) -> std::result::Result<Message, TryEnd> {
+    ) -> Result<Message, TryEnd> {
         let day_end = self.shared.at(self.shared.day.length);
         loop {
             done.moved.read = buffer.len();
--- a/crates/testbed/src/soak/plan.rs
+++ b/crates/testbed/src/soak/plan.rs
@@ -44,7 +44,10 @@
     let transfers = Transfers::draw(seed);
     let world = plan.world(seed);
     if let Some(transfers) = &transfers {
-        transfers.classes(&world).iter().for_each(|class| plan.line(format_args!("{class}")));
+        transfers
+            .classes(world.requests_per_second / world.classes as f64)
+            .iter()
+            .for_each(|class| plan.line(format_args!("{class}")));
     }
     plan.process_event(transfers.as_ref());
     plan.endpoint_habits();
--- a/crates/testbed/src/soak/plan/transfers.rs
+++ b/crates/testbed/src/soak/plan/transfers.rs
@@ -1,6 +1,5 @@
 //! Draws the large bodies of a plan: slow readers of large responses, slow uploads, and the planned end of their proxies.
 
-use super::World;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -41,12 +40,12 @@
         Some(Transfers { random, process_event })
     }
 
-    /// The classes of requests with large bodies, as text.
-    pub fn classes(&self, world: &World) -> [String; 2] {
+    /// The classes of requests with large bodies, as text, where each other class has so many requests a second.
+    pub fn classes(&self, requests_per_second_of_class: f64) -> [String; 2] {
         let mut random = self.random.clone();
-        let downloads = class("timetable-export", "free", world, &mut random);
+        let downloads = class("timetable-export", "free", requests_per_second_of_class, &mut random);
         let is_pipelined: bool = random.gen();
-        let uploads = class("timetable-import", "single_shot", world, &mut random);
+        let uploads = class("timetable-import", "single_shot", requests_per_second_of_class, &mut random);
         let request_bytes = ordered(REQUEST_BYTES, &mut random);
         [
             format!("{downloads}pipelined = {is_pipelined}"),
@@ -56,9 +55,9 @@
 }
 
 /// A class with large responses, as text that ends in its table of transfers.
-fn class(name: &str, idempotency: &str, world: &World, random: &mut Pcg64) -> String {
+fn class(name: &str, idempotency: &str, requests_per_second_of_class: f64, random: &mut Pcg64) -> String {
     let rate = random.gen_range(REQUESTS_PER_SECOND);
-    let share = rate / world.requests_per_second * world.classes as f64;
+    let share = rate / requests_per_second_of_class;
     let deadline_ms = random.gen_range(DEADLINE_MS);
     let response_bytes = ordered(RESPONSE_BYTES, random);
     let give_rate = random.gen_range(GIVE_BYTES_PER_SECOND);
