Name the request in the log line of an incomplete response

Cause: a response that a caller lost could not be matched with the line that tells how far it had come. Change: the line has request_id.

--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -397,7 +397,8 @@
     }
 
     fn report_incomplete(&self, response: &IncompleteResponse) {
-        self.dispatcher.state.borrow().log_incomplete_response(self.endpoint, response);
+        let request_id = self.outgoing.request.id();
+        self.dispatcher.state.borrow().log_incomplete_response(request_id, self.endpoint, response);
     }
 }
 
--- a/crates/proxy/src/dispatcher/state.rs
+++ b/crates/proxy/src/dispatcher/state.rs
@@ -88,9 +88,15 @@
     }
 
     /// Writes to the log how far a streamed response came that its endpoint did not complete.
-    pub fn log_incomplete_response(&self, endpoint: EndpointId, response: &IncompleteResponse) {
+    pub fn log_incomplete_response(
+        &self,
+        request_id: &str,
+        endpoint: EndpointId,
+        response: &IncompleteResponse,
+    ) {
         let state = self.endpoints.get(endpoint).map(|known| known.state);
         warn!(
+            request_id,
             endpoint = self.endpoints.name(endpoint),
             state = state.map(tracing::field::debug),
             received_bytes = response.received_bytes,
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -2,7 +2,7 @@
 
 use super::connection::ClientPresence;
 use super::open_request::OpenRequest;
-use super::request_head::{class_id, is_health_check, RequestHead, REQUEST_ID_HEADER};
+use super::request_head::{class_id, is_health_check, RequestHead};
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
 use super::shutdown::{completion_deadline, is_too_late, ShutdownSignal};
 use crate::body::{
@@ -10,7 +10,7 @@
     MAX_BUFFERED_BODY_BYTES,
 };
 use crate::dispatcher::Dispatcher;
-use crate::request::Request;
+use crate::request::{Request, REQUEST_ID_HEADER};
 use crate::response::FinalResponse;
 use bytes::Bytes;
 use hyper::body::Incoming;
--- a/crates/proxy/src/downstream/request_head.rs
+++ b/crates/proxy/src/downstream/request_head.rs
@@ -5,15 +5,13 @@
 
 use super::response::RequestError;
 use crate::dispatcher::Dispatcher;
-use crate::request::CallAttributes;
+use crate::request::{CallAttributes, REQUEST_ID_HEADER};
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::Method;
 use oakport_core::{ClassId, Micros};
 use std::time::Duration;
 
-/// Identifies a request; a client's retry has an id of its own.
-pub const REQUEST_ID_HEADER: &str = "x-request-id";
 const TIMEOUT_HEADER: &str = "x-timeout";
 const TENANT_HEADER: &str = "x-tenant-id";
 const RETRIED_HEADER: &str = "x-retried";
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -7,6 +7,9 @@
 use oakport_core::{ClassId, Micros};
 use std::rc::Rc;
 
+/// Identifies a request; a client's retry has an id of its own.
+pub const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// A request as the client sent it, buffered while an attempt may still need it.
 pub struct Request {
     /// The client's method.
@@ -27,6 +30,14 @@
     pub client: ClientPresence,
 }
 
+impl Request {
+    /// The client's identifier of it, for the log; empty if it is no text.
+    pub fn id(&self) -> &str {
+        let id = self.headers.get(REQUEST_ID_HEADER);
+        id.and_then(|value| value.to_str().ok()).unwrap_or_default()
+    }
+}
+
 /// What the balancer needs to know of a request.
 #[derive(Debug)]
 pub struct CallAttributes {
