Take no request after SIGTERM beyond the time in which no kill can lose it

Cause: a request was taken as long as its client's timeout ended before the earliest kill. That timeout bounds the first byte of a response; nothing bounds the last one. The protocol counts as lost what comes more than 0.7 s after SIGTERM and is unanswered at the kill.

Change: a request that is incomplete 0.65 s after SIGTERM, the time that heads have had, is rejected with 503 and Retry-After before its last byte is forwarded, whatever its timeout. It works since nothing is left open at the kill that came after the 0.7 s.

The uploads of kill_races.rs complete about the new latest moment too, and still after the times that they had.

--- a/crates/cli/tests/kill_races.rs
+++ b/crates/cli/tests/kill_races.rs
@@ -216,8 +216,11 @@
     assert_eq!((before.0, after.0), (Some(200), Some(200)), "before {before:?}, in the shutdown {after:?}");
 }
 
-/// Chunked uploads that complete about 0.802 s after SIGTERM, the latest moment for a timeout of 900 ms, at an endpoint
-/// that answers at once or never.
+/// Chunked uploads complete so long after SIGTERM: about the latest moment of a request, and later than that.
+const COMPLETED_AFTER_MS: [u64; 16] =
+    [642, 644, 646, 648, 650, 652, 654, 656, 792, 794, 796, 798, 800, 802, 804, 806];
+
+/// Uploads of a timeout of 900 ms that complete after [`COMPLETED_AFTER_MS`], at an endpoint that answers at once or never.
 fn play_uploads_about_the_latest_moment(endpoint_answers: bool) -> Vec<String> {
     let (complete_sender, complete) = channel();
     let address = endpoint(move |head, stream| {
@@ -235,8 +238,7 @@
         write_response(stream, "length", b"done");
     });
     let mut shutdown = Shutdown::prepare(Restart::Planned, address);
-    const COUNT: usize = 8;
-    let mut clients = shutdown.connected_clients(COUNT);
+    let mut clients = shutdown.connected_clients(COMPLETED_AFTER_MS.len());
     let content = test_pattern(80_000);
     for (number, client) in clients.iter_mut().enumerate() {
         let target = format!("unsafe?number={number}");
@@ -247,10 +249,10 @@
     let terminated = shutdown.terminate();
     let uploads: Vec<_> = clients
         .into_iter()
-        .enumerate()
-        .map(|(number, mut client)| {
+        .zip(COMPLETED_AFTER_MS)
+        .map(|(mut client, completed_after_ms)| {
             let end = [chunk(&content[76_000..]), LAST_CHUNK.to_vec()].concat();
-            let moment = terminated + Duration::from_millis(792 + 2 * number as u64);
+            let moment = terminated + Duration::from_millis(completed_after_ms);
             thread::spawn(move || {
                 thread::sleep(moment.saturating_duration_since(Instant::now()));
                 send_bytes(&mut client.stream, &end);
@@ -265,8 +267,10 @@
     for (number, status) in statuses.iter().enumerate() {
         let seen = complete.iter().find(|(n, _)| *n == number).map(|(_, is_whole)| *is_whole);
         if seen == Some(false) || (seen.is_some() && matches!(status, None | Some(503))) {
-            faults
-                .push(format!("+{} ms: whole at the endpoint {seen:?}, status {status:?}", 792 + 2 * number));
+            faults.push(format!(
+                "+{} ms: whole at the endpoint {seen:?}, status {status:?}",
+                COMPLETED_AFTER_MS[number]
+            ));
         }
     }
     faults
--- a/crates/cli/tests/upload_shutdown.rs
+++ b/crates/cli/tests/upload_shutdown.rs
@@ -6,8 +6,8 @@
 use peers::bodies::*;
 use peers::shutdown::*;
 use peers::*;
-use std::io::BufRead;
-use std::net::SocketAddr;
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
@@ -25,6 +25,12 @@
 /// Served within their client timeout, but after the kill.
 const UPLOADS_SERVED_AFTER_THE_KILL_MS: [(u64, u64); 2] = [(900, 850), (1_300, 600)];
 const SMALL_RESPONSE_BYTES: usize = 1_000;
+/// Complete well before their client timeout of 300 ms would reach into the time after the kill.
+const UPLOADS_WITH_A_SHORT_TIMEOUT_MS: [u64; 3] = [800, 950, 1_100];
+/// A response that its endpoint gives over so long a time ends after the kill, whenever it began after the 0.7 s.
+const LONG_GIVE_TIME: Duration = Duration::from_millis(1_200);
+/// So many parts make a response that is given over some time.
+const GIVEN_PARTS: usize = 24;
 
 /// An upload under way as SIGTERM is sent, and the response that it asks for.
 #[derive(Clone, Copy, Debug)]
@@ -35,6 +41,9 @@
     /// How long the endpoint works on it once it is complete.
     service_time: Duration,
     response_bytes: usize,
+    client_timeout: &'static str,
+    /// The endpoint gives the response evenly over this time.
+    give_time: Duration,
 }
 
 /// What a client got for its upload.
@@ -68,12 +77,13 @@
             parts.last_mut().expect("a part").extend(LAST_CHUNK);
         }
         let target = format!(
-            "unsafe?number={number}&framing={}&size={}&service_ms={}",
+            "unsafe?number={number}&framing={}&size={}&service_ms={}&give_ms={}",
             self.framing,
             self.response_bytes,
-            self.service_time.as_millis()
+            self.service_time.as_millis(),
+            self.give_time.as_millis()
         );
-        client.write(&request_head(&target, "900m", &header));
+        client.write(&request_head(&target, self.client_timeout, &header));
         assert!(send_bytes(&mut client.stream, &parts.remove(0)));
         parts
     }
@@ -109,6 +119,31 @@
     read_slowly(client.stream, killed)
 }
 
+/// Writes a complete response of this framing, the body evenly over this time.
+fn write_response_over(
+    stream: &mut BufReader<TcpStream>,
+    framing: &str,
+    content: &[u8],
+    give_time: Duration,
+) {
+    if give_time.is_zero() {
+        return write_response(stream, framing, content);
+    }
+    let header = match framing {
+        "chunked" => "Transfer-Encoding: chunked".to_owned(),
+        _ => format!("Content-Length: {}", content.len()),
+    };
+    let mut is_open = send_bytes(stream, format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n").as_bytes());
+    for part in content.chunks(content.len().div_ceil(GIVEN_PARTS)) {
+        let part = if framing == "chunked" { chunk(part) } else { part.to_vec() };
+        is_open = is_open && send_bytes(stream, &part);
+        thread::sleep(give_time / GIVEN_PARTS as u32);
+    }
+    if is_open && framing == "chunked" {
+        send_bytes(stream, LAST_CHUNK);
+    }
+}
+
 /// What an endpoint of uploads reports.
 struct UploadReports {
     /// An upload's first bytes have arrived.
@@ -132,11 +167,12 @@
         let number_of =
             |name| query_value(head, name).and_then(|n| n.parse::<usize>().ok()).expect("a number");
         let (number, service_ms) = (number_of("number"), number_of("service_ms"));
+        let give_time = Duration::from_millis(number_of("give_ms") as u64);
         let is_complete = body(head, stream).is_some();
         let _ = ended_sender.send((number, is_complete));
         if is_complete {
             thread::sleep(Duration::from_millis(service_ms as u64));
-            write_response(stream, framing, response_body(size));
+            write_response_over(stream, framing, response_body(size), give_time);
         }
     });
     (address, UploadReports { begun, ended })
@@ -185,10 +221,17 @@
                 completed_after: Duration::from_millis(completed_after_ms),
                 service_time: Duration::from_millis(service_ms),
                 response_bytes,
+                client_timeout: "900m",
+                give_time: Duration::ZERO,
             })
         })
         .collect();
-    let results = play_uploads(restart, &plans);
+    assert_each_is_kept(restart, &plans);
+}
+
+/// Each client gets all of its response, or its endpoint has not seen the complete request.
+fn assert_each_is_kept(restart: Restart, plans: &[UploadPlan]) {
+    let results = play_uploads(restart, plans);
     let is_kept = |(outcome, complete_at_endpoint): &(UploadOutcome, bool)| match outcome {
         UploadOutcome::Served => *complete_at_endpoint,
         UploadOutcome::Rejected | UploadOutcome::Closed => !complete_at_endpoint,
@@ -228,6 +271,36 @@
     assert_no_complete_upload_is_lost(Restart::Planned, uploads, SMALL_RESPONSE_BYTES);
 }
 
+/// Uploads of a short client timeout, whose responses begin within it and last beyond the kill.
+fn assert_no_upload_with_a_long_response_is_lost(restart: Restart) {
+    let plans: Vec<UploadPlan> = UPLOADS_WITH_A_SHORT_TIMEOUT_MS
+        .iter()
+        .flat_map(|&completed_after_ms| {
+            FRAMINGS.map(|framing| UploadPlan {
+                framing,
+                completed_after: Duration::from_millis(completed_after_ms),
+                service_time: Duration::from_millis(20),
+                response_bytes: 200_000,
+                client_timeout: "300m",
+                give_time: LONG_GIVE_TIME,
+            })
+        })
+        .collect();
+    assert_each_is_kept(restart, &plans);
+}
+
+#[test]
+fn an_upload_whose_response_is_given_until_after_the_kill_is_not_lost_in_a_hot_restart() {
+    // Guards against the client timeout, which bounds the first byte alone, being taken for a bound of the response.
+    assert_no_upload_with_a_long_response_is_lost(Restart::Hot);
+}
+
+#[test]
+fn an_upload_whose_response_is_given_until_after_the_kill_is_not_lost_in_a_planned_restart() {
+    // Guards against the same where no successor shares the listener.
+    assert_no_upload_with_a_long_response_is_lost(Restart::Planned);
+}
+
 /// Completed at a moment at which it counts as taken, and served well before the kill.
 fn assert_timely_upload_is_served(restart: Restart) {
     let plans = FRAMINGS.map(|framing| UploadPlan {
@@ -235,6 +308,8 @@
         completed_after: Duration::from_millis(500),
         service_time: Duration::from_millis(100),
         response_bytes: SMALL_RESPONSE_BYTES,
+        client_timeout: "900m",
+        give_time: Duration::ZERO,
     });
     assert_eq!(play_uploads(restart, &plans), [(UploadOutcome::Served, true); 2], "{restart:?}");
 }
--- a/crates/proxy/src/downstream/deadline.rs
+++ b/crates/proxy/src/downstream/deadline.rs
@@ -4,6 +4,7 @@
 mod tests;
 
 use super::delivery::{PendingDelivery, WRITE_STALL_TIMEOUT};
+use super::shutdown::COMPLETION_TIMEOUT;
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -27,9 +28,8 @@
 const SHUTDOWN_IDLE_TIMEOUT: Duration = Duration::from_millis(3);
 /// ... one that has carried no request yet is given longer, as its first may be in transit.
 const SHUTDOWN_FIRST_REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
-/// ... and a head of which some has arrived must be complete by then. The process may be killed 0.7 s after SIGTERM,
-/// and a request that arrives later than that would be lost (PROTOCOL).
-const SHUTDOWN_HEAD_TIMEOUT: Duration = Duration::from_millis(650);
+/// ... and a head of which some has arrived must be complete by the time at which its request must.
+const SHUTDOWN_HEAD_TIMEOUT: Duration = COMPLETION_TIMEOUT;
 
 /// What happens on a connection, and since when.
 #[derive(Clone, Copy, Debug)]
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -101,11 +101,11 @@
         let RequestContext { open, client, shutdown } = context;
         let head = RequestHead::parse(&self.dispatcher, &parts)?;
         // The first request of a connection comes early in a shutdown, however late it is read.
-        if !open.is_first() && is_too_late(&shutdown, head.client_timeout()) {
+        if !open.is_first() && is_too_late(&shutdown) {
             return Err(self.reject_late(&head));
         }
         // A request that becomes complete later could lose its response with the process.
-        let mut completion_deadline = Box::pin(completion_deadline(shutdown, head.client_timeout()));
+        let mut completion_deadline = Box::pin(completion_deadline(shutdown));
         let body = tokio::select! {
             biased;
             body = self.receive_body(body, &head, &open) => body?,
--- a/crates/proxy/src/downstream/request_head.rs
+++ b/crates/proxy/src/downstream/request_head.rs
@@ -10,7 +10,6 @@
 use hyper::http::request::Parts;
 use hyper::Method;
 use oakport_core::{ClassId, Micros};
-use std::time::Duration;
 
 const TIMEOUT_HEADER: &str = "x-timeout";
 const TENANT_HEADER: &str = "x-tenant-id";
@@ -53,11 +52,6 @@
         })
     }
 
-    /// How long the client waits for the final response.
-    pub fn client_timeout(&self) -> Duration {
-        Duration::from_micros(self.client_timeout_us)
-    }
-
     /// What the dispatcher needs to know of the call.
     pub fn call_attributes(&self) -> CallAttributes {
         CallAttributes { class: self.class, tenant: self.tenant.clone(), is_retry: self.is_retry }
--- a/crates/proxy/src/downstream/shutdown.rs
+++ b/crates/proxy/src/downstream/shutdown.rs
@@ -11,8 +11,9 @@
 const KILL_MARGIN: Duration = Duration::from_millis(700);
 /// A longer deadline counts as this there.
 const MAX_COUNTED_DEADLINE: Duration = Duration::from_secs(3);
-/// A final response at the very end of its client's timeout is written so long before the kill.
-const RESPONSE_MARGIN: Duration = Duration::from_millis(50);
+/// A request must be complete so long after SIGTERM. What becomes complete more than 0.7 s after it and is unanswered at
+/// the kill is lost (PROTOCOL), and no time limit bounds a response that has begun. SIGTERM is seen a little late.
+pub const COMPLETION_TIMEOUT: Duration = Duration::from_millis(650);
 
 /// What arrived together with a request's head is read within this time.
 const READ_GRACE: Duration = Duration::from_millis(3);
@@ -37,29 +38,25 @@
         Shutdown { began, earliest_kill }
     }
 
-    /// Until when a request may become complete that is to be answered within this time: a later one might still be
-    /// without its response at the kill.
-    pub fn latest_completion(&self, client_timeout: Duration) -> Instant {
-        // What comes within the margin has the longest deadline left, and is never lost by the kill (PROTOCOL).
-        let latest_without_loss = self.began + KILL_MARGIN;
-        let latest = self.earliest_kill.checked_sub(client_timeout.saturating_add(RESPONSE_MARGIN));
-        latest.unwrap_or(latest_without_loss).max(latest_without_loss)
+    /// Until when a request may become complete: a later one might still be without its full response at the kill.
+    pub fn latest_completion(&self) -> Instant {
+        self.began + COMPLETION_TIMEOUT
     }
 }
 
-/// Is it too late to take a request with this timeout?
-pub fn is_too_late(shutdown: &ShutdownSignal, client_timeout: Duration) -> bool {
-    let latest = shutdown.borrow().map(|shutdown| shutdown.latest_completion(client_timeout));
+/// Is it too late to take a request?
+pub fn is_too_late(shutdown: &ShutdownSignal) -> bool {
+    let latest = shutdown.borrow().map(|shutdown| shutdown.latest_completion());
     latest.is_some_and(|latest| latest < Instant::now())
 }
 
-/// Resolves once a request with this timeout, whose head is complete now, must not be taken any more if it is incomplete.
-pub async fn completion_deadline(mut shutdown: ShutdownSignal, client_timeout: Duration) {
+/// Resolves once a request whose head is complete now must not be taken any more if it is incomplete.
+pub async fn completion_deadline(mut shutdown: ShutdownSignal) {
     let head_read_at = Instant::now();
     let begun = shutdown.wait_for(Option::is_some).await.ok().and_then(|shutdown| *shutdown);
     match begun {
         Some(begun) => {
-            let latest = begun.latest_completion(client_timeout);
+            let latest = begun.latest_completion();
             tokio::time::sleep_until(latest.max(head_read_at + READ_GRACE)).await;
         }
         // The client side has ended: no shutdown will begin.
