Pass responses to the successor that their endpoints still give at the kill

Cause: the time up to the kill covers the first byte of a response and not the last one. The successor has the time, but neither connection.

Change: from 0.7 s before the earliest kill on, a response of known length that is still being written is taken out of the HTTP parsers on both sides, so that what is left is a number of bytes to copy, and its two sockets and the bytes in between go to the successor (SCM_RIGHTS by rustix, over a Unix socket in $TMPDIR). It works since one process writes at a time: what the client's parser writes from then on is captured, and the successor writes nothing before the predecessor's commit; where a step fails before that, the predecessor copies the rest as long as it lasts. Without a successor, and for a chunked response, nothing changes.

The memory check of optional reservations adds without overflow: an offer may name any number.

--- a/crates/cli/tests/peers/shutdown.rs
+++ b/crates/cli/tests/peers/shutdown.rs
@@ -18,6 +18,8 @@
 const RECEIVE_BUFFER_BYTES: usize = 64 * 1024;
 /// More than the system takes for a slow reader with a limit of 4 MB for a send buffer (`net.ipv4.tcp_wmem`).
 pub const RESPONSE_BYTES_BEYOND_A_SEND_BUFFER: usize = 5_000_000;
+/// So many parts make a response that is given over some time.
+const GIVEN_PARTS: usize = 24;
 /// How the length of a body is told.
 pub const FRAMINGS: [&str; 2] = ["length", "chunked"];
 
@@ -75,6 +77,11 @@
         clients
     }
 
+    /// The folder that the process shares with its successor, if it is a hot restart.
+    pub fn shared_folder(&self) -> Option<&std::path::Path> {
+        self.platform.as_ref().map(|platform| platform.folder.as_path())
+    }
+
     /// Starts the process that follows, if it is a hot restart.
     pub fn start_successor(&self) -> Option<Proxy> {
         self.platform.as_ref().map(|platform| platform.start(&self.config))
@@ -125,6 +132,31 @@
     send_bytes(stream, &[head, body].concat());
 }
 
+/// Writes a complete response of this framing, the body evenly over this time.
+pub fn write_response_over(
+    stream: &mut BufReader<TcpStream>,
+    framing: &str,
+    content: &[u8],
+    give_time: Duration,
+) {
+    if give_time.is_zero() {
+        return write_response(stream, framing, content);
+    }
+    let header = match framing {
+        "chunked" => "Transfer-Encoding: chunked".to_owned(),
+        _ => format!("Content-Length: {}", content.len()),
+    };
+    let mut is_open = send_bytes(stream, format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n").as_bytes());
+    for part in content.chunks(content.len().div_ceil(GIVEN_PARTS)) {
+        let part = if framing == "chunked" { chunk(part) } else { part.to_vec() };
+        is_open = is_open && send_bytes(stream, &part);
+        thread::sleep(give_time / GIVEN_PARTS as u32);
+    }
+    if is_open && framing == "chunked" {
+        send_bytes(stream, LAST_CHUNK);
+    }
+}
+
 /// The value of a name in a request's query.
 pub fn query_value<'a>(head: &'a str, name: &str) -> Option<&'a str> {
     let (_, query) = head.split(' ').nth(1)?.split_once('?')?;
--- a/crates/cli/tests/upload_shutdown.rs
+++ b/crates/cli/tests/upload_shutdown.rs
@@ -6,8 +6,8 @@
 use peers::bodies::*;
 use peers::shutdown::*;
 use peers::*;
-use std::io::{BufRead, BufReader};
-use std::net::{SocketAddr, TcpStream};
+use std::io::BufRead;
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Receiver};
 use std::sync::Arc;
@@ -29,8 +29,6 @@
 const UPLOADS_WITH_A_SHORT_TIMEOUT_MS: [u64; 3] = [800, 950, 1_100];
 /// A response that its endpoint gives over so long a time ends after the kill, whenever it began after the 0.7 s.
 const LONG_GIVE_TIME: Duration = Duration::from_millis(1_200);
-/// So many parts make a response that is given over some time.
-const GIVEN_PARTS: usize = 24;
 
 /// An upload under way as SIGTERM is sent, and the response that it asks for.
 #[derive(Clone, Copy, Debug)]
@@ -119,31 +117,6 @@
     read_slowly(client.stream, killed)
 }
 
-/// Writes a complete response of this framing, the body evenly over this time.
-fn write_response_over(
-    stream: &mut BufReader<TcpStream>,
-    framing: &str,
-    content: &[u8],
-    give_time: Duration,
-) {
-    if give_time.is_zero() {
-        return write_response(stream, framing, content);
-    }
-    let header = match framing {
-        "chunked" => "Transfer-Encoding: chunked".to_owned(),
-        _ => format!("Content-Length: {}", content.len()),
-    };
-    let mut is_open = send_bytes(stream, format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n").as_bytes());
-    for part in content.chunks(content.len().div_ceil(GIVEN_PARTS)) {
-        let part = if framing == "chunked" { chunk(part) } else { part.to_vec() };
-        is_open = is_open && send_bytes(stream, &part);
-        thread::sleep(give_time / GIVEN_PARTS as u32);
-    }
-    if is_open && framing == "chunked" {
-        send_bytes(stream, LAST_CHUNK);
-    }
-}
-
 /// What an endpoint of uploads reports.
 struct UploadReports {
     /// An upload's first bytes have arrived.
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -100,7 +100,7 @@
     /// [`BODY_RESERVE_DIVISOR`] says would be left to bodies.
     pub fn try_reserve_optional(&self, reservation: &mut MemoryReservation, additional_bytes: usize) -> bool {
         let body_reserve_bytes = self.total_bytes() / BODY_RESERVE_DIVISOR;
-        self.available_bytes() >= body_reserve_bytes + additional_bytes
+        self.available_bytes() >= body_reserve_bytes.saturating_add(additional_bytes)
             && self.try_grow(reservation, additional_bytes.div_ceil(BYTES_PER_KIB) as u32)
     }
 
--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -1,12 +1,14 @@
 //! Bodies of requests and responses: buffered up to 64 KiB, beyond that streamed chunk by chunk, each side waiting
 //! for the other, within a memory limit.
 
+mod detached_body;
 mod memory_limit;
 mod read_ahead_buffer;
 mod request_stream;
 mod response_stream;
 mod upload;
 
+pub use detached_body::{BodySource, DetachRequest, DetachedBody, DetachedResponse};
 pub use memory_limit::{
     MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES, MAX_CONNECTION_BUFFER_BYTES,
 };
--- a/crates/proxy/src/body/read_ahead_buffer.rs
+++ b/crates/proxy/src/body/read_ahead_buffer.rs
@@ -108,6 +108,11 @@
         self.blocks.push_back(next);
     }
 
+    /// Removes all, in its order.
+    pub fn drain(&mut self) -> Vec<Bytes> {
+        std::iter::from_fn(|| self.pop()).collect()
+    }
+
     /// Removes what the client takes next. Its memory is returned.
     pub fn pop(&mut self) -> Option<Bytes> {
         let first_chunk = self.first_chunk.take();
--- a/crates/proxy/src/body/response_stream.rs
+++ b/crates/proxy/src/body/response_stream.rs
@@ -1,5 +1,6 @@
 //! A response's body on its way to the client.
 
+use super::detached_body::{DetachRequest, DetachedBody};
 use super::upload::BodyError;
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -12,6 +13,8 @@
 #[derive(Debug)]
 pub enum BodyChunk {
     Data(Bytes),
+    /// All that is left of the response, as asked for by a [`DetachRequest`]. It is not passed on as a part of the stream.
+    Detached(DetachedBody),
     End,
 }
 
@@ -25,12 +28,37 @@
     /// What is still to be sent, where the length is known.
     remaining_bytes: Option<u64>,
     abort_condition: Option<AbortCondition>,
+    detach_request: Option<DetachRequest>,
+    detached: Option<DetachedBody>,
 }
 
 impl ResponseStream {
     /// A body that is still arriving, with its length in bytes where that is known.
-    pub fn stream(first_chunk: Bytes, chunks: mpsc::Receiver<BodyChunk>, length: Option<u64>) -> Self {
-        ResponseStream { first_chunk, chunks: Some(chunks), remaining_bytes: length, abort_condition: None }
+    pub fn stream(
+        first_chunk: Bytes,
+        chunks: mpsc::Receiver<BodyChunk>,
+        length: Option<u64>,
+        detach_request: DetachRequest,
+    ) -> Self {
+        ResponseStream {
+            first_chunk,
+            chunks: Some(chunks),
+            remaining_bytes: length,
+            abort_condition: None,
+            detach_request: Some(detach_request),
+            detached: None,
+        }
+    }
+
+    /// How to have the rest of the response detached. `None` where that is not possible: without a length only the parser
+    /// of its framing knows its end.
+    pub fn detach_request(&self) -> Option<DetachRequest> {
+        self.remaining_bytes.and(self.detach_request.clone())
+    }
+
+    /// What is left of the response once it is detached. All before it has been passed on, and nothing more comes.
+    pub fn take_detached(&mut self) -> Option<DetachedBody> {
+        self.detached.take()
     }
 
     /// Gives the response up, incomplete, if this says so before its end.
@@ -59,7 +87,14 @@
 impl From<Bytes> for ResponseStream {
     fn from(complete: Bytes) -> Self {
         let remaining_bytes = Some(complete.len() as u64);
-        ResponseStream { first_chunk: complete, chunks: None, remaining_bytes, abort_condition: None }
+        ResponseStream {
+            first_chunk: complete,
+            chunks: None,
+            remaining_bytes,
+            abort_condition: None,
+            detach_request: None,
+            detached: None,
+        }
     }
 }
 
@@ -81,6 +116,10 @@
                 }
                 Poll::Ready(Some(Ok(Frame::data(chunk))))
             }
+            Ok(BodyChunk::Detached(rest)) => {
+                self.detached = Some(rest);
+                Poll::Pending
+            }
             Ok(BodyChunk::End) => {
                 self.chunks = None;
                 Poll::Ready(None)
--- a/crates/proxy/src/descriptors.rs
+++ b/crates/proxy/src/descriptors.rs
@@ -50,3 +50,22 @@
         self.0.open.set(self.0.open.get() - 1);
     }
 }
+
+/// The descriptors that a connection to an endpoint occupies while it is open.
+#[derive(Debug)]
+pub struct ConnectionDescriptors {
+    _process: Descriptor,
+    _endpoint: Option<Descriptor>,
+}
+
+impl ConnectionDescriptors {
+    /// Of one descriptor among all sockets of the process and one among the connections to its endpoint.
+    pub fn new(process: Descriptor, endpoint: Descriptor) -> Self {
+        ConnectionDescriptors { _process: process, _endpoint: Some(endpoint) }
+    }
+
+    /// Of one descriptor among all sockets of the process, for a connection that another process has opened.
+    pub fn of_handed_over(process: Descriptor) -> Self {
+        ConnectionDescriptors { _process: process, _endpoint: None }
+    }
+}
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -2,10 +2,11 @@
 
 use super::deadline::{body_slack, ConnectionTimes, Phase};
 use super::delivery::{PendingDelivery, DELIVERY_CHECK_INTERVAL};
+use super::detachment::Detachment;
 use super::idle::{IdleConnections, IdleKey};
 use super::open_connections::{Activity, OpenConnection};
 use super::read_ahead::ReadAhead;
-use crate::body::MemoryLimit;
+use crate::body::{DetachRequest, DetachedBody, MemoryLimit};
 use crate::socket::Socket;
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
@@ -36,6 +37,7 @@
     /// The client has closed its side: it has disconnected, whatever of it is still unread.
     client_closed: Cell<bool>,
     read_ahead: ReadAhead,
+    detachment: Detachment,
     state_changed: Notify,
 }
 
@@ -61,6 +63,7 @@
             filled_send_buffer: Cell::default(),
             client_closed: Cell::default(),
             read_ahead: ReadAhead::new(memory),
+            detachment: Detachment::default(),
             state_changed: Notify::new(),
         };
         connection.become_idle();
@@ -112,6 +115,7 @@
         self.record_read();
         self.request_count.set(self.request_count.get() + 1);
         self.response_begun.set(false);
+        self.detachment.set_request(None);
         // The notification also makes a close of the client be checked at once.
         self.enter(Phase::RequestOpen);
         self.request_count.get()
@@ -125,14 +129,46 @@
         }
     }
 
-    /// The response to the request with this number begins.
-    pub(super) fn begin_response(&self, number: u64) {
+    /// The response to the request with this number begins. Its rest can be detached by the request that comes with it.
+    pub(super) fn begin_response(&self, number: u64, detach_request: Option<DetachRequest>) {
         if self.request_count.get() == number {
             self.response_begun.set(true);
             self.open_connection.set_activity(activity(self.phase.get(), true));
+            self.detachment.set_request(detach_request);
+            self.state_changed.notify_one();
+        }
+    }
+
+    /// Can the response that is being written be detached?
+    pub fn is_detachable(&self) -> bool {
+        let is_request_complete =
+            matches!(self.phase.get(), Phase::AwaitingResponse | Phase::WritingResponse);
+        is_request_complete && self.detachment.is_possible()
+    }
+
+    /// Begins to detach the response that is being written. Nothing more is written to the client's socket, nor read from it.
+    pub fn begin_detachment(&self) {
+        self.detachment.begin();
+    }
+
+    /// This is all that is left of the response to the request with this number.
+    pub(super) fn detach(&self, number: u64, rest: DetachedBody) {
+        if self.request_count.get() == number {
+            self.detachment.set_rest(rest);
+            self.state_changed.notify_one();
         }
     }
 
+    /// Is the response that was being written detached, or written to its end meanwhile?
+    pub fn is_detached(&self) -> bool {
+        let is_written = matches!(self.phase.get(), Phase::Idle { .. } | Phase::Delivering(_));
+        self.detachment.is_begun() && (self.detachment.has_rest() || is_written)
+    }
+
+    pub fn detachment(&self) -> &Detachment {
+        &self.detachment
+    }
+
     /// The response to the request with this number is there and nothing of the request is read any more.
     pub(super) fn end_request(&self, number: u64) {
         if self.request_count.get() == number {
--- /dev/null
+++ b/crates/proxy/src/downstream/detached_response.rs
@@ -0,0 +1,130 @@
+//! Delivers a detached response: copies the rest of its body from the endpoint to the client, without an HTTP parser.
+
+use super::close::{close_gracefully, LINGER_TIMEOUT};
+use super::delivery::WRITE_STALL_TIMEOUT;
+use crate::body::{
+    BodySource, DetachedResponse, MemoryLimit, ReadAheadBuffer, ReadAheadLimit, MAX_CONNECTION_BUFFER_BYTES,
+};
+use crate::socket::Socket;
+use crate::upstream::MAX_STALL;
+use bytes::{Buf, Bytes, BytesMut};
+use std::collections::VecDeque;
+use std::future::{pending, poll_fn};
+use std::io;
+use std::rc::Rc;
+use thiserror::Error;
+use tokio::io::ReadBuf;
+use tokio::time::timeout;
+
+/// Why a detached response was not delivered in full.
+#[derive(Debug, Error)]
+pub enum DeliveryError {
+    #[error("the endpoint: {0}")]
+    Endpoint(#[source] io::Error),
+    #[error("the endpoint ended its connection early")]
+    EndpointEnded,
+    #[error("the endpoint stalled")]
+    EndpointStalled,
+    #[error("the client: {0}")]
+    Client(#[source] io::Error),
+    #[error("the client disconnected")]
+    ClientDisconnected,
+    #[error("the client takes nothing")]
+    ClientStalled,
+}
+
+/// What comes next of a delivery.
+enum Step {
+    Written(usize),
+    Read(Bytes),
+}
+
+/// A delivery under way.
+struct Delivery {
+    client: Socket,
+    /// What was read before the response was detached.
+    unsent: VecDeque<Bytes>,
+    source: Option<BodySource>,
+    buffer: ReadAheadBuffer,
+    /// What the client is to get next.
+    next: Bytes,
+}
+
+/// Writes all of a response to its client, then closes both connections.
+///
+/// # Errors
+/// The client has not got all: its connection ended, or that of the endpoint.
+pub async fn deliver(response: DetachedResponse, memory: &Rc<MemoryLimit>) -> Result<(), DeliveryError> {
+    let client = response.client.clone();
+    let delivery = Delivery {
+        client: response.client,
+        unsent: response.rest.read.into(),
+        source: response.rest.source,
+        buffer: ReadAheadBuffer::new(memory),
+        next: Bytes::new(),
+    };
+    let delivered = delivery.run().await;
+    if !matches!(delivered, Err(DeliveryError::ClientDisconnected | DeliveryError::Client(_))) {
+        close_gracefully(&client, LINGER_TIMEOUT).await;
+    }
+    delivered
+}
+
+impl Delivery {
+    async fn run(mut self) -> Result<(), DeliveryError> {
+        loop {
+            while self.next.is_empty() {
+                let Some(chunk) = self.unsent.pop_front().or_else(|| self.buffer.pop()) else { break };
+                self.next = chunk;
+            }
+            if self.next.is_empty() && self.source.is_none() {
+                return Ok(());
+            }
+            match self.next_step().await? {
+                Step::Written(count) => self.next.advance(count),
+                Step::Read(bytes) => self.record_read(bytes),
+            }
+        }
+    }
+
+    /// Reads as far as the memory allows, however slowly the client takes it: the endpoint may end its connection once it
+    /// has passed all to its system.
+    async fn next_step(&mut self) -> Result<Step, DeliveryError> {
+        let may_read =
+            self.source.is_some() && self.buffer.try_reserve_chunk(ReadAheadLimit::AvailableMemory);
+        let source = self.source.as_ref().filter(|_| may_read);
+        tokio::select! {
+            biased;
+            written = write(&self.client, &self.next), if !self.next.is_empty() => written.map(Step::Written),
+            read = read(source) => read.map(Step::Read),
+            () = self.client.peer_closed() => Err(DeliveryError::ClientDisconnected),
+        }
+    }
+
+    fn record_read(&mut self, bytes: Bytes) {
+        if let Some(source) = &mut self.source {
+            source.remaining_bytes -= bytes.len() as u64;
+        }
+        // The connection closes with its last byte.
+        self.source = self.source.take().filter(|source| source.remaining_bytes > 0);
+        self.buffer.push(bytes);
+    }
+}
+
+async fn write(client: &Socket, bytes: &[u8]) -> Result<usize, DeliveryError> {
+    let written = timeout(WRITE_STALL_TIMEOUT, poll_fn(|cx| client.poll_write(cx, bytes))).await;
+    written.map_err(|_| DeliveryError::ClientStalled)?.map_err(DeliveryError::Client)
+}
+
+/// Some bytes of the body, and no other. Without a source there are none for now.
+async fn read(source: Option<&BodySource>) -> Result<Bytes, DeliveryError> {
+    let Some(source) = source else { return pending().await };
+    let max_bytes = source.remaining_bytes.min(MAX_CONNECTION_BUFFER_BYTES as u64);
+    let mut bytes = BytesMut::zeroed(max_bytes as usize);
+    let read = poll_fn(|cx| source.socket.poll_read(cx, &mut ReadBuf::new(&mut bytes)));
+    let count = timeout(MAX_STALL, read).await.map_err(|_| DeliveryError::EndpointStalled)?;
+    match count.map_err(DeliveryError::Endpoint)? {
+        0 => Err(DeliveryError::EndpointEnded),
+        count => Ok(bytes.split_to(count).freeze()),
+    }
+}
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -2,12 +2,15 @@
 
 use super::close::{close_gracefully, EVICTION_LINGER_TIMEOUT, LINGER_TIMEOUT};
 use super::connection::{ClientConnection, ClientPresence};
+use super::detached_response::deliver;
 use super::open_request::OpenRequest;
 use super::request::{RequestContext, RequestHandler};
 use super::response::TrackedBody;
 use super::shutdown::ShutdownSignal;
 use super::shutdown_writer::ShutdownWriter;
 use super::stream::ObservedStream;
+use crate::body::DetachedResponse;
+use crate::hot_restart::{SuccessorAddress, SuccessorConnection};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -20,12 +23,13 @@
 use std::pin::pin;
 use std::rc::Rc;
 use tokio::time::Instant;
+use tracing::{info, warn};
 
 /// Most bytes of a request's head.
 const MAX_HEAD_BYTES: usize = 32 * 1024;
 
 /// How a connection ends.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Debug)]
 enum ConnectionEnd {
     /// Nothing more is to be done on it; the client may still be connected.
     Finished,
@@ -33,6 +37,8 @@
     Evicted,
     /// The client has disconnected before it had its response, or takes nothing of it.
     Abandoned,
+    /// What is left of its response is for the successor.
+    Detached(SuccessorConnection),
 }
 
 /// A client connection and what its requests are answered by.
@@ -42,6 +48,8 @@
     pub shutdown: ShutdownSignal,
     /// The proxy is at capacity: the connection carries one request, which is rejected.
     pub at_capacity: bool,
+    /// Where the successor is, if there can be one.
+    pub successor: Option<SuccessorAddress>,
 }
 
 impl HttpConnection {
@@ -67,9 +75,32 @@
                 close_gracefully(&self.connection.socket, EVICTION_LINGER_TIMEOUT).await;
             }
             ConnectionEnd::Abandoned => {}
+            ConnectionEnd::Detached(successor) => self.hand_over(successor).await,
         }
     }
 
+    /// Passes the rest of a detached response on to the successor, or delivers it for as long as this process lasts.
+    async fn hand_over(&self, successor: SuccessorConnection) {
+        let client = self.connection.socket.clone();
+        let response = DetachedResponse { client, rest: self.connection.detachment().take() };
+        let unsent_bytes = response.unsent_bytes();
+        let remaining_bytes = response.remaining_bytes();
+        match successor.hand_over(&response).await {
+            Ok(()) => info!(unsent_bytes, remaining_bytes, "response handed over to the successor"),
+            Err(error) => {
+                warn!(unsent_bytes, remaining_bytes, reason = %error, "response not handed over to the successor");
+                if let Err(error) = deliver(response, &self.handler.memory).await {
+                    warn!(reason = %error, "detached response incomplete");
+                }
+            }
+        }
+    }
+
+    /// Connects to the successor, if there is one.
+    async fn connect_to_successor(&self) -> Option<SuccessorConnection> {
+        self.successor.as_ref()?.connect().await
+    }
+
     async fn respond(&self, request: Request<Incoming>) -> Response<TrackedBody> {
         let open = OpenRequest::begin(&self.connection);
         let mut response = if self.at_capacity {
@@ -103,14 +134,21 @@
         let mut serving = pin!(serving);
         let mut peer_closed = pin!(connection.socket.peer_closed());
         let mut close_seen = false;
+        let mut successor = None;
+        let mut is_handover_tried = false;
         loop {
-            let shutdown_began = shutdown.borrow_and_update().map(|shutdown| shutdown.began);
+            let shutdown_state = *shutdown.borrow_and_update();
+            let shutdown_began = shutdown_state.map(|shutdown| shutdown.began);
+            let handover_at = shutdown_state.map(|shutdown| shutdown.handover_at());
+            let may_hand_over = connection.is_detachable() && !is_handover_tried && self.successor.is_some();
             let deadline = connection.deadline(self.at_capacity, shutdown_began);
             tokio::select! {
                 // What has arrived is read before the time is looked at.
                 biased;
                 // The result does not matter: the connection's calls are dropped with it.
-                _ = serving.as_mut() => return ConnectionEnd::Finished,
+                _ = serving.as_mut() => {
+                    return successor.map_or(ConnectionEnd::Finished, ConnectionEnd::Detached);
+                }
                 () = peer_closed.as_mut(), if !close_seen => {
                     close_seen = true;
                     connection.record_client_close();
@@ -125,6 +163,13 @@
                         return self.end_at_deadline();
                     }
                 }
+                () = sleep_until(handover_at), if may_hand_over => {
+                    is_handover_tried = true;
+                    successor = self.connect_to_successor().await;
+                    if successor.is_some() {
+                        connection.begin_detachment();
+                    }
+                }
                 () = connection.state_changed() => {}
                 Ok(()) = shutdown.changed() => {}
                 () = connection.evicted() => {
@@ -133,6 +178,9 @@
                     }
                 }
             }
+            if let Some(successor) = successor.take_if(|_| connection.is_detached()) {
+                return ConnectionEnd::Detached(successor);
+            }
             // Bytes that nobody reads, such as half a next request, hide the close from the HTTP parser.
             if connection.is_abandoned() {
                 return ConnectionEnd::Abandoned;
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -1,12 +1,15 @@
 //! Accepts clients' connections within the proxy's capacity, until graceful shutdown ends it.
 
 use super::connection::ClientConnection;
+use super::detached_response::deliver;
 use super::http_connection::{sleep_until, HttpConnection};
 use super::idle::IdleConnections;
-use super::open_connections::OpenConnections;
+use super::open_connections::{Activity, OpenConnections};
 use super::request::RequestHandler;
 use super::shutdown::{Shutdown, ShutdownSignal};
-use crate::descriptors::{Descriptor, Descriptors};
+use crate::body::MemoryReservation;
+use crate::descriptors::{ConnectionDescriptors, Descriptor, Descriptors};
+use crate::hot_restart::{HandoverError, HandoverListener, PredecessorConnection, SuccessorAddress};
 use crate::socket::Socket;
 use crate::upstream::pool::ConnectionPool;
 use std::future::Future;
@@ -18,7 +21,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
-use tracing::warn;
+use tracing::{info, warn};
 
 /// In a graceful shutdown without a successor, connections are accepted for at least this long.
 const SHUTDOWN_ACCEPT_TIME: Duration = Duration::from_millis(450);
@@ -40,6 +43,10 @@
     pub max_rejected_connections: usize,
     pub idle_connections: Rc<IdleConnections>,
     pub open_connections: Rc<OpenConnections>,
+    /// Where the successor is, if there can be one.
+    pub successor: Option<SuccessorAddress>,
+    /// Takes responses over from the predecessor, if there is one.
+    pub handover_listener: Option<HandoverListener>,
 }
 
 /// What an accepted connection holds of the proxy's capacity until it has closed.
@@ -93,6 +100,9 @@
                         break;
                     }
                 }
+                predecessor = accept_predecessor(self.handover_listener.as_ref()) => {
+                    acceptor.take_over(predecessor);
+                }
                 (accepted, slot) = acceptor.accept(&listener) => acceptor.handle(accepted, slot).await,
                 () = sleep_until(accept_until) => break,
             }
@@ -105,6 +115,25 @@
         let _ = slots.acquire_many(slot_count as u32).await;
     }
 
+    /// Takes one response over from the predecessor, and delivers it.
+    async fn take_response_over(&self, predecessor: PredecessorConnection) -> Result<(), HandoverError> {
+        let offered = predecessor.read_offer().await?;
+        let mut reservation = MemoryReservation::default();
+        let memory = &self.handler.memory;
+        let descriptor = self.try_acquire_descriptor().ok_or(HandoverError::Rejected)?;
+        if !memory.try_reserve_optional(&mut reservation, offered.offer().unsent_bytes) {
+            return Err(HandoverError::Rejected);
+        }
+        let response = offered.accept(ConnectionDescriptors::of_handed_over(descriptor)).await?;
+        let unsent_bytes = response.unsent_bytes();
+        let remaining_bytes = response.remaining_bytes();
+        info!(unsent_bytes, remaining_bytes, "response taken over from the predecessor");
+        if let Err(error) = deliver(response, memory).await {
+            warn!(reason = %error, "detached response incomplete");
+        }
+        Ok(())
+    }
+
     fn try_acquire_descriptor(&self) -> Option<Descriptor> {
         self.descriptors.try_acquire().or_else(|| {
             self.pool.evict_oldest();
@@ -170,6 +199,31 @@
         }
     }
 
+    /// Takes a response over from the predecessor and delivers it, in a task of its own. Without capacity for it the
+    /// predecessor keeps it.
+    fn take_over(&self, predecessor: PredecessorConnection) {
+        let Some(permit) = self.try_acquire_permit() else { return };
+        let downstream = Rc::clone(&self.downstream);
+        let open_connection = downstream.open_connections.open();
+        open_connection.set_activity(Activity::WritingResponse);
+        tokio::task::spawn_local(async move {
+            if let Err(error) = downstream.take_response_over(predecessor).await {
+                warn!(reason = %error, "response not taken over from the predecessor");
+            }
+            drop((open_connection, permit));
+        });
+    }
+
+    /// The capacity of one more connection that is served, if there is some.
+    fn try_acquire_permit(&self) -> Option<ConnectionPermit> {
+        if self.is_at_capacity() && !self.downstream.idle_connections.evict_longest_idle() {
+            return None;
+        }
+        let slot = Arc::clone(&self.slots).try_acquire_owned().ok()?;
+        let descriptor = self.downstream.try_acquire_descriptor()?;
+        Some(ConnectionPermit { _slot: Some(slot), _descriptor: descriptor })
+    }
+
     /// Serves a connection in a task of its own. Closes it at once if no descriptor is left for it.
     fn spawn_connection(&self, stream: TcpStream, at_capacity: bool, slot: Option<OwnedSemaphorePermit>) {
         let downstream = &self.downstream;
@@ -189,6 +243,7 @@
             handler: Rc::clone(&downstream.handler),
             shutdown: self.shutdown.clone(),
             at_capacity,
+            successor: downstream.successor.clone(),
         };
         tokio::task::spawn_local(async move {
             connection.serve().await;
@@ -196,3 +251,11 @@
         });
     }
 }
+
+/// The next connection of the predecessor.
+async fn accept_predecessor(listener: Option<&HandoverListener>) -> PredecessorConnection {
+    match listener {
+        Some(listener) => listener.accept().await,
+        None => std::future::pending().await,
+    }
+}
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -4,6 +4,8 @@
 pub mod connection;
 mod deadline;
 mod delivery;
+mod detached_response;
+mod detachment;
 mod http_connection;
 mod idle;
 mod listener;
--- a/crates/proxy/src/downstream/open_request.rs
+++ b/crates/proxy/src/downstream/open_request.rs
@@ -1,6 +1,7 @@
 //! A request that is open on a client connection.
 
 use super::connection::ClientConnection;
+use crate::body::{DetachRequest, DetachedBody};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -28,9 +29,14 @@
         self.connection.complete_request(self.number);
     }
 
-    /// Its response begins.
-    pub fn begin_response(&self) {
-        self.connection.begin_response(self.number);
+    /// Its response begins. Its rest can be detached by the request that comes with it.
+    pub fn begin_response(&self, detach_request: Option<DetachRequest>) {
+        self.connection.begin_response(self.number, detach_request);
+    }
+
+    /// This is all that is left of its response, and is not written by the HTTP parser.
+    pub fn detach(&self, rest: DetachedBody) {
+        self.connection.detach(self.number, rest);
     }
 
     /// How long its body may stall in total, beyond what its size explains. To be called as the request begins.
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -64,8 +64,8 @@
     match response {
         Some(FinalResponse::Served { body, content_type }) => successful(body.into(), content_type),
         Some(FinalResponse::Streaming(streaming)) => {
-            let StreamingResponse { first_chunk, chunks, length, content_type } = streaming;
-            successful(ResponseStream::stream(first_chunk, chunks, length), content_type)
+            let StreamingResponse { first_chunk, chunks, length, content_type, detach_request } = streaming;
+            successful(ResponseStream::stream(first_chunk, chunks, length, detach_request), content_type)
         }
         Some(FinalResponse::Rejected { retry_after }) => rejected(retry_after),
         Some(FinalResponse::Failed) => text_response(StatusCode::BAD_GATEWAY, "failed"),
@@ -110,13 +110,13 @@
 /// A response's body that keeps its request open until it has been written.
 pub struct TrackedBody {
     body: ResponseStream,
-    _open: Rc<OpenRequest>,
+    open: Rc<OpenRequest>,
 }
 
 impl TrackedBody {
     pub fn new(body: ResponseStream, open: Rc<OpenRequest>) -> Self {
-        open.begin_response();
-        TrackedBody { body, _open: open }
+        open.begin_response(body.detach_request());
+        TrackedBody { body, open }
     }
 }
 
@@ -128,7 +128,11 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.body).poll_frame(cx)
+        let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if let Some(rest) = self.body.take_detached() {
+            self.open.detach(rest);
+        }
+        frame
     }
 
     fn is_end_stream(&self) -> bool {
--- a/crates/proxy/src/downstream/shutdown.rs
+++ b/crates/proxy/src/downstream/shutdown.rs
@@ -15,6 +15,9 @@
 /// the kill is lost (PROTOCOL), and no time limit bounds a response that has begun. SIGTERM is seen a little late.
 pub const COMPLETION_TIMEOUT: Duration = Duration::from_millis(650);
 
+/// A successor takes responses over for so long before the process may be killed.
+const HANDOVER_LEAD_TIME: Duration = Duration::from_millis(700);
+
 /// What arrived together with a request's head is read within this time.
 const READ_GRACE: Duration = Duration::from_millis(3);
 
@@ -38,6 +41,11 @@
         Shutdown { began, earliest_kill }
     }
 
+    /// From then on responses that are still being written are passed on to a successor.
+    pub fn handover_at(&self) -> Instant {
+        self.earliest_kill - HANDOVER_LEAD_TIME
+    }
+
     /// Until when a request may become complete: a later one might still be without its full response at the kill.
     pub fn latest_completion(&self) -> Instant {
         self.began + COMPLETION_TIMEOUT
--- a/crates/proxy/src/downstream/stream.rs
+++ b/crates/proxy/src/downstream/stream.rs
@@ -23,6 +23,9 @@
 
 impl AsyncRead for ObservedStream {
     fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+        if self.connection.detachment().is_begun() {
+            return Poll::Pending;
+        }
         let read = match self.connection.buffered().take(buf) {
             Some(count) => Poll::Ready(Ok(count)),
             // What would follow has been discarded.
@@ -39,6 +42,9 @@
 
 impl AsyncWrite for ObservedStream {
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        if self.connection.detachment().try_capture(buf) {
+            return Poll::Ready(Ok(buf.len()));
+        }
         let socket = &self.connection.socket;
         let written = match socket.poll_write(cx, buf) {
             Poll::Pending => self.shutdown_writer.borrow_mut().poll_write(cx, socket, buf),
@@ -55,6 +61,10 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
+        if self.connection.detachment().is_begun() {
+            // What is captured has still to be written.
+            return Poll::Ready(Ok(()));
+        }
         Poll::Ready(self.connection.socket.shutdown_write())
     }
 }
--- a/crates/proxy/src/hot_restart/mod.rs
+++ b/crates/proxy/src/hot_restart/mod.rs
@@ -4,10 +4,14 @@
 mod handover;
 mod listener;
 mod lock;
+mod response_handover;
 mod successor_marker;
 #[cfg(test)]
 mod tests;
 
 pub use handover::{newer_list, HandoverDirectory};
 pub use listener::{bind_when_free, inherited_listener, InheritedListenerError};
+pub use response_handover::{
+    HandoverError, HandoverListener, PredecessorConnection, SuccessorAddress, SuccessorConnection,
+};
 pub use successor_marker::SuccessorMarker;
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -12,7 +12,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::downstream::open_connections::OpenConnections;
 use crate::downstream::{Downstream, IdleConnections, RequestHandler};
-use crate::hot_restart::{bind_when_free, newer_list, HandoverDirectory};
+use crate::hot_restart::{bind_when_free, newer_list, HandoverDirectory, HandoverListener, SuccessorAddress};
 use crate::membership::MembershipService;
 use crate::metrics::Metrics;
 use crate::reload::Reloader;
@@ -73,6 +73,7 @@
     metrics: Rc<Metrics>,
     dispatcher: Dispatcher,
     membership: Option<Rc<MembershipService>>,
+    handover_listener: Option<HandoverListener>,
     /// Version of the endpoint list that the process starts from.
     list_index: Option<u64>,
     terminate: Signal,
@@ -96,6 +97,8 @@
         let handover = if shares_listener { HandoverDirectory::open() } else { None };
         let handover = handover.map(|handover| Rc::new(RefCell::new(handover)));
         let budget = Rc::new(DescriptorBudget::new(config.limits.sockets, handover.clone()));
+        let has_predecessor = handover.as_ref().is_some_and(|handover| !handover.borrow_mut().is_alone());
+        let handover_listener = if has_predecessor { HandoverListener::open() } else { None };
         let left_list = handover.and_then(|handover| handover.borrow().read_endpoint_list(config.discovery));
         let list = newer_list(config.known.take(), left_list);
 
@@ -135,6 +138,7 @@
             metrics,
             dispatcher,
             membership,
+            handover_listener,
             list_index: list.map(|list| list.index),
             terminate,
             hangup,
@@ -156,7 +160,9 @@
             info!(%address, "listening");
         }
         let idle_connections = Rc::<IdleConnections>::default();
-        let downstream = Rc::new(self.downstream(&idle_connections, open_connections));
+        let handover_listener = self.handover_listener.take();
+        let downstream = self.downstream(&idle_connections, open_connections, handover_listener);
+        let downstream = Rc::new(downstream);
         let Process { shares_listener, budget, pool, membership, .. } = self;
         let reloader = Reloader {
             hangup: self.hangup,
@@ -227,6 +233,7 @@
         &self,
         idle_connections: &Rc<IdleConnections>,
         open_connections: Rc<OpenConnections>,
+        handover_listener: Option<HandoverListener>,
     ) -> Downstream {
         let capacity = client_capacity(self.budget.max_sockets);
         let handler = RequestHandler { dispatcher: self.dispatcher.clone(), memory: Rc::clone(&self.memory) };
@@ -239,6 +246,8 @@
             max_rejected_connections: capacity.max_rejected,
             idle_connections: Rc::clone(idle_connections),
             open_connections,
+            successor: if self.shares_listener { SuccessorAddress::find() } else { None },
+            handover_listener,
         }
     }
 }
--- a/crates/proxy/src/response.rs
+++ b/crates/proxy/src/response.rs
@@ -1,7 +1,7 @@
 //! The response of an endpoint to an attempt, and the final answer to the client, as they pass between the parts of
 //! the proxy.
 
-use crate::body::BodyChunk;
+use crate::body::{BodyChunk, DetachRequest};
 use bytes::Bytes;
 use hyper::header::HeaderValue;
 use oakport_core::{LoadReport, Micros, Outcome};
@@ -41,6 +41,8 @@
     pub length: Option<u64>,
     /// The endpoint's `Content-Type`.
     pub content_type: Option<HeaderValue>,
+    /// Has the rest of the body detached, if its length is known.
+    pub detach_request: DetachRequest,
 }
 
 /// A response whose body has arrived completely.
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
-use std::os::fd::{AsFd, AsRawFd};
+use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
 use tokio::io::{Interest, ReadBuf};
@@ -27,6 +27,13 @@
         Socket(Rc::new(stream))
     }
 
+    /// A stream that another process has opened.
+    pub fn from_descriptor(descriptor: OwnedFd) -> io::Result<Self> {
+        let stream = std::net::TcpStream::from(descriptor);
+        stream.set_nonblocking(true)?;
+        Ok(Socket::new(TcpStream::from_std(stream)?))
+    }
+
     /// Reads some bytes and returns how many; 0 at the end of the stream.
     pub fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
         loop {
@@ -159,6 +166,12 @@
     }
 }
 
+impl AsFd for Socket {
+    fn as_fd(&self) -> BorrowedFd<'_> {
+        self.0.as_fd()
+    }
+}
+
 fn has_event(stream: &TcpStream, events: PollFlags) -> bool {
     poll(&mut [PollFd::new(stream.as_fd(), events)], PollTimeout::ZERO).is_ok_and(|count| count > 0)
 }
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,13 +1,13 @@
 //! One attempt, from the checkout of its connection to its outcome.
 
-use crate::body::{MemoryReservation, RequestStream, WriteProgress, MAX_BUFFERED_BODY_BYTES};
+use crate::body::{DetachRequest, MemoryReservation, RequestStream, WriteProgress, MAX_BUFFERED_BODY_BYTES};
 use crate::request::Request;
 use crate::response::{AttemptResult, CompleteResponse, StreamingResponse};
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::load_report;
 use crate::upstream::pool::{ConnectError, ConnectionPool, Target};
 use crate::upstream::response::{classify, read_body, PartialBody, ResponseBody, MAX_STALL};
-use crate::upstream::response_forwarder::{Interruption, ResponseForwarder};
+use crate::upstream::response_forwarder::{Interruption, Reception, ResponseForwarder};
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use oakport_core::{Micros, Outcome};
@@ -210,22 +210,35 @@
     pool: &Rc<ConnectionPool>,
     target: &Target,
     mut connection: UpstreamConnection,
-    body: PartialBody,
+    mut body: PartialBody,
     content_type: Option<HeaderValue>,
     owner: &impl AttemptOwner,
 ) -> Option<Outcome> {
     let (sender, chunks) = mpsc::channel(1);
     let length = body.length();
-    let mut forwarder = ResponseForwarder::new(sender, &pool.memory, body.first_chunk.len() as u64);
-    let response = StreamingResponse { first_chunk: body.first_chunk, chunks, length, content_type };
+    let detach_request = DetachRequest::default();
+    let first_bytes = body.first_chunk.len() as u64;
+    let mut forwarder = ResponseForwarder::new(sender, &pool.memory, detach_request.clone(), first_bytes);
+    let first_chunk = body.first_chunk;
+    let response = StreamingResponse { first_chunk, chunks, length, content_type, detach_request };
     if !owner.start_response(response) {
         return None;
     }
     let outdated = pool.outdated(target);
-    let received = forwarder.receive(&mut connection, &pool.metrics, body.rest, outdated).await;
-    let outcome = received.as_ref().map_or_else(Outcome::from, |()| Outcome::Served);
+    let received = forwarder.receive(&mut connection, &pool.metrics, &mut body.rest, outdated).await;
+    let outcome = received.as_ref().map_or_else(Outcome::from, |_| Outcome::Served);
     match received {
-        Ok(()) => pool.return_after_response(target, connection).await,
+        Ok(Reception::DetachRequested) => {
+            let detached = forwarder.detach(connection, body.rest).await;
+            return Some(detached.map_or(Outcome::Reset, |is_taken| {
+                if is_taken {
+                    Outcome::Served
+                } else {
+                    Outcome::Cancelled
+                }
+            }));
+        }
+        Ok(Reception::Complete) => pool.return_after_response(target, connection).await,
         Err(Interruption::ClientDisconnected) => return Some(outcome),
         Err(error) => {
             drop(connection);
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,10 +1,11 @@
 //! One connection to an endpoint. It is driven by the attempt that uses it, without a task of its own: dropping the
 //! attempt closes the connection, and nothing is ever sent twice.
 
-use crate::body::{RequestStream, WriteProgress, MAX_CONNECTION_BUFFER_BYTES};
-use crate::descriptors::Descriptor;
+use crate::body::{BodySource, RequestStream, WriteProgress, MAX_CONNECTION_BUFFER_BYTES};
+use crate::descriptors::ConnectionDescriptors;
 use crate::metrics::Metrics;
 use crate::socket::Socket;
+use bytes::Bytes;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
 use oakport_core::Micros;
@@ -84,19 +85,6 @@
     }
 }
 
-/// The descriptors that a connection occupies while it is open.
-pub struct ConnectionDescriptors {
-    _process: Descriptor,
-    _endpoint: Descriptor,
-}
-
-impl ConnectionDescriptors {
-    /// Of one descriptor among all sockets of the process and one among the connections to its endpoint.
-    pub fn new(process: Descriptor, endpoint: Descriptor) -> Self {
-        ConnectionDescriptors { _process: process, _endpoint: endpoint }
-    }
-}
-
 /// A connection to an endpoint.
 pub struct UpstreamConnection {
     pub sender: SendRequest<RequestStream>,
@@ -113,7 +101,7 @@
     pub reusable_at: Micros,
     /// The generation of the endpoint that it leads to.
     pub generation: u64,
-    _descriptors: ConnectionDescriptors,
+    descriptors: ConnectionDescriptors,
 }
 
 impl UpstreamConnection {
@@ -145,7 +133,7 @@
             write_progress,
             reusable_at,
             generation,
-            _descriptors: descriptors,
+            descriptors,
         };
         opened.is_alive().await.then_some(opened)
     }
@@ -185,6 +173,16 @@
         &self.socket
     }
 
+    /// Takes the connection out of the HTTP parser, where so many bytes of a body are still to be passed on by that. Returns
+    /// those that the parser has read already, and the source of the others.
+    pub fn into_body_source(self, remaining_bytes: u64) -> (Bytes, BodySource) {
+        let mut read = self.connection.into_parts().read_buf;
+        // What exceeds the body was not asked for.
+        read.truncate(usize::try_from(remaining_bytes).unwrap_or(usize::MAX));
+        let remaining_bytes = remaining_bytes - read.len() as u64;
+        (read, BodySource { socket: self.socket, remaining_bytes, _descriptors: self.descriptors })
+    }
+
     /// Drives the connection until `work`, which needs it, is done. `None` if the connection ended first.
     pub async fn drive<T>(&mut self, metrics: &Metrics, work: impl Future<Output = T>) -> Option<T> {
         let mut work = pin!(work);
--- a/crates/proxy/src/upstream/mod.rs
+++ b/crates/proxy/src/upstream/mod.rs
@@ -13,3 +13,5 @@
 mod reuse_trust;
 #[cfg(test)]
 pub mod test_support;
+
+pub use response::MAX_STALL;
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -2,10 +2,11 @@
 
 use crate::body::MemoryLimit;
 use crate::clock::Clock;
+use crate::descriptors::ConnectionDescriptors;
 use crate::descriptors::Descriptors;
 use crate::metrics::Metrics;
 use crate::socket::Socket;
-use crate::upstream::connection::{ConnectionDescriptors, UpstreamConnection};
+use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::endpoint_connections::EndpointConnections;
 use crate::upstream::limits::ConnectionLimits;
 use crate::upstream::preconnect::{ConnectionDemand, REUSE_COOLDOWN_US};
--- a/crates/proxy/src/upstream/response_forwarder.rs
+++ b/crates/proxy/src/upstream/response_forwarder.rs
@@ -1,6 +1,6 @@
 //! Streams the rest of a response to its client, and reads ahead of the client where the endpoint is about to leave.
 
-use crate::body::{BodyChunk, MemoryLimit, ReadAheadBuffer, ReadAheadLimit};
+use crate::body::{BodyChunk, DetachRequest, DetachedBody, MemoryLimit, ReadAheadBuffer, ReadAheadLimit};
 use crate::metrics::Metrics;
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::response::MAX_STALL;
@@ -53,6 +53,16 @@
     Forwarded,
     ClientDisconnected,
     EndpointOutdated,
+    DetachRequested,
+}
+
+/// How the reading of a response ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reception {
+    /// With the last byte of the body.
+    Complete,
+    /// The rest of the body is to be detached.
+    DetachRequested,
 }
 
 /// Passes the chunks of one response on to its client.
@@ -60,17 +70,24 @@
     client: mpsc::Sender<BodyChunk>,
     buffer: ReadAheadBuffer,
     limit: ReadAheadLimit,
+    detach_request: DetachRequest,
     received_bytes: u64,
     forwarded_bytes: u64,
 }
 
 impl ResponseForwarder {
     /// For a response of which the client has got the first bytes.
-    pub fn new(client: mpsc::Sender<BodyChunk>, memory: &Rc<MemoryLimit>, first_bytes: u64) -> Self {
+    pub fn new(
+        client: mpsc::Sender<BodyChunk>,
+        memory: &Rc<MemoryLimit>,
+        detach_request: DetachRequest,
+        first_bytes: u64,
+    ) -> Self {
         ResponseForwarder {
             client,
             buffer: ReadAheadBuffer::new(memory),
             limit: ReadAheadLimit::OneChunk,
+            detach_request,
             received_bytes: first_bytes,
             forwarded_bytes: first_bytes,
         }
@@ -96,9 +113,9 @@
         &mut self,
         connection: &mut UpstreamConnection,
         metrics: &Metrics,
-        mut body: Incoming,
+        body: &mut Incoming,
         outdated: impl Future<Output = ()>,
-    ) -> Result<(), Interruption> {
+    ) -> Result<Reception, Interruption> {
         let mut outdated = pin!(outdated);
         let mut reading_since = Some(Instant::now());
         loop {
@@ -108,16 +125,19 @@
             let may_read = self.buffer.try_reserve_chunk(self.limit);
             reading_since = may_read.then(|| reading_since.unwrap_or_else(Instant::now));
             // The connection is driven also while nothing is read: a part of the request may still have to be written.
-            let next_step = self.next_step(&mut body, reading_since, outdated.as_mut());
+            // An endpoint that has yet to read some of the request needs the parser that writes it.
+            let may_detach = connection.write_progress.is_complete();
+            let next_step = self.next_step(body, reading_since, may_detach, outdated.as_mut());
             match connection.drive_alongside(metrics, next_step).await {
                 Step::Received(Some(frame)) => {
                     self.push(frame?);
                     reading_since = None;
                 }
-                Step::Received(None) => return Ok(()),
+                Step::Received(None) => return Ok(Reception::Complete),
                 Step::Stalled => return Err(Interruption::Stalled),
                 Step::Forwarded => {}
                 Step::ClientDisconnected => return Err(Interruption::ClientDisconnected),
+                Step::DetachRequested => return Ok(Reception::DetachRequested),
                 Step::EndpointOutdated => self.limit = ReadAheadLimit::AvailableMemory,
             }
         }
@@ -128,6 +148,7 @@
         &mut self,
         body: &mut Incoming,
         reading_since: Option<Instant>,
+        may_detach: bool,
         outdated: Pin<&mut impl Future<Output = ()>>,
     ) -> Step {
         let has_chunk = !self.buffer.is_empty();
@@ -148,6 +169,7 @@
                 frame.map_or(Step::Stalled, Step::Received)
             }
             () = self.client.closed(), if needs_client => Step::ClientDisconnected,
+            () = self.detach_request.received(), if may_detach => Step::DetachRequested,
             () = outdated, if self.limit == ReadAheadLimit::OneChunk => Step::EndpointOutdated,
         }
     }
@@ -160,12 +182,45 @@
         }
     }
 
+    /// Detaches the rest of the body: what was read ahead and, unless the body is complete, what its connection has read and
+    /// will read. False if the client disconnected first.
+    ///
+    /// # Errors
+    /// The connection ended before the body was complete.
+    pub async fn detach(
+        mut self,
+        connection: UpstreamConnection,
+        mut body: Incoming,
+    ) -> Result<bool, hyper::Error> {
+        let mut read = self.buffer.drain();
+        // What the parser has passed on, without letting it read any more.
+        while let Some(frame) = next_frame_now(&mut body).await.transpose()? {
+            read.extend(frame.into_data().ok());
+        }
+        let remaining_bytes = body.size_hint().exact().unwrap_or_default();
+        let mut source = None;
+        if remaining_bytes > 0 {
+            let (rest, body_source) = connection.into_body_source(remaining_bytes);
+            read.push(rest);
+            source = (body_source.remaining_bytes > 0).then_some(body_source);
+        }
+        let rest = DetachedBody { read, source };
+        Ok(self.client.send(BodyChunk::Detached(rest)).await.is_ok())
+    }
+
     /// Passes on what was read ahead, and the end of the body if it is complete. False if the client disconnected first.
     pub async fn finish(mut self, is_complete: bool) -> bool {
-        while let Some(chunk) = self.buffer.pop() {
-            if self.client.send(BodyChunk::Data(chunk)).await.is_err() {
-                return false;
-            }
+        while !self.buffer.is_empty() {
+            let permit = tokio::select! {
+                biased;
+                permit = self.client.reserve() => permit,
+                () = self.detach_request.received() => {
+                    let rest = DetachedBody { read: self.buffer.drain(), source: None };
+                    return self.client.send(BodyChunk::Detached(rest)).await.is_ok();
+                }
+            };
+            let (Ok(permit), Some(chunk)) = (permit, self.buffer.pop()) else { return false };
+            permit.send(BodyChunk::Data(chunk));
         }
         if is_complete {
             // A client that knows the length has gone once it has the last byte.
@@ -174,3 +229,12 @@
         true
     }
 }
+
+/// The frame of a body that is there already, if one is.
+async fn next_frame_now(body: &mut Incoming) -> Option<Result<Frame<Bytes>, hyper::Error>> {
+    tokio::select! {
+        biased;
+        frame = body.frame() => frame,
+        () = std::future::ready(()) => None,
+    }
+}
