Write all that an endpoint gave before its cut response fails

Callers got up to 30 KB less of a response that its endpoint cut off than the proxy had read of it.

Cause: the HTTP library discards what it has yet to write when a body fails, and the failure was passed on as soon as the chunk before it had been taken.

Change: the failure waits until the library has written all to the system. A response that the proxy gives up by itself in a shutdown ends at once, as before: its upload must not go on.

Evidence: all_that_an_endpoint_gave_before_it_cut_its_response_reaches_a_slow_client, with either framing and 0.3 to 8 MB.

--- a/crates/cli/tests/endpoint_resets.rs
+++ b/crates/cli/tests/endpoint_resets.rs
@@ -234,6 +234,61 @@
     }
 }
 
+/// What an endpoint gives before it cuts its response: more than fits into the buffers of the systems for a slow client.
+const GIVEN_BEFORE_THE_CUT: [usize; 4] = [300_000, 3_000_000, 5_000_000, 8_000_000];
+
+#[test]
+fn all_that_an_endpoint_gave_before_it_cut_its_response_reaches_a_slow_client() {
+    // Guards against discarding what is still to be written to a client as its response fails.
+    for (framing, given) in
+        ["Content-Length", "Transfer-Encoding"].into_iter().flat_map(|f| GIVEN_BEFORE_THE_CUT.map(|n| (f, n)))
+    {
+        let (sender, was_sent) = channel();
+        let address = endpoint(move |_, stream| {
+            let header = match framing {
+                "Content-Length" => format!("Content-Length: {RESPONSE_BYTES}"),
+                _ => "Transfer-Encoding: chunked".to_owned(),
+            };
+            send_bytes(stream, format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n").as_bytes());
+            for part in test_pattern(RESPONSE_BYTES)[..given].chunks(9_000) {
+                let part = if framing == "Content-Length" { part.to_vec() } else { chunk(part) };
+                send_bytes(stream, &part);
+            }
+            // An end, and no reset: what is in the systems arrives.
+            let _ = stream.get_ref().shutdown(std::net::Shutdown::Both);
+            let _ = sender.send(());
+        });
+        let agent = Agent::start(&entries("s-1", address, "up"));
+        let mut proxy = start_with(&agent, 192);
+        proxy.log_tells("endpoint list updated", "ready=1");
+        let (mut client, head) = slow_client(&proxy);
+        thread::sleep(SHORT);
+        let mut received = Vec::new();
+        let _ = client.stream.read_to_end(&mut received);
+        was_sent.recv_timeout(LONG).expect("an end");
+        let content = if head.contains("chunked") { unchunked(&received) } else { received };
+        assert!(
+            content == test_pattern(RESPONSE_BYTES)[..content.len()],
+            "other bytes than the endpoint gave"
+        );
+        assert_eq!(content.len(), given, "{framing}");
+    }
+}
+
+/// The content of the beginning of a chunked body.
+fn unchunked(mut rest: &[u8]) -> Vec<u8> {
+    let mut content = Vec::new();
+    while let Some(end) = rest.windows(2).position(|two| two == b"\r\n") {
+        let size =
+            std::str::from_utf8(&rest[..end]).ok().and_then(|line| usize::from_str_radix(line, 16).ok());
+        let size = size.expect("the size of a chunk");
+        let chunk = &rest[end + 2..];
+        content.extend_from_slice(&chunk[..size.min(chunk.len())]);
+        rest = chunk.get(size + 2..).unwrap_or_default();
+    }
+    content
+}
+
 #[test]
 fn a_response_that_its_endpoint_cuts_off_is_logged_with_its_progress() {
     let (reset, resets) = channel::<()>();
--- a/crates/proxy/src/body/response_stream.rs
+++ b/crates/proxy/src/body/response_stream.rs
@@ -28,6 +28,7 @@
     /// What is still to be sent, where the length is known.
     remaining_bytes: Option<u64>,
     abort_condition: Option<AbortCondition>,
+    is_aborted: bool,
     detach_request: Option<DetachRequest>,
     detached: Option<DetachedBody>,
 }
@@ -45,6 +46,7 @@
             chunks: Some(chunks),
             remaining_bytes: length,
             abort_condition: None,
+            is_aborted: false,
             detach_request: Some(detach_request),
             detached: None,
         }
@@ -66,6 +68,11 @@
         self.abort_condition = Some(condition);
     }
 
+    /// Was the response given up, whatever of it is still to be written?
+    pub fn is_aborted(&self) -> bool {
+        self.is_aborted
+    }
+
     /// Must the response be given up?
     fn poll_abort(&mut self, cx: &mut Context<'_>) -> bool {
         let Some(condition) = &mut self.abort_condition else { return false };
@@ -92,6 +99,7 @@
             chunks: None,
             remaining_bytes,
             abort_condition: None,
+            is_aborted: false,
             detach_request: None,
             detached: None,
         }
@@ -107,6 +115,7 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if self.poll_abort(cx) {
+            self.is_aborted = true;
             return Poll::Ready(Some(Err(BodyError::Aborted)));
         }
         match std::task::ready!(self.poll_chunk(cx)) {
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -10,6 +10,7 @@
 use crate::socket::Socket;
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
+use std::task::Waker;
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -34,6 +35,10 @@
     write_stalled_since: Cell<Option<Instant>>,
     /// The response has filled the system's buffer, which the client is likely to be still reading at the last write.
     filled_send_buffer: Cell<bool>,
+    /// How often all that there was to write had been written.
+    flush_count: Cell<u64>,
+    /// Whoever waits for the next time.
+    awaits_flush: Cell<Option<Waker>>,
     /// The client has closed its side: it has disconnected, whatever of it is still unread.
     client_closed: Cell<bool>,
     read_ahead: ReadAhead,
@@ -61,6 +66,8 @@
             open_connection,
             write_stalled_since: Cell::default(),
             filled_send_buffer: Cell::default(),
+            flush_count: Cell::default(),
+            awaits_flush: Cell::default(),
             client_closed: Cell::default(),
             read_ahead: ReadAhead::new(memory),
             detachment: Detachment::default(),
@@ -83,6 +90,10 @@
 
     /// All that there was to write has been written.
     pub(super) fn record_flush(&self) {
+        self.flush_count.set(self.flush_count.get() + 1);
+        if let Some(waker) = self.awaits_flush.take() {
+            waker.wake();
+        }
         if let Phase::WritingResponse = self.phase.get() {
             self.become_idle();
             if self.filled_send_buffer.replace(false) {
@@ -91,6 +102,16 @@
         }
     }
 
+    /// How often all that there was to write had been written.
+    pub(super) fn flush_count(&self) -> u64 {
+        self.flush_count.get()
+    }
+
+    /// Wakes this task once all that there is to write has been written.
+    pub(super) fn wake_at_flush(&self, waker: &Waker) {
+        self.awaits_flush.set(Some(waker.clone()));
+    }
+
     /// The client has taken some of what is to be written, or takes nothing for now.
     pub(super) fn record_write(&self, progressed: bool) {
         if progressed {
--- a/crates/proxy/src/downstream/open_request.rs
+++ b/crates/proxy/src/downstream/open_request.rs
@@ -3,6 +3,7 @@
 use super::connection::ClientConnection;
 use crate::body::{DetachRequest, DetachedBody};
 use std::rc::Rc;
+use std::task::Waker;
 use std::time::Duration;
 
 /// Keeps a request open until its response is there in full and nothing of the request is read any more.
@@ -34,6 +35,16 @@
         self.connection.begin_response(self.number, detach_request);
     }
 
+    /// See [`ClientConnection::flush_count`].
+    pub fn flush_count(&self) -> u64 {
+        self.connection.flush_count()
+    }
+
+    /// See [`ClientConnection::wake_at_flush`].
+    pub fn wake_at_flush(&self, waker: &Waker) {
+        self.connection.wake_at_flush(waker);
+    }
+
     /// This is all that is left of its response, and is not written by the HTTP parser.
     pub fn detach(&self, rest: DetachedBody) {
         self.connection.detach(self.number, rest);
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -111,12 +111,35 @@
 pub struct TrackedBody {
     body: ResponseStream,
     open: Rc<OpenRequest>,
+    failure: Option<Failure>,
+}
+
+/// An early end of a body. It is passed on once all before it has been written.
+struct Failure {
+    error: BodyError,
+    /// The connection's [`OpenRequest::flush_count`] as the body ended.
+    flush_count: u64,
 }
 
 impl TrackedBody {
     pub fn new(body: ResponseStream, open: Rc<OpenRequest>) -> Self {
         open.begin_response(body.detach_request());
-        TrackedBody { body, open }
+        TrackedBody { body, open, failure: None }
+    }
+}
+
+impl TrackedBody {
+    /// Fails the body once all before its end is with the system: the HTTP library discards what it has yet to write when a
+    /// body fails.
+    fn poll_failure(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        let flush_count = self.open.flush_count();
+        match self.failure.take_if(|failure| failure.flush_count < flush_count) {
+            Some(failure) => Poll::Ready(Some(Err(failure.error))),
+            None => {
+                self.open.wake_at_flush(cx.waker());
+                Poll::Pending
+            }
+        }
     }
 }
 
@@ -128,10 +151,20 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        if self.failure.is_some() {
+            return self.poll_failure(cx);
+        }
         let frame = Pin::new(&mut self.body).poll_frame(cx);
         if let Some(rest) = self.body.take_detached() {
             self.open.detach(rest);
         }
+        if let Poll::Ready(Some(Err(error))) = frame {
+            if self.body.is_aborted() {
+                return Poll::Ready(Some(Err(error)));
+            }
+            self.failure = Some(Failure { error, flush_count: self.open.flush_count() });
+            return self.poll_failure(cx);
+        }
         frame
     }
 
