Read chunked responses ahead of slow clients as far as memory is to spare

Cause: an endpoint that has passed the end of a response to its system may reset the connection.

Change: where nothing tells the end, up to 4 MiB are read ahead all the time, of memory that nothing else is certain to need.

--- a/crates/cli/tests/endpoint_resets.rs
+++ b/crates/cli/tests/endpoint_resets.rs
@@ -204,6 +204,16 @@
     assert!(missing.iter().all(|&bytes| bytes == 0), "bytes lost, by response: {missing:?}");
 }
 
+#[test]
+fn the_end_of_a_chunked_response_reaches_a_slow_client_although_its_endpoint_resets_unannounced() {
+    // Guards against the same where nothing tells the end of the response. Six at once may be read ahead by 4 MiB each.
+    let lengths: Vec<usize> = lengths_between_two_writes().collect();
+    for lengths in lengths.chunks(6) {
+        let missing = bytes_lost_by_unannounced_resets("chunked", 192, lengths);
+        assert!(missing.iter().all(|&bytes| bytes == 0), "bytes lost, by response: {missing:?}");
+    }
+}
+
 #[test]
 fn many_slow_clients_of_a_draining_endpoint_stay_within_the_memory_and_leave_some_to_others() {
     let content = response("Content-Length");
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -20,6 +20,8 @@
 /// This part of the memory is left to uploads, buffered bodies and responses that begin, whatever else takes the memory of
 /// bodies.
 const BODY_RESERVE_DIVISOR: usize = 6;
+/// This part of the memory is left besides to what certainly needs it, when read-ahead takes what may never be needed.
+const SPECULATION_RESERVE_DIVISOR: usize = 24;
 /// The limit allows at least so many streamed bodies.
 const MIN_STREAMED_BODIES: usize = 4;
 const BYTES_PER_KIB: usize = 1024;
@@ -31,6 +33,8 @@
     available_kib: Arc<Semaphore>,
     /// See [`BODY_RESERVE_DIVISOR`].
     body_reserve_kib: usize,
+    /// See [`SPECULATION_RESERVE_DIVISOR`].
+    speculation_reserve_kib: usize,
 }
 
 /// A body's part of the memory, returned when dropped.
@@ -56,6 +60,7 @@
         Rc::new(MemoryLimit {
             available_kib: Arc::new(Semaphore::new(total_kib)),
             body_reserve_kib: memory_kib / BODY_RESERVE_DIVISOR,
+            speculation_reserve_kib: memory_kib / SPECULATION_RESERVE_DIVISOR,
         })
     }
 
@@ -102,6 +107,17 @@
         self.try_reserve_beyond(self.body_reserve_kib, reservation, additional_bytes)
     }
 
+    /// The same for bytes that may never be needed. False also if less than [`SPECULATION_RESERVE_DIVISOR`] says would be left to
+    /// what certainly needs it.
+    pub fn try_reserve_speculative(
+        &self,
+        reservation: &mut MemoryReservation,
+        additional_bytes: usize,
+    ) -> bool {
+        let reserve_kib = self.body_reserve_kib + self.speculation_reserve_kib;
+        self.try_reserve_beyond(reserve_kib, reservation, additional_bytes)
+    }
+
     /// Makes a reservation larger by so many bytes if this reserve is left then.
     fn try_reserve_beyond(
         &self,
--- a/crates/proxy/src/body/memory_limit/tests.rs
+++ b/crates/proxy/src/body/memory_limit/tests.rs
@@ -16,6 +16,17 @@
     assert_eq!(memory.available_bytes(), total_bytes);
 }
 
+/// Guards against read-ahead on suspicion that takes the memory of what is certain.
+#[test]
+fn speculation_leaves_memory_to_other_extensions() {
+    let memory = MemoryLimit::new(MEMORY_MB);
+    let mut speculation = MemoryReservation::default();
+    while memory.try_reserve_speculative(&mut speculation, 1 << 16) {}
+    let mut extension = MemoryReservation::default();
+    assert!(memory.try_reserve_optional(&mut extension, (MEMORY_MB / 24) << 20));
+    assert!(!memory.try_reserve_speculative(&mut speculation, 1 << 16));
+}
+
 /// Guards against an overflow by an amount that another process names.
 #[test]
 fn no_amount_is_reserved_that_exceeds_the_memory() {
--- a/crates/proxy/src/body/read_ahead_buffer.rs
+++ b/crates/proxy/src/body/read_ahead_buffer.rs
@@ -17,6 +17,11 @@
 pub enum ReadAheadLimit {
     /// One chunk, for which no memory is reserved.
     OneChunk,
+    /// So much at most, of memory that nothing else is certain to need.
+    Speculative {
+        /// Most bytes of one response.
+        max_bytes: usize,
+    },
     /// As much as the memory allows.
     AvailableMemory,
 }
@@ -29,9 +34,13 @@
 
 impl Block {
     /// `None` if the memory does not suffice.
-    fn try_allocate(memory: &MemoryLimit) -> Option<Self> {
+    fn try_allocate(memory: &MemoryLimit, is_speculative: bool) -> Option<Self> {
         let mut reservation = MemoryReservation::default();
-        let is_reserved = memory.try_reserve_optional(&mut reservation, BLOCK_BYTES);
+        let is_reserved = if is_speculative {
+            memory.try_reserve_speculative(&mut reservation, BLOCK_BYTES)
+        } else {
+            memory.try_reserve_optional(&mut reservation, BLOCK_BYTES)
+        };
         is_reserved.then(|| Block { bytes: BytesMut::with_capacity(BLOCK_BYTES), _reservation: reservation })
     }
 
@@ -80,7 +89,8 @@
             return false;
         }
         if self.free_bytes() < MAX_CONNECTION_BUFFER_BYTES && !self.has_reached(limit) {
-            self.next_block = Block::try_allocate(&self.memory);
+            let is_speculative = limit != ReadAheadLimit::AvailableMemory;
+            self.next_block = Block::try_allocate(&self.memory, is_speculative);
         }
         self.free_bytes() >= MAX_CONNECTION_BUFFER_BYTES
     }
@@ -89,6 +99,7 @@
     pub fn has_reached(&self, limit: ReadAheadLimit) -> bool {
         match limit {
             ReadAheadLimit::OneChunk => !self.is_empty(),
+            ReadAheadLimit::Speculative { max_bytes } => self.blocks.len() * BLOCK_BYTES >= max_bytes,
             ReadAheadLimit::AvailableMemory => false,
         }
     }
--- a/crates/proxy/src/body/read_ahead_buffer/tests.rs
+++ b/crates/proxy/src/body/read_ahead_buffer/tests.rs
@@ -58,3 +58,16 @@
     assert_eq!(buffer.pop(), Some(chunk(0)));
     assert!(buffer.is_empty() && buffer.try_reserve_chunk(ReadAheadLimit::OneChunk));
 }
+
+#[test]
+fn a_speculative_buffer_is_bounded_and_leaves_memory_to_another() {
+    let memory = MemoryLimit::new(MEMORY_MB);
+    let mut bounded = ReadAheadBuffer::new(&memory);
+    let max_bytes = 40 * CHUNK_BYTES;
+    let bounded_count = fill(&mut bounded, ReadAheadLimit::Speculative { max_bytes });
+    assert!((36..=46).contains(&bounded_count), "{bounded_count}");
+    let mut unbounded = ReadAheadBuffer::new(&memory);
+    fill(&mut unbounded, ReadAheadLimit::Speculative { max_bytes: usize::MAX });
+    let mut certain = ReadAheadBuffer::new(&memory);
+    assert!(fill(&mut certain, ReadAheadLimit::AvailableMemory) > 40);
+}
--- a/crates/proxy/src/upstream/response_forwarder.rs
+++ b/crates/proxy/src/upstream/response_forwarder.rs
@@ -124,7 +124,8 @@
 
     /// Reads the body to its end, and passes on what the client takes meanwhile. A chunk is read once the one before has
     /// been taken; from the moment that `outdated` resolves, and from [`TAIL_BYTES`] before the end on, as soon as there is
-    /// memory: the endpoint may end although the client has yet to take what was sent.
+    /// memory: the endpoint may end although the client has yet to take what was sent. Where nothing tells the end,
+    /// [`TAIL_BYTES`] are read ahead of the client all the time, as far as there is memory to spare.
     ///
     /// # Errors
     /// The body ended incomplete, or the client has disconnected.
@@ -172,7 +173,9 @@
         match body.size_hint().exact() {
             _ if self.is_outdated => ReadAheadLimit::AvailableMemory,
             Some(remaining_bytes) if remaining_bytes <= TAIL_BYTES => ReadAheadLimit::AvailableMemory,
-            _ => ReadAheadLimit::OneChunk,
+            Some(_) => ReadAheadLimit::OneChunk,
+            // Any part may be the end.
+            None => ReadAheadLimit::Speculative { max_bytes: TAIL_BYTES as usize },
         }
     }
 
