Give the bodies of a process without a second one half of the memory

Cause: bodies might take a third of the memory, as two processes may run side by side, though only a listener that the platform holds is shared. The responses that the log tells of these losses waited for memory (waited_for=Memory): 28 KB short of 9.7 MB, and chunked; the process used 16 of 48 MB at most.

Change: with a listener of its own a process gives bodies half. A sixth of the memory is left to bodies that must make progress, as before, so read-ahead and send buffers of a shutdown may take a third. With a shared listener nothing changes.

The bound on what read-ahead takes of 32 MB (endpoint_resets.rs) follows the budget: a third in place of a sixth. The unit test of the half that is left holds the same amount in both cases now, a sixth of the memory, and the totals.

--- a/crates/cli/tests/endpoint_resets.rs
+++ b/crates/cli/tests/endpoint_resets.rs
@@ -23,8 +23,9 @@
 const RESET_AFTER: Duration = Duration::from_secs(3);
 /// The smallest memory of a deployment, in MB.
 const MEMORY_MB: usize = 32;
-/// Read-ahead may take half of the third of the memory that bodies may take.
-const READ_AHEAD_KB: usize = MEMORY_MB * 1_024 / 6;
+/// Read-ahead of a process alone may take a third of the memory: bodies may take half, and a sixth is left to those that make
+/// progress.
+const READ_AHEAD_KB: usize = MEMORY_MB * 1_024 / 3;
 /// What the process takes besides its bodies when it serves this few clients, in kB.
 const OTHER_MEMORY_KB: usize = 4 * 1_024;
 
@@ -214,6 +215,22 @@
     }
 }
 
+#[test]
+fn a_process_alone_reads_ahead_with_memory_that_only_two_processes_would_need() {
+    // Guards against responses being left at endpoints beside unused memory: two rests of 8 MB fit into a third of 64 MB, and not
+    // into a sixth.
+    let (address, was_read) = resetting_endpoint("Content-Length");
+    let agent = Agent::start(&entries("s-1", address, "up"));
+    let mut proxy = start_with(&agent, 64);
+    proxy.log_tells("endpoint list updated", "ready=1");
+    let mut clients = [slow_client(&proxy), slow_client(&proxy)];
+    agent.change(&entries("s-1", address, "draining"));
+    let were_read = [0, 1].map(|_| was_read.recv_timeout(LONG).expect("an end"));
+    let received =
+        clients.each_mut().map(|(client, head)| body(head, &mut client.stream).map(|body| body.len()));
+    assert_eq!((were_read, received), ([true; 2], [Some(RESPONSE_BYTES); 2]));
+}
+
 #[test]
 fn many_slow_clients_of_a_draining_endpoint_stay_within_the_memory_and_leave_some_to_others() {
     let content = response("Content-Length");
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -15,8 +15,6 @@
 const MAX_UNRESERVED_BODY_BYTES: usize = 16 * 1024;
 /// What a streamed body takes at a time: a buffer on either side and the chunk between.
 const STREAMED_BODY_BYTES: usize = MAX_BUFFERED_BODY_BYTES + 3 * MAX_CONNECTION_BUFFER_BYTES;
-/// Bodies may take this part of the memory: two processes may be there, and each needs some for itself.
-const BODY_MEMORY_DIVISOR: usize = 3;
 /// This part of the memory is left to uploads, buffered bodies and responses that begin, whatever else takes the memory of
 /// bodies.
 const BODY_RESERVE_DIVISOR: usize = 6;
@@ -27,6 +25,25 @@
 const BYTES_PER_KIB: usize = 1024;
 const KIB_PER_MB: usize = 1024;
 
+/// Who takes memory under the limit of the platform.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MemoryUsers {
+    /// This process.
+    OneProcess,
+    /// This process and, in a hot restart, another one beside it. Each needs some memory for itself.
+    TwoProcesses,
+}
+
+impl MemoryUsers {
+    /// Bodies of one process may take this part of the memory.
+    fn body_memory_divisor(self) -> usize {
+        match self {
+            MemoryUsers::OneProcess => 2,
+            MemoryUsers::TwoProcesses => 3,
+        }
+    }
+}
+
 /// The memory that bodies may take, in units of 1 KiB.
 #[derive(Debug)]
 pub struct MemoryLimit {
@@ -53,10 +70,10 @@
 
 impl MemoryLimit {
     /// The bodies' part of `memory_mb` in all.
-    pub fn new(memory_mb: usize) -> Rc<Self> {
+    pub fn new(memory_mb: usize, users: MemoryUsers) -> Rc<Self> {
         let min_kib = MIN_STREAMED_BODIES * STREAMED_BODY_BYTES / BYTES_PER_KIB;
         let memory_kib = memory_mb * KIB_PER_MB;
-        let total_kib = (memory_kib / BODY_MEMORY_DIVISOR).clamp(min_kib, Semaphore::MAX_PERMITS);
+        let total_kib = (memory_kib / users.body_memory_divisor()).clamp(min_kib, Semaphore::MAX_PERMITS);
         Rc::new(MemoryLimit {
             available_kib: Arc::new(Semaphore::new(total_kib)),
             body_reserve_kib: memory_kib / BODY_RESERVE_DIVISOR,
--- a/crates/proxy/src/body/memory_limit/tests.rs
+++ b/crates/proxy/src/body/memory_limit/tests.rs
@@ -4,22 +4,26 @@
 
 /// Guards against send buffers and read-ahead that take the memory without which no response can begin.
 #[test]
-fn extensions_leave_half_of_the_memory_to_bodies() {
-    let memory = MemoryLimit::new(MEMORY_MB);
-    let total_bytes = memory.available_bytes();
-    let mut extension = MemoryReservation::default();
-    while memory.try_reserve_optional(&mut extension, 1 << 20) {}
-    assert!(memory.available_bytes() >= total_bytes / 2);
-    let mut body = MemoryReservation::default();
-    assert!(memory.try_reserve(&mut body, MAX_BUFFERED_BODY_BYTES + 1), "a streamed body");
-    drop((extension, body));
-    assert_eq!(memory.available_bytes(), total_bytes);
+fn extensions_leave_a_sixth_of_the_memory_to_bodies() {
+    // Of two processes that is half of what bodies may take, of one process a third.
+    for (users, bodies_mb) in [(MemoryUsers::TwoProcesses, 16), (MemoryUsers::OneProcess, 24)] {
+        let memory = MemoryLimit::new(MEMORY_MB, users);
+        let total_bytes = memory.available_bytes();
+        assert_eq!(total_bytes, bodies_mb << 20);
+        let mut extension = MemoryReservation::default();
+        while memory.try_reserve_optional(&mut extension, 1 << 20) {}
+        assert!(memory.available_bytes() >= (MEMORY_MB / 6) << 20);
+        let mut body = MemoryReservation::default();
+        assert!(memory.try_reserve(&mut body, MAX_BUFFERED_BODY_BYTES + 1), "a streamed body");
+        drop((extension, body));
+        assert_eq!(memory.available_bytes(), total_bytes);
+    }
 }
 
 /// Guards against read-ahead on suspicion that takes the memory of what is certain.
 #[test]
 fn speculation_leaves_memory_to_other_extensions() {
-    let memory = MemoryLimit::new(MEMORY_MB);
+    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
     let mut speculation = MemoryReservation::default();
     while memory.try_reserve_speculative(&mut speculation, 1 << 16) {}
     let mut extension = MemoryReservation::default();
@@ -30,7 +34,7 @@
 /// Guards against an overflow by an amount that another process names.
 #[test]
 fn no_amount_is_reserved_that_exceeds_the_memory() {
-    let memory = MemoryLimit::new(MEMORY_MB);
+    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
     let mut reservation = MemoryReservation::default();
     for bytes in [usize::MAX, usize::MAX - 1, 1 << 42, memory.available_bytes() + 1] {
         assert!(!memory.try_reserve_optional(&mut reservation, bytes), "{bytes}");
--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -10,7 +10,7 @@
 
 pub use detached_body::{BodySource, DetachRequest, DetachedBody, DetachedResponse};
 pub use memory_limit::{
-    MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES, MAX_CONNECTION_BUFFER_BYTES,
+    MemoryLimit, MemoryReservation, MemoryUsers, MAX_BUFFERED_BODY_BYTES, MAX_CONNECTION_BUFFER_BYTES,
 };
 pub use read_ahead_buffer::{ReadAheadBuffer, ReadAheadLimit};
 pub use request_stream::{RequestStream, WriteProgress};
--- a/crates/proxy/src/body/read_ahead_buffer/tests.rs
+++ b/crates/proxy/src/body/read_ahead_buffer/tests.rs
@@ -1,6 +1,7 @@
 //! The order of the chunks, and the memory that they take.
 
 use super::*;
+use crate::body::MemoryUsers;
 
 const MEMORY_MB: usize = 32;
 const CHUNK_BYTES: usize = 20_000;
@@ -25,7 +26,7 @@
 
 #[test]
 fn chunks_leave_in_their_order_and_return_their_memory() {
-    let memory = MemoryLimit::new(MEMORY_MB);
+    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
     let total_bytes = memory.available_bytes();
     let mut buffer = ReadAheadBuffer::new(&memory);
     let count = fill(&mut buffer, ReadAheadLimit::AvailableMemory);
@@ -36,7 +37,7 @@
 
 #[test]
 fn buffers_together_leave_half_of_the_memory_to_other_bodies() {
-    let memory = MemoryLimit::new(MEMORY_MB);
+    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
     let total_bytes = memory.available_bytes();
     let mut buffers: Vec<_> = (0..3).map(|_| ReadAheadBuffer::new(&memory)).collect();
     let counts: Vec<usize> =
@@ -50,7 +51,7 @@
 
 #[test]
 fn without_read_ahead_one_chunk_is_held_and_takes_no_memory() {
-    let memory = MemoryLimit::new(MEMORY_MB);
+    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
     let total_bytes = memory.available_bytes();
     let mut buffer = ReadAheadBuffer::new(&memory);
     assert_eq!(fill(&mut buffer, ReadAheadLimit::OneChunk), 1);
@@ -61,7 +62,7 @@
 
 #[test]
 fn a_speculative_buffer_is_bounded_and_leaves_memory_to_another() {
-    let memory = MemoryLimit::new(MEMORY_MB);
+    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
     let mut bounded = ReadAheadBuffer::new(&memory);
     let max_bytes = 40 * CHUNK_BYTES;
     let bounded_count = fill(&mut bounded, ReadAheadLimit::Speculative { max_bytes });
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -1,7 +1,7 @@
 //! One process of a client proxy: starts its parts, owns them and ends them.
 
 use crate::admin;
-use crate::body::MemoryLimit;
+use crate::body::{MemoryLimit, MemoryUsers};
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::descriptor_budget::{
@@ -104,7 +104,8 @@
 
         let clock = Clock::start();
         let metrics = Rc::<Metrics>::default();
-        let memory = MemoryLimit::new(config.limits.memory_mb);
+        let memory_users = if shares_listener { MemoryUsers::TwoProcesses } else { MemoryUsers::OneProcess };
+        let memory = MemoryLimit::new(config.limits.memory_mb, memory_users);
         let proxy_count = config.settings.settings.proxy_count;
         let pool = ConnectionPool::new(
             config.settings.transport,
--- a/crates/proxy/src/upstream/test_support.rs
+++ b/crates/proxy/src/upstream/test_support.rs
@@ -1,6 +1,6 @@
 //! What the tests of calls, attempts and the dispatcher share.
 
-use crate::body::MemoryLimit;
+use crate::body::{MemoryLimit, MemoryUsers};
 use crate::clock::Clock;
 use crate::descriptors::Descriptors;
 use crate::downstream::connection::ClientPresence;
@@ -25,7 +25,14 @@
 
 /// A pool of the only client proxy.
 pub fn pool(clock: Clock, metrics: Rc<Metrics>) -> Rc<ConnectionPool> {
-    ConnectionPool::new(transport_settings(), 1, Descriptors::new(9), clock, metrics, MemoryLimit::new(64))
+    ConnectionPool::new(
+        transport_settings(),
+        1,
+        Descriptors::new(9),
+        clock,
+        metrics,
+        MemoryLimit::new(64, MemoryUsers::TwoProcesses),
+    )
 }
 
 /// A request without a body whose client waits this long, in microseconds.
