Show that passing a response on reads nothing more of it

Suspected while reading: as the client's side takes all that comes once a response is being detached, a fast endpoint's response might be read to its end into the memory of the process that is about to be killed. No product code is changed.

--- a/crates/cli/tests/response_handover.rs
+++ b/crates/cli/tests/response_handover.rs
@@ -122,6 +122,59 @@
     assert_responses_outlive_the_process(3, RESPONSE_BYTES_BEYOND_A_SEND_BUFFER, true);
 }
 
+/// A response that its endpoint gives as fast as it is read, so often the longest one.
+const REPEATED_RESPONSES: usize = 5;
+
+/// The most memory that a process has had so far, in kB. None: it has ended.
+fn peak_memory_kb(proxy: &Proxy) -> Option<usize> {
+    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).expect("a child");
+    let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
+    line.split_whitespace().nth(1)?.parse().ok()
+}
+
+#[test]
+fn passing_a_response_on_reads_nothing_more_of_it() {
+    // Guards against reading all that a fast endpoint gives into the memory of the process that is about to be killed.
+    let part = RESPONSE_BYTES_BEYOND_A_SEND_BUFFER;
+    let size = REPEATED_RESPONSES * part;
+    let address = endpoint(move |head, stream| {
+        let _ = body(head, stream);
+        if requested_response(head).is_none() {
+            write_response(stream, "length", b"ok");
+            return;
+        }
+        send_bytes(stream, format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n").as_bytes());
+        for _ in 0..REPEATED_RESPONSES {
+            send_bytes(stream, response_body(part));
+        }
+    });
+    let mut shutdown = Shutdown::prepare(Restart::Hot, address);
+    let mut clients = shutdown.connected_clients(1);
+    let _successor = shutdown.start_successor();
+    begin_responses(&mut clients, "length", size, Duration::ZERO);
+    let terminated = shutdown.terminate();
+    let is_killed = Arc::<AtomicBool>::default();
+    let reader = spawn_slow_reader(clients.remove(0), &is_killed);
+    thread::sleep(Duration::from_millis(900));
+    let before_kb = peak_memory_kb(&shutdown.proxy).expect("a process that writes a response");
+    let mut peak_kb = before_kb;
+    // It may end once it has passed the response on.
+    while let Some(kb) =
+        peak_memory_kb(&shutdown.proxy).filter(|_| terminated.elapsed() < DEADLINE + KILL_MARGIN)
+    {
+        peak_kb = kb;
+        thread::sleep(Duration::from_millis(1));
+    }
+    let taken_kb = peak_kb - before_kb;
+    shutdown.kill(terminated);
+    is_killed.store(true, Ordering::SeqCst);
+    let received = reader.join().expect("a reader");
+    assert_eq!(received.len(), size);
+    let is_right = received.chunks(part).all(|received| received == response_body(part));
+    assert!(is_right, "other bytes than the endpoint sent");
+    assert!(taken_kb < 4 * 1_024, "{taken_kb} kB more");
+}
+
 #[test]
 fn what_follows_a_response_that_was_passed_on_is_not_forwarded_and_may_come_again() {
     // Guards against the kill losing a request that was sent behind the response, once it is at an endpoint.
