Leave 28 MB to all but bodies before a process alone gives them more than a third

Cause: connections' own buffers take memory whatever the limit, some 19 MB at 256 connections (35 MB where bodies had 16); half of a small limit leaves less than that.

--- a/crates/cli/tests/endpoint_resets.rs
+++ b/crates/cli/tests/endpoint_resets.rs
@@ -23,9 +23,8 @@
 const RESET_AFTER: Duration = Duration::from_secs(3);
 /// The smallest memory of a deployment, in MB.
 const MEMORY_MB: usize = 32;
-/// Read-ahead of a process alone may take a third of the memory: bodies may take half, and a sixth is left to those that make
-/// progress.
-const READ_AHEAD_KB: usize = MEMORY_MB * 1_024 / 3;
+/// Read-ahead may take half of the third of the memory that bodies may take.
+const READ_AHEAD_KB: usize = MEMORY_MB * 1_024 / 6;
 /// What the process takes besides its bodies when it serves this few clients, in kB.
 const OTHER_MEMORY_KB: usize = 4 * 1_024;
 
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -15,6 +15,9 @@
 const MAX_UNRESERVED_BODY_BYTES: usize = 16 * 1024;
 /// What a streamed body takes at a time: a buffer on either side and the chunk between.
 const STREAMED_BODY_BYTES: usize = MAX_BUFFERED_BODY_BYTES + 3 * MAX_CONNECTION_BUFFER_BYTES;
+/// A process alone leaves so much to all but bodies, above all to the buffers of its connections, if that leaves a third of the
+/// memory to bodies.
+const OTHER_MEMORY_MB: usize = 28;
 /// This part of the memory is left to uploads, buffered bodies and responses that begin, whatever else takes the memory of
 /// bodies.
 const BODY_RESERVE_DIVISOR: usize = 6;
@@ -35,11 +38,15 @@
 }
 
 impl MemoryUsers {
-    /// Bodies of one process may take this part of the memory.
-    fn body_memory_divisor(self) -> usize {
+    /// What the bodies of one process may take of so much memory.
+    fn body_memory_kib(self, memory_kib: usize) -> usize {
+        let third_kib = memory_kib / 3;
         match self {
-            MemoryUsers::OneProcess => 2,
-            MemoryUsers::TwoProcesses => 3,
+            MemoryUsers::OneProcess => {
+                let remaining_kib = memory_kib.saturating_sub(OTHER_MEMORY_MB * KIB_PER_MB);
+                remaining_kib.clamp(third_kib, memory_kib / 2)
+            }
+            MemoryUsers::TwoProcesses => third_kib,
         }
     }
 }
@@ -73,7 +80,7 @@
     pub fn new(memory_mb: usize, users: MemoryUsers) -> Rc<Self> {
         let min_kib = MIN_STREAMED_BODIES * STREAMED_BODY_BYTES / BYTES_PER_KIB;
         let memory_kib = memory_mb * KIB_PER_MB;
-        let total_kib = (memory_kib / users.body_memory_divisor()).clamp(min_kib, Semaphore::MAX_PERMITS);
+        let total_kib = users.body_memory_kib(memory_kib).clamp(min_kib, Semaphore::MAX_PERMITS);
         Rc::new(MemoryLimit {
             available_kib: Arc::new(Semaphore::new(total_kib)),
             body_reserve_kib: memory_kib / BODY_RESERVE_DIVISOR,
--- a/crates/proxy/src/body/memory_limit/tests.rs
+++ b/crates/proxy/src/body/memory_limit/tests.rs
@@ -5,8 +5,8 @@
 /// Guards against send buffers and read-ahead that take the memory without which no response can begin.
 #[test]
 fn extensions_leave_a_sixth_of_the_memory_to_bodies() {
-    // Of two processes that is half of what bodies may take, of one process a third.
-    for (users, bodies_mb) in [(MemoryUsers::TwoProcesses, 16), (MemoryUsers::OneProcess, 24)] {
+    // Of two processes that is half of what bodies may take.
+    for (users, bodies_mb) in [(MemoryUsers::TwoProcesses, 16), (MemoryUsers::OneProcess, 20)] {
         let memory = MemoryLimit::new(MEMORY_MB, users);
         let total_bytes = memory.available_bytes();
         assert_eq!(total_bytes, bodies_mb << 20);
@@ -31,6 +31,17 @@
     assert!(!memory.try_reserve_speculative(&mut speculation, 1 << 16));
 }
 
+/// Guards against bodies that leave too little to the buffers of many connections.
+#[test]
+fn bodies_of_a_process_alone_take_a_third_to_a_half_of_the_memory() {
+    for (memory_mb, bodies_kib) in
+        [(32, 32 * 1_024 / 3), (42, 14 * 1_024), (56, 28 * 1_024), (192, 96 * 1_024)]
+    {
+        let memory = MemoryLimit::new(memory_mb, MemoryUsers::OneProcess);
+        assert_eq!(memory.available_bytes(), bodies_kib << 10, "{memory_mb} MB");
+    }
+}
+
 /// Guards against an overflow by an amount that another process names.
 #[test]
 fn no_amount_is_reserved_that_exceeds_the_memory() {
