Free what a client connection has written of a large response

Cause of that use, measured now: the HTTP library joins what it writes to a client in one buffer that never shrinks. Each connection that has carried a response of over 64 KiB kept 131 to 140 KB until it closed, outside the limit of bodies.

Change: the stream of a client connection writes vectored, so the library keeps the chunks as they came and frees each as it is written. Where the system takes nothing, and while a response is being detached, it goes on by the first chunk, as before.

The tests read a process's memory in one place.

--- a/crates/cli/tests/bodies.rs
+++ b/crates/cli/tests/bodies.rs
@@ -3,6 +3,7 @@
 mod peers;
 
 use peers::bodies::*;
+use peers::shutdown::write_response;
 use peers::*;
 use std::io::{BufRead, Read};
 use std::net::SocketAddr;
@@ -227,26 +228,49 @@
     });
     let discovery = Discovery::start();
     let proxy = start(&discovery, &[endpoint]);
-    let resident_kb = || {
-        let status =
-            std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).expect("a process");
-        let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("its memory").to_owned();
-        line.split_whitespace().nth(1).and_then(|n| n.parse::<usize>().ok()).expect("a number")
-    };
-    let before_kb = resident_kb();
+    let before_kb = proxy.resident_kb();
     let mut clients: Vec<Client> = (0..4).map(|_| proxy.client()).collect();
     for client in &mut clients {
         client.write(&request_head("safe", "2000m", "Content-Length: 0\r\n"));
     }
     let heads: Vec<String> = clients.iter_mut().map(|c| head(&mut c.stream).expect("a head")).collect();
     thread::sleep(SHORT * 2);
-    assert!(resident_kb() < before_kb + 4 * 1_024, "{} from {before_kb} kB", resident_kb());
+    assert!(proxy.resident_kb() < before_kb + 4 * 1_024, "{} from {before_kb} kB", proxy.resident_kb());
     assert!(written.load(Ordering::SeqCst) < 4 * LARGE_BODY_BYTES, "the endpoint cannot write on");
     for (head, client) in heads.iter().zip(&mut clients) {
         assert_eq!(body(head, &mut client.stream).map(|b| b.len()), Some(LARGE_BODY_BYTES));
     }
 }
 
+/// Clients that wait for their next request.
+const WAITING_CLIENTS: usize = 60;
+/// A connection's own buffers take so much each at most, one for reading and one for writing.
+const CONNECTION_BUFFER_KB: usize = 32;
+
+#[test]
+fn a_client_connection_returns_the_memory_of_a_large_response() {
+    // Guards against memory outside the limit of bodies that grows with the connections which have carried a large response.
+    let content = test_pattern(300_000);
+    let endpoint = endpoint(move |_, stream| write_response(stream, "chunked", &content));
+    let discovery = Discovery::start();
+    let proxy = start(&discovery, &[endpoint]);
+    let call = || {
+        let mut client = proxy.client();
+        client.write(&request_head("safe", "2900m", "Content-Length: 0\r\n"));
+        let head = head(&mut client.stream).expect("a head");
+        assert_eq!(body(&head, &mut client.stream).map(|body| body.len()), Some(300_000));
+        client
+    };
+    drop(call());
+    let before_kb = proxy.resident_kb();
+    let waiting: Vec<Client> = (0..WAITING_CLIENTS).map(|_| call()).collect();
+    let taken_kb = proxy.resident_kb().saturating_sub(before_kb);
+    assert!(
+        taken_kb < waiting.len() * 2 * CONNECTION_BUFFER_KB,
+        "{taken_kb} kB for {WAITING_CLIENTS} connections"
+    );
+}
+
 #[test]
 fn disconnecting_from_a_large_response_closes_its_upstream_connection() {
     let (closed_sender, closed) = channel();
--- a/crates/cli/tests/endpoint_resets.rs
+++ b/crates/cli/tests/endpoint_resets.rs
@@ -89,12 +89,6 @@
     (client, head)
 }
 
-fn resident_kb(proxy: &Proxy) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).expect("a process");
-    let line = status.lines().find(|l| l.starts_with("VmRSS:")).expect("its memory").to_owned();
-    line.split_whitespace().nth(1).and_then(|n| n.parse().ok()).expect("a number")
-}
-
 /// The response lay at the endpoint until a slow client had taken what came before, and a reset threw it away.
 #[test]
 fn what_a_draining_endpoint_has_given_reaches_a_slow_client_although_its_connection_is_reset() {
@@ -266,14 +260,14 @@
     let agent = Agent::start(&entries("s-1", giver, "up"));
     let mut proxy = start_with(&agent, MEMORY_MB);
     proxy.log_tells("endpoint list updated", "ready=1");
-    let before_kb = resident_kb(&proxy);
+    let before_kb = proxy.resident_kb();
     let mut clients: Vec<_> = (0..MANY_RESPONSES).map(|_| slow_client(&proxy)).collect();
     agent.change(&entries("s-1", giver, "draining"));
     agent.change(&entries("s-2", other.address, "up"));
     let began = Instant::now();
     let mut peak_kb = before_kb;
     while began.elapsed() < SHORT * 5 {
-        peak_kb = peak_kb.max(resident_kb(&proxy));
+        peak_kb = peak_kb.max(proxy.resident_kb());
         thread::sleep(SHORT / 10);
     }
     let taken_kb = peak_kb - before_kb;
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -477,6 +477,13 @@
         false
     }
 
+    /// The memory that the process has now, in kB.
+    pub fn resident_kb(&self) -> usize {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("a process");
+        let line = status.lines().find(|line| line.starts_with("VmRSS:")).expect("its memory");
+        line.split_whitespace().nth(1).and_then(|number| number.parse().ok()).expect("a number")
+    }
+
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.address).expect("it listens");
         stream.set_read_timeout(Some(LONG)).expect("a time-out");
--- a/crates/proxy/src/downstream/stream.rs
+++ b/crates/proxy/src/downstream/stream.rs
@@ -3,7 +3,7 @@
 use super::connection::ClientConnection;
 use super::shutdown_writer::ShutdownWriter;
 use std::cell::RefCell;
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -54,6 +54,28 @@
         written
     }
 
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        if !self.connection.detachment().is_begun() {
+            if let Poll::Ready(written) = self.connection.socket.poll_write_vectored(cx, bufs) {
+                self.connection.record_write(true);
+                return Poll::Ready(written);
+            }
+        }
+        // Captured, or written as far as the system takes it in a graceful shutdown.
+        let first = bufs.iter().find(|buf| !buf.is_empty());
+        self.poll_write(cx, first.map_or(&[], |buf| buf))
+    }
+
+    /// What the parser has yet to write stays in the chunks that it came in, which are freed as they are written. Otherwise
+    /// each connection kept a buffer as large as the most that it ever had to write.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         // Called when nothing is left to write.
         self.connection.record_flush();
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,7 +1,7 @@
 //! A TCP stream that several parts share: one reads and writes messages, others watch for its end.
 
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
-use std::io;
+use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
 use std::net::Shutdown;
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd};
@@ -60,6 +60,17 @@
         }
     }
 
+    /// Writes some bytes of these, in their order, and returns how many.
+    pub fn poll_write_vectored(&self, cx: &mut Context<'_>, bufs: &[IoSlice<'_>]) -> Poll<io::Result<usize>> {
+        loop {
+            ready!(self.0.poll_write_ready(cx))?;
+            match self.0.try_write_vectored(bufs) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                written => return Poll::Ready(written),
+            }
+        }
+    }
+
     /// Writes some bytes and returns how many, whether or not the system calls the socket writable: it does so only once
     /// a third of the send buffer is free.
     ///
