Leave half of read-ahead to responses whose end is known

Cause: slow clients of chunked responses, each of which may be read ahead by 4 MiB as long as it lasts, left 2 MB of 48 to ends that are known.

Change: read-ahead on suspicion leaves half of what read-ahead may take, 10 of 20 MB at 48 MB (4 of 8 with a shared listener). It works since an end needs its memory once, and a chunked response whose read-ahead is full gains little: what its endpoint holds waits for the client all the same.

--- a/crates/cli/tests/endpoint_resets.rs
+++ b/crates/cli/tests/endpoint_resets.rs
@@ -7,10 +7,10 @@
 use peers::shutdown::{requested_response, write_response};
 use peers::*;
 use std::collections::HashMap;
-use std::io::{Read, Write};
+use std::io::{BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::sync::mpsc::{channel, Receiver};
+use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -130,17 +130,28 @@
     // Made before the first request: it takes longer than the endpoint should.
     let content = test_pattern(RESPONSE_BYTES);
     let address = endpoint(move |head, stream| {
-        let socket = socket2::SockRef::from(stream.get_ref());
-        socket.set_send_buffer_size(SMALL_SEND_BUFFER_BYTES).expect("a socket");
         let (framing, size) = requested_response(head).expect("a framing and a length");
-        write_response(stream, framing, &content[..size]);
-        let _ = sender.send(size);
-        thread::sleep(UNANNOUNCED_RESET_AFTER);
-        prepare_reset(stream.get_ref());
+        give_and_reset(stream, framing, &content[..size], SMALL_SEND_BUFFER_BYTES, &sender);
     });
     (address, reports)
 }
 
+/// Passes all of a response to the system, reports its length, and resets the connection a little later.
+fn give_and_reset(
+    stream: &mut BufReader<TcpStream>,
+    framing: &str,
+    content: &[u8],
+    send_buffer_bytes: usize,
+    reports: &Sender<usize>,
+) {
+    let socket = socket2::SockRef::from(stream.get_ref());
+    socket.set_send_buffer_size(send_buffer_bytes).expect("a socket");
+    write_response(stream, framing, content);
+    let _ = reports.send(content.len());
+    thread::sleep(UNANNOUNCED_RESET_AFTER);
+    prepare_reset(stream.get_ref());
+}
+
 /// Reads slowly until the endpoint has given all, then nothing until the connection has been reset, and then the rest.
 fn read_across_the_reset(mut client: Client, is_given: &AtomicBool) -> Vec<u8> {
     head(&mut client.stream).expect("a head");
@@ -261,6 +272,46 @@
     }
 }
 
+/// Slow clients whose chunked responses may each be read ahead by 4 MiB, which together is more than bodies may take of 48 MB.
+const SPECULATIVE_READERS: usize = 8;
+/// The send buffer of an endpoint whose system holds all of a response's last 4 MiB; the system makes it twice as large.
+const LARGE_SEND_BUFFER_BYTES: usize = 2 << 20;
+
+/// An endpoint that gives chunked responses as fast as they are read, and resets the connections of others after their end.
+fn endpoint_that_resets_after_known_lengths() -> (SocketAddr, Receiver<usize>) {
+    let (sender, reports) = channel();
+    let content = test_pattern(RESPONSE_BYTES);
+    let address = endpoint(move |head, stream| match requested_response(head) {
+        Some(("chunked", size)) => write_response(stream, "chunked", &content[..size]),
+        Some((framing, size)) => {
+            give_and_reset(stream, framing, &content[..size], LARGE_SEND_BUFFER_BYTES, &sender);
+        }
+        None => {}
+    });
+    (address, reports)
+}
+
+#[test]
+fn the_end_of_a_response_is_read_although_slow_clients_of_chunked_ones_take_memory() {
+    // Guards against read-ahead that may never be needed taking the memory of what certainly is.
+    let (address, given) = endpoint_that_resets_after_known_lengths();
+    let agent = Agent::start(&entries("s-1", address, "up"));
+    let mut proxy = start_with(&agent, 48);
+    proxy.log_tells("endpoint list updated", "ready=1");
+    let _slow_clients: Vec<_> = (0..SPECULATIVE_READERS)
+        .map(|_| {
+            let mut client = proxy.client();
+            client.write(&sized_head("chunked", RESPONSE_BYTES));
+            head(&mut client.stream).expect("a head");
+            client
+        })
+        .collect();
+    thread::sleep(SHORT * 2);
+    for length in lengths_between_two_writes().step_by(4) {
+        assert_eq!(bytes_lost(&proxy, &given, "length", &[length]), [0], "bytes lost of {length}");
+    }
+}
+
 #[test]
 fn many_slow_clients_of_a_draining_endpoint_stay_within_the_memory_and_leave_some_to_others() {
     let content = response("Content-Length");
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -24,8 +24,8 @@
 /// This part of the memory is left to uploads, buffered bodies and responses that begin, whatever else takes the memory of
 /// bodies.
 const BODY_RESERVE_DIVISOR: usize = 6;
-/// This part of the memory is left besides to what certainly needs it, when read-ahead takes what may never be needed.
-const SPECULATION_RESERVE_DIVISOR: usize = 24;
+/// This part of what remains is left besides to what certainly needs it, when read-ahead takes what may never be needed.
+const SPECULATION_RESERVE_DIVISOR: usize = 2;
 /// The limit allows at least so many streamed bodies.
 const MIN_STREAMED_BODIES: usize = 4;
 const BYTES_PER_KIB: usize = 1024;
@@ -84,10 +84,12 @@
         let min_kib = MIN_STREAMED_BODIES * STREAMED_BODY_BYTES / BYTES_PER_KIB;
         let memory_kib = memory_mb * KIB_PER_MB;
         let total_kib = users.body_memory_kib(memory_kib).clamp(min_kib, Semaphore::MAX_PERMITS);
+        let body_reserve_kib = memory_kib / BODY_RESERVE_DIVISOR;
+        let optional_kib = total_kib.saturating_sub(body_reserve_kib);
         Rc::new(MemoryLimit {
             available_kib: Arc::new(Semaphore::new(total_kib)),
-            body_reserve_kib: memory_kib / BODY_RESERVE_DIVISOR,
-            speculation_reserve_kib: memory_kib / SPECULATION_RESERVE_DIVISOR,
+            body_reserve_kib,
+            speculation_reserve_kib: optional_kib / SPECULATION_RESERVE_DIVISOR,
         })
     }
 
--- a/crates/proxy/src/body/memory_limit/tests.rs
+++ b/crates/proxy/src/body/memory_limit/tests.rs
@@ -22,13 +22,18 @@
 
 /// Guards against read-ahead on suspicion that takes the memory of what is certain.
 #[test]
-fn speculation_leaves_memory_to_other_extensions() {
-    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
-    let mut speculation = MemoryReservation::default();
-    while memory.try_reserve_speculative(&mut speculation, 1 << 16) {}
-    let mut extension = MemoryReservation::default();
-    assert!(memory.try_reserve_optional(&mut extension, (MEMORY_MB / 24) << 20));
-    assert!(!memory.try_reserve_speculative(&mut speculation, 1 << 16));
+fn speculation_leaves_half_of_what_extensions_may_take_to_others() {
+    for (users, bodies_mb) in [(MemoryUsers::TwoProcesses, 16), (MemoryUsers::OneProcess, 28)] {
+        let memory = MemoryLimit::new(MEMORY_MB, users);
+        let extensions_mb = bodies_mb - MEMORY_MB / 6;
+        let mut speculation = MemoryReservation::default();
+        while memory.try_reserve_speculative(&mut speculation, 1 << 16) {}
+        let taken_bytes = (bodies_mb << 20) - memory.available_bytes();
+        assert_eq!(taken_bytes, extensions_mb << 19);
+        let mut extension = MemoryReservation::default();
+        assert!(memory.try_reserve_optional(&mut extension, extensions_mb << 19));
+        assert!(!memory.try_reserve_speculative(&mut speculation, 1 << 16));
+    }
 }
 
 /// Guards against bodies that leave too little to the buffers of many connections.
