Wake responses that wait for memory as some is returned

Cause: a response without memory to be read ahead tried again only as its own client took something, for a slow client seconds later. Memory that others returned meanwhile lay unused.

Change: each returned reservation notifies whoever waits for memory; so does one that a successor delivers. It works since the wait is registered in the same poll in which the memory did not suffice, on the one thread.

--- a/crates/cli/tests/endpoint_resets.rs
+++ b/crates/cli/tests/endpoint_resets.rs
@@ -346,6 +346,24 @@
     }
 }
 
+#[test]
+fn memory_that_one_slow_client_returns_is_used_for_another() {
+    // Guards against a response that waits for memory until its own client takes something, although there is memory.
+    let (address, was_read) = resetting_endpoint("Content-Length");
+    let agent = Agent::start(&entries("s-1", address, "up"));
+    let mut proxy = start_with(&agent, MEMORY_MB);
+    proxy.log_tells("endpoint list updated", "ready=1");
+    let mut others: Vec<_> = (0..MANY_RESPONSES).map(|_| slow_client(&proxy)).collect();
+    let (mut last, head) = others.pop().expect("a client");
+    agent.change(&entries("s-1", address, "draining"));
+    thread::sleep(SHORT);
+    // Their responses are dropped with them. What is left fits into the memory.
+    drop(others);
+    let were_read = (0..MANY_RESPONSES).filter(|_| was_read.recv_timeout(LONG).expect("an end")).count();
+    let received = body(&head, &mut last.stream).map(|body| body.len());
+    assert_eq!(received, Some(RESPONSE_BYTES), "{were_read} of {MANY_RESPONSES} were read or dropped");
+}
+
 /// What an endpoint gives before it cuts its response: more than fits into the buffers of the systems for a slow client.
 const GIVEN_BEFORE_THE_CUT: [usize; 4] = [300_000, 3_000_000, 5_000_000, 8_000_000];
 
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -3,9 +3,10 @@
 #[cfg(test)]
 mod tests;
 
+use std::future::Future;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 /// Most bytes of a body that is buffered completely, either way.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
@@ -58,6 +59,8 @@
 #[derive(Debug)]
 pub struct MemoryLimit {
     available_kib: Arc<Semaphore>,
+    /// Notified when a reservation has been returned.
+    returned: Rc<Notify>,
     /// See [`BODY_RESERVE_DIVISOR`].
     body_reserve_kib: usize,
     /// See [`SPECULATION_RESERVE_DIVISOR`].
@@ -69,12 +72,24 @@
 pub struct MemoryReservation {
     permits: Vec<OwnedSemaphorePermit>,
     kib: usize,
+    /// See [`MemoryLimit::returned`].
+    returned: Option<Rc<Notify>>,
 }
 
 impl MemoryReservation {
-    fn grow(&mut self, kib: u32, permit: OwnedSemaphorePermit) {
+    fn grow(&mut self, kib: u32, permit: OwnedSemaphorePermit, returned: &Rc<Notify>) {
         self.kib += kib as usize;
         self.permits.push(permit);
+        self.returned = Some(Rc::clone(returned));
+    }
+}
+
+impl Drop for MemoryReservation {
+    fn drop(&mut self) {
+        self.permits.clear();
+        if let Some(returned) = &self.returned {
+            returned.notify_waiters();
+        }
     }
 }
 
@@ -88,6 +103,7 @@
         let optional_kib = total_kib.saturating_sub(body_reserve_kib);
         Rc::new(MemoryLimit {
             available_kib: Arc::new(Semaphore::new(total_kib)),
+            returned: Rc::default(),
             body_reserve_kib,
             speculation_reserve_kib: optional_kib / SPECULATION_RESERVE_DIVISOR,
         })
@@ -98,6 +114,11 @@
         self.available_kib.available_permits() * BYTES_PER_KIB
     }
 
+    /// Resolves when memory has been returned since this call. What is available then may not suffice.
+    pub fn returned(&self) -> impl Future<Output = ()> + '_ {
+        self.returned.notified()
+    }
+
     /// Does a body of this size cost no more than its connection does anyway?
     pub fn needs_no_reservation(size_bytes: usize) -> bool {
         size_bytes <= MAX_UNRESERVED_BODY_BYTES
@@ -114,7 +135,7 @@
 
     fn try_grow(&self, reservation: &mut MemoryReservation, kib: u32) -> bool {
         let Ok(permit) = Arc::clone(&self.available_kib).try_acquire_many_owned(kib) else { return false };
-        reservation.grow(kib, permit);
+        reservation.grow(kib, permit, &self.returned);
         true
     }
 
@@ -173,7 +194,7 @@
     pub async fn reserve(&self, reservation: &mut MemoryReservation, size_bytes: usize) {
         let kib = MemoryLimit::missing_kib(reservation, size_bytes);
         if let Ok(permit) = Arc::clone(&self.available_kib).acquire_many_owned(kib).await {
-            reservation.grow(kib, permit);
+            reservation.grow(kib, permit, &self.returned);
         }
     }
 }
--- a/crates/proxy/src/body/read_ahead_buffer.rs
+++ b/crates/proxy/src/body/read_ahead_buffer.rs
@@ -6,6 +6,7 @@
 use super::memory_limit::{MemoryLimit, MemoryReservation, MAX_CONNECTION_BUFFER_BYTES};
 use bytes::{Bytes, BytesMut};
 use std::collections::VecDeque;
+use std::future::Future;
 use std::rc::Rc;
 
 /// The unit in which memory is reserved. Chunks are copied into blocks: a small chunk may keep a much larger read buffer
@@ -108,6 +109,12 @@
         }
     }
 
+    /// Resolves when a chunk whose memory could not be reserved may be tried again: some has been returned.
+    pub fn memory_returned(&self) -> impl Future<Output = ()> + 'static {
+        let memory = Rc::clone(&self.memory);
+        async move { memory.returned().await }
+    }
+
     fn free_bytes(&self) -> usize {
         let reserved_blocks = self.blocks.back().into_iter().chain(&self.next_block);
         reserved_blocks.map(Block::free_bytes).sum()
--- a/crates/proxy/src/downstream/detached_response.rs
+++ b/crates/proxy/src/downstream/detached_response.rs
@@ -37,6 +37,7 @@
 enum Step {
     Written(usize),
     Read(Bytes),
+    MemoryReturned,
 }
 
 /// A delivery under way.
@@ -83,6 +84,7 @@
             match self.next_step().await? {
                 Step::Written(count) => self.next.advance(count),
                 Step::Read(bytes) => self.record_read(bytes),
+                Step::MemoryReturned => {}
             }
         }
     }
@@ -93,10 +95,12 @@
         let may_read =
             self.source.is_some() && self.buffer.try_reserve_chunk(ReadAheadLimit::AvailableMemory);
         let source = self.source.as_ref().filter(|_| may_read);
+        let memory_returned = self.buffer.memory_returned();
         tokio::select! {
             biased;
             written = write(&self.client, &self.next), if !self.next.is_empty() => written.map(Step::Written),
             read = read(source) => read.map(Step::Read),
+            () = memory_returned, if self.source.is_some() && !may_read => Ok(Step::MemoryReturned),
             () = self.client.peer_closed() => Err(DeliveryError::ClientDisconnected),
         }
     }
--- a/crates/proxy/src/upstream/response_forwarder.rs
+++ b/crates/proxy/src/upstream/response_forwarder.rs
@@ -73,6 +73,18 @@
     ClientDisconnected,
     EndpointOutdated,
     DetachRequested,
+    MemoryReturned,
+}
+
+/// What a response waits for besides its client.
+#[derive(Clone, Copy, Debug)]
+struct Waits {
+    /// Since when the endpoint's next bytes are read. `None`: they are not.
+    reading_since: Option<Instant>,
+    /// Memory to read ahead.
+    awaits_memory: bool,
+    /// A request to detach the response.
+    may_detach: bool,
 }
 
 /// How the reading of a response ended.
@@ -164,7 +176,9 @@
             // The connection is driven also while nothing is read: a part of the request may still have to be written.
             // An endpoint that has yet to read some of the request needs the parser that writes it.
             let may_detach = connection.write_progress.is_complete();
-            let next_step = self.next_step(body, reading_since, may_detach, outdated.as_mut());
+            let awaits_memory = hold_back == Some(HoldBackReason::Memory);
+            let waits = Waits { reading_since, awaits_memory, may_detach };
+            let next_step = self.next_step(body, waits, outdated.as_mut());
             let step = connection.drive_alongside(metrics, next_step).await;
             if let Some(reason) = hold_back {
                 self.last_held_back = Some(HeldBack { reason, until: Instant::now() });
@@ -176,7 +190,7 @@
                 }
                 Step::Received(None) => return Ok(Reception::Complete),
                 Step::Stalled => return Err(Interruption::Stalled),
-                Step::Forwarded => {}
+                Step::Forwarded | Step::MemoryReturned => {}
                 Step::ClientDisconnected => return Err(Interruption::ClientDisconnected),
                 Step::DetachRequested => return Ok(Reception::DetachRequested),
                 Step::EndpointOutdated => self.is_outdated = true,
@@ -196,14 +210,15 @@
         }
     }
 
-    /// Reads only if `reading_since` says so.
+    /// Waits for the client, and for what `waits` says.
     async fn next_step(
         &mut self,
         body: &mut Incoming,
-        reading_since: Option<Instant>,
-        may_detach: bool,
+        waits: Waits,
         outdated: Pin<&mut impl Future<Output = ()>>,
     ) -> Step {
+        let Waits { reading_since, awaits_memory, may_detach } = waits;
+        let memory_returned = self.buffer.memory_returned();
         let has_chunk = !self.buffer.is_empty();
         // After the last byte it does not matter whether the client is still there.
         let needs_client = has_chunk || !body.is_end_stream();
@@ -222,6 +237,7 @@
                 frame.map_or(Step::Stalled, Step::Received)
             }
             () = self.client.closed(), if needs_client => Step::ClientDisconnected,
+            () = memory_returned, if awaits_memory => Step::MemoryReturned,
             () = self.detach_request.received(), if may_detach => Step::DetachRequested,
             () = outdated, if !self.is_outdated => Step::EndpointOutdated,
         }
