--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -17,6 +17,8 @@
 }
 trap clean EXIT
 trap 'exit 2' INT TERM
+# The stand-ins hold a socket for each connection.
+ulimit -Sn "$(ulimit -Hn)"
 timeout 110 "$program"
 code=$?
 [ "$code" -le 1 ] && exit "$code"
