Notice the end of a request at the arrival of its last byte

Without SIGTERM such a request had no deadline: at an endpoint that hangs, no answer 20 s after a timeout of 0.8 s.

Cause: a body over 64 KiB is streamed, and its end is noticed as the attempt reads it. Where the piece that passes 64 KiB holds the rest of a body of known length, nothing is left to read, and the end was never noticed.

Change: such a body is complete, as one of up to 64 KiB is. The request is complete also where its response began before its end.

The test of the call table asserts the timeout itself in place of has_timeout(), which is gone.

--- a/crates/cli/tests/peers/bodies.rs
+++ b/crates/cli/tests/peers/bodies.rs
@@ -10,6 +10,16 @@
 pub fn endpoint(serve: impl Fn(&str, &mut BufReader<TcpStream>) + Send + Sync + 'static) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("its address");
+    serve_connections(listener, serve);
+    address
+}
+
+/// Accepts connections on its own thread and calls `serve` for each request on them.
+pub fn serve_connections(
+    listener: TcpListener,
+    serve: impl Fn(&str, &mut BufReader<TcpStream>) + Send + Sync + 'static,
+) {
+    let _ = listener.set_nonblocking(false);
     let serve = Arc::new(serve);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
@@ -22,7 +32,6 @@
             });
         }
     });
-    address
 }
 
 /// Reads the head of a message. None at the end of the connection.
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -226,6 +226,13 @@
 }
 
 impl UnresponsiveHost {
+    /// Becomes an endpoint that calls `serve` for each request, on all connections from now on.
+    pub fn serve(self, serve: impl Fn(&str, &mut BufReader<TcpStream>) + Send + Sync + 'static) {
+        let UnresponsiveHost { listener, backlog, .. } = self;
+        drop(backlog);
+        bodies::serve_connections(listener, serve);
+    }
+
     /// Accepts the connections in the backlog and those after them, and counts the bytes received from the
     /// proxy.
     pub fn count_bytes_received(self) -> usize {
--- a/crates/cli/tests/peers/shutdown.rs
+++ b/crates/cli/tests/peers/shutdown.rs
@@ -53,9 +53,15 @@
 impl Shutdown {
     /// Starts the process that will be shut down, with `endpoint` as its only endpoint.
     pub fn prepare(restart: Restart, endpoint: SocketAddr) -> Shutdown {
+        Shutdown::prepare_with_endpoints(restart, &[endpoint])
+    }
+
+    /// Starts the process that will be shut down, with these endpoints.
+    pub fn prepare_with_endpoints(restart: Restart, endpoints: &[SocketAddr]) -> Shutdown {
         response_body(0);
         let discovery = Discovery::start();
-        let known = [entry("s-1", endpoint, "up", 0)];
+        let known: Vec<String> =
+            endpoints.iter().zip(1..).map(|(&e, number)| entry(&format!("s-{number}"), e, "up", 0)).collect();
         let listen = "127.0.0.1:0".parse().expect("an address");
         let deadline = format!("\"deadline_us\":{}", DEADLINE.as_micros());
         let config = config(listen, discovery.address, 1_024, &known)
@@ -91,6 +97,11 @@
         self.platform.as_ref().map(|platform| platform.start(&self.config))
     }
 
+    /// Sends SIGHUP, after which the process reads its configuration again.
+    pub fn reload(&self) {
+        self.proxy.signal("-HUP");
+    }
+
     /// Sends SIGTERM and returns the time of the signal.
     pub fn terminate(&self) -> Instant {
         self.proxy.terminate();
--- a/crates/proxy/src/body/upload.rs
+++ b/crates/proxy/src/body/upload.rs
@@ -20,6 +20,9 @@
 /// A body counts as stalled after this long without a byte.
 const MAX_STALL: Duration = Duration::from_secs(3);
 
+/// Bytes that the client's system has buffered arrive within this time once the proxy reads on.
+const MAX_TRANSIT: Duration = Duration::from_millis(20);
+
 /// Why a body is incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum BodyError {
@@ -66,7 +69,13 @@
         }
     }
 
-    /// The length in bytes that the request's head declares, if it does.
+    /// Number of bytes of the body that have been read.
+    pub fn received_bytes(&self) -> u64 {
+        self.received_bytes
+    }
+
+    /// The length in bytes that the request's head declares, if it does. Must be called before the body is
+    /// read.
     pub fn length(&self) -> Option<u64> {
         self.body.size_hint().exact()
     }
@@ -117,7 +126,7 @@
         poll_fn(|cx| self.poll_chunk(cx)).await
     }
 
-    /// Reads the body to its end, or until it exceeds the size that is buffered. Waits for memory no longer
+    /// Reads the body to its end, or until it exceeds the size that is buffered by at most one piece. Waits for memory no longer
     /// than `memory_wait`, and reserves it for the whole body at once: bodies that each held a part and
     /// waited for more would deadlock.
     ///
@@ -144,7 +153,8 @@
             }
             bytes.extend_from_slice(&chunk);
             if bytes.len() > MAX_BUFFERED_BODY_BYTES {
-                return Ok(BodyPrefix { bytes: bytes.freeze(), is_complete: false });
+                // A piece that exceeds the buffer may also hold the end of a body of known length.
+                return Ok(BodyPrefix { bytes: bytes.freeze(), is_complete: self.body.is_end_stream() });
             }
         }
         Ok(BodyPrefix { bytes: bytes.freeze(), is_complete: true })
@@ -158,9 +168,19 @@
     /// Length of the complete body in bytes, where that is known.
     length: Option<u64>,
     state: Cell<UploadState>,
+    claim: Cell<Claim>,
     ended: Notify,
 }
 
+/// What was known of the client when an attempt claimed its upload.
+#[derive(Clone, Copy, Debug, Default)]
+struct Claim {
+    /// How long no byte of the client had arrived.
+    time_since_last_byte: Duration,
+    /// How long the reader had waited for the client until then.
+    waited: Duration,
+}
+
 /// The read state of an upload.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum UploadState {
@@ -178,6 +198,7 @@
             _reservation: reservation,
             length,
             state: Cell::new(UploadState::Unread),
+            claim: Cell::default(),
             ended: Notify::new(),
         })
     }
@@ -187,18 +208,27 @@
         self.state.get() == UploadState::Unread
     }
 
-    /// Claims the body for one attempt. False if an attempt has already claimed it.
-    pub fn try_claim(&self) -> bool {
+    /// Claims the body for one attempt, when no byte of the client has arrived for `time_since_last_byte`.
+    /// False if an attempt has already claimed it.
+    pub fn try_claim(&self, time_since_last_byte: Duration) -> bool {
         let is_unread = self.is_unread();
         if is_unread {
             self.state.set(UploadState::Streaming);
+            self.claim.set(Claim { time_since_last_byte, waited: self.reader.borrow().waited });
         }
         is_unread
     }
 
-    /// Whether the body has not ended yet.
-    pub fn is_incomplete(&self) -> bool {
-        !matches!(self.state.get(), UploadState::Ended(_))
+    /// How long before the claim the client may have written the last byte of a body that has been read to its
+    /// end. Zero if the reader has waited for the client since.
+    pub fn delay_before_claim(&self) -> Duration {
+        let claim = self.claim.get();
+        let waited_since = self.reader.borrow().waited - claim.waited;
+        if waited_since < MAX_TRANSIT {
+            claim.time_since_last_byte
+        } else {
+            Duration::ZERO
+        }
     }
 
     /// Whether the body ended before it was complete.
--- a/crates/proxy/src/call_table.rs
+++ b/crates/proxy/src/call_table.rs
@@ -104,19 +104,10 @@
 pub struct OutgoingAttempt {
     pub id: AttemptId,
     pub request: Rc<Request>,
-    /// When the attempt times out, in microseconds; never while a streamed request is still arriving.
-    pub timeout_at: Micros,
     /// The call is open, and the attempt has time left.
     pub is_wanted: bool,
 }
 
-impl OutgoingAttempt {
-    /// Whether the attempt has a timeout.
-    pub fn has_timeout(&self) -> bool {
-        self.timeout_at < NEVER_US
-    }
-}
-
 /// All calls that are open or have attempts in flight.
 pub struct CallTable {
     metrics: Rc<Metrics>,
@@ -178,12 +169,12 @@
         (id, receiver)
     }
 
-    /// Records that the last byte of a streamed request has arrived, which starts the client timeout. `None`
+    /// Records that the last byte of a streamed request has arrived, which started the client timeout. `None`
     /// if the call is no longer open.
-    pub fn complete_request(&mut self, now: Micros, id: CallId) -> Option<Event> {
+    pub fn complete_request(&mut self, now: Micros, id: CallId, arrived_at: Micros) -> Option<Event> {
         let call = self.calls.get_mut(&id).filter(|call| call.is_open())?;
-        let remaining_time = call.request.client_timeout;
-        call.deadline = now + remaining_time;
+        call.deadline = (arrived_at + call.request.client_timeout).max(now);
+        let remaining_time = call.deadline - now;
         self.timers.insert((call.deadline, TimerPurpose::CallDeadline(id)));
         for (number, attempt) in (0..).zip(&mut call.attempts) {
             if attempt.in_flight {
@@ -222,7 +213,6 @@
         Some(OutgoingAttempt {
             id: AttemptId { call: id, number },
             request: Rc::clone(&call.request),
-            timeout_at,
             is_wanted: call.is_open() && timeout_at > now,
         })
     }
@@ -237,6 +227,12 @@
         }
     }
 
+    /// When an attempt times out. `None` while its request is still arriving.
+    pub fn timeout_of(&self, id: AttemptId) -> Option<Micros> {
+        let attempt = self.calls.get(&id.call)?.attempts.get(id.number as usize)?;
+        Some(attempt.timeout_at).filter(|&timeout_at| timeout_at < NEVER_US)
+    }
+
     /// Whether the first byte of an attempt may be written now; `is_ready` returns whether its endpoint
     /// accepts calls. If the result is true, the endpoint may execute the attempt from now on.
     pub fn may_start(
--- a/crates/proxy/src/call_table/tests.rs
+++ b/crates/proxy/src/call_table/tests.rs
@@ -28,8 +28,9 @@
         let (call, _answer) = calls.add(0, ClassId(0), request(9_000));
         let limits = AttemptLimits { timeout_at: Some(5_000), send_before: None };
         let outgoing = calls.add_attempt(0, call, EndpointId(3), limits).expect("an open call");
-        assert!(outgoing.is_wanted && outgoing.has_timeout());
         let id = AttemptId { call, number: 0 };
+        assert!(outgoing.is_wanted);
+        assert_eq!(calls.timeout_of(id), Some(5_000));
         calls.timers.insert((5_000, TimerPurpose::AttemptTimeout(id)));
         assert!(!calls.may_start(0, id, |_| false), "a draining endpoint gets no attempts");
         assert_eq!(calls.may_start(4_000, id, |endpoint| starts && endpoint == EndpointId(3)), starts);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -24,6 +24,9 @@
 use tokio::sync::{oneshot, Notify};
 use tracing::info;
 
+/// The least remaining time that an attempt states while its request is still arriving.
+const MIN_TOLD_TIME_US: Micros = 1_000;
+
 /// The settings that apply to polls of the endpoint list.
 pub struct ListRules {
     /// Whether the list is polled from a service shared by all client proxies; otherwise an agent pushes it.
@@ -159,9 +162,12 @@
         Some((call, answer))
     }
 
-    /// Records that the last byte of a streamed request has arrived, which starts the client timeout.
-    pub fn complete_request(&self, call: CallId) {
-        let event = self.state.borrow_mut().calls.complete_request(self.clock.now(), call);
+    /// Records that the last byte of a streamed request arrived `time_since_arrival` ago, which started the
+    /// client timeout.
+    pub fn complete_request(&self, call: CallId, time_since_arrival: Duration) {
+        let now = self.clock.now();
+        let arrived_at = now.saturating_sub(time_since_arrival.as_micros() as Micros);
+        let event = self.state.borrow_mut().calls.complete_request(now, call, arrived_at);
         if let Some(event) = event {
             self.notify_balancer(event);
         }
@@ -377,10 +383,15 @@
 
 impl AttemptOwner for DispatchedAttempt<'_> {
     fn remaining_time(&self) -> Micros {
-        if self.outgoing.has_timeout() {
-            self.outgoing.timeout_at.saturating_sub(self.dispatcher.clock.now())
-        } else {
-            self.outgoing.request.client_timeout
+        let request = &self.outgoing.request;
+        let timeout_at = self.dispatcher.state.borrow().calls.timeout_of(self.outgoing.id);
+        match timeout_at {
+            Some(timeout_at) => timeout_at.saturating_sub(self.dispatcher.clock.now()),
+            // The latest byte may be the last one of the request.
+            None => {
+                let time_since_last_byte_us = request.client.time_since_last_byte().as_micros() as Micros;
+                request.client_timeout.saturating_sub(time_since_last_byte_us).max(MIN_TOLD_TIME_US)
+            }
         }
     }
 
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -1,5 +1,6 @@
 //! One client connection: its phase, its time limits and whether the client is still connected.
 
+use super::arrivals::Arrivals;
 use super::deadline::{body_slack, ConnectionTimes, Phase};
 use super::delivery::{PendingDelivery, DELIVERY_CHECK_INTERVAL};
 use super::detachment::Detachment;
@@ -43,6 +44,7 @@
     /// The client has closed its side: it counts as disconnected, even if some of its bytes are still unread.
     client_closed: Cell<bool>,
     read_ahead: ReadAhead,
+    arrivals: Arrivals,
     detachment: Detachment,
     state_changed: Notify,
 }
@@ -71,6 +73,7 @@
             flush_waker: Cell::default(),
             client_closed: Cell::default(),
             read_ahead: ReadAhead::new(memory),
+            arrivals: Arrivals::new(Instant::now()),
             detachment: Detachment::default(),
             state_changed: Notify::new(),
         };
@@ -124,8 +127,13 @@
         }
     }
 
-    /// Records that bytes of a request have arrived.
-    pub(super) fn record_read(&self) {
+    /// Records that the HTTP parser has read `count` bytes of a request.
+    pub(super) fn record_read(&self, count: usize) {
+        self.arrivals.record_read(Instant::now(), count);
+        self.leave_idle();
+    }
+
+    fn leave_idle(&self) {
         if let Phase::Idle { .. } | Phase::Delivering(_) = self.phase.get() {
             self.idle_connections.remove(self.idle_key.get());
             self.enter(Phase::ReadingHead { since: Instant::now() });
@@ -134,7 +142,7 @@
 
     /// Records that a request's head is complete. Returns the request's number on this connection, from 1.
     pub(super) fn begin_request(&self) -> u64 {
-        self.record_read();
+        self.leave_idle();
         self.request_count.set(self.request_count.get() + 1);
         self.response_begun.set(false);
         self.detachment.set_request(None);
@@ -285,6 +293,16 @@
         self.read_ahead.has_overflowed()
     }
 
+    /// Observes how many bytes have arrived, which the HTTP parser may have left unread.
+    pub(super) fn observe_arrivals(&self) {
+        let unread_bytes = self.read_ahead.len() + self.socket.unread_bytes();
+        self.arrivals.record_unread(Instant::now(), unread_bytes);
+    }
+
+    pub(super) fn arrivals(&self) -> &Arrivals {
+        &self.arrivals
+    }
+
     pub(super) fn buffered_read_ahead(&self) -> &ReadAhead {
         &self.read_ahead
     }
@@ -360,4 +378,13 @@
         let Some(connection) = &self.0 else { return false };
         connection.upgrade().is_none_or(|connection| connection.has_client_closed())
     }
+
+    /// How long ago the latest byte of the client arrived. Zero where no connection is known.
+    pub fn time_since_last_byte(&self) -> Duration {
+        let connection = self.0.as_ref().and_then(Weak::upgrade);
+        connection.map_or(Duration::ZERO, |connection| {
+            connection.observe_arrivals();
+            connection.arrivals.latest().elapsed()
+        })
+    }
 }
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -1,5 +1,6 @@
 //! The client side: accepts connections, reads requests and writes the final responses.
 
+mod arrivals;
 mod close;
 pub mod connection;
 mod deadline;
--- a/crates/proxy/src/downstream/open_request.rs
+++ b/crates/proxy/src/downstream/open_request.rs
@@ -2,10 +2,14 @@
 
 use super::connection::ClientConnection;
 use crate::body::{DetachRequest, DetachedBody};
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::task::Waker;
 use std::time::Duration;
 
+/// How often the arrival of bytes is observed that the proxy does not read yet.
+const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Keeps a request open until its response has been received completely and the request is no longer read.
 pub struct OpenRequest {
     connection: Rc<ClientConnection>,
@@ -31,6 +35,44 @@
         self.connection.complete_request(self.number);
     }
 
+    /// Number of bytes that the HTTP parser has read from the connection.
+    pub fn read_bytes(&self) -> u64 {
+        self.connection.arrivals().read_bytes()
+    }
+
+    /// How long ago the byte before `position` arrived, which the HTTP parser has read or may still read.
+    /// `None` if it has not arrived.
+    pub fn time_since_arrival(&self, position: u64) -> Option<Duration> {
+        let arrivals = self.connection.arrivals();
+        let arrived_at = arrivals.arrived_at(position);
+        let since_arrival = arrived_at.map(|arrived_at| arrived_at.elapsed());
+        since_arrival.or((position <= arrivals.read_bytes()).then_some(Duration::ZERO))
+    }
+
+    /// Whether the bytes up to `position` have arrived by now.
+    pub fn has_arrived(&self, position: u64) -> bool {
+        self.connection.observe_arrivals();
+        self.time_since_arrival(position).is_some()
+    }
+
+    /// Observes periodically how many bytes have arrived.
+    pub async fn observe_arrivals(&self) -> Infallible {
+        loop {
+            self.connection.observe_arrivals();
+            tokio::time::sleep(ARRIVAL_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Resolves once the bytes up to `position` have arrived, whether or not they have been read.
+    pub async fn arrival_of(&self, position: u64) {
+        loop {
+            if self.has_arrived(position) {
+                return;
+            }
+            tokio::time::sleep(ARRIVAL_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Records that the response begins. `detach_request`, if any, detaches it later.
     pub fn begin_response(&self, detach_request: Option<DetachRequest>) {
         self.connection.begin_response(self.number, detach_request);
--- a/crates/proxy/src/downstream/read_ahead.rs
+++ b/crates/proxy/src/downstream/read_ahead.rs
@@ -48,6 +48,11 @@
         }
     }
 
+    /// Number of bytes that are buffered.
+    pub fn len(&self) -> usize {
+        self.buffer.borrow().bytes.len()
+    }
+
     /// Moves buffered bytes to `target` and returns their number. `None` if none are buffered.
     pub fn take(&self, target: &mut ReadBuf<'_>) -> Option<usize> {
         let buffer = &mut *self.buffer.borrow_mut();
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -7,7 +7,6 @@
 use super::shutdown::{completion_deadline, is_past_latest_completion, ShutdownSignal};
 use crate::body::{
     AbortCondition, BodyError, MemoryLimit, MemoryReservation, RequestBodyReader, ResponseStream, Upload,
-    MAX_BUFFERED_BODY_BYTES,
 };
 use crate::dispatcher::Dispatcher;
 use crate::request::{Request, REQUEST_ID_HEADER};
@@ -48,6 +47,10 @@
     upload: Option<Rc<Upload>>,
     /// Length of the complete body, where its head declares it.
     length: Option<u64>,
+    /// Position on the connection at which the body ends, where its head declares its length.
+    end_position: Option<u64>,
+    /// How long ago the last byte of a complete body arrived.
+    time_since_arrival: Duration,
     /// Reservation of a complete body, until its request is answered.
     _reservation: MemoryReservation,
 }
@@ -55,6 +58,7 @@
 impl ReceivedBody {
     /// The request that an attempt sends, with this body.
     fn request(&self, parts: Parts, head: &RequestHead, client: ClientPresence) -> Request {
+        let time_since_arrival_us = self.time_since_arrival.as_micros() as Micros;
         Request {
             method: parts.method,
             uri: parts.uri,
@@ -62,7 +66,7 @@
             body: self.buffered.clone(),
             upload: self.upload.clone(),
             length: self.length,
-            client_timeout: head.client_timeout_us,
+            client_timeout: head.client_timeout_us.saturating_sub(time_since_arrival_us),
             client,
         }
     }
@@ -111,7 +115,9 @@
             biased;
             body = self.receive_body(body, &head, &open) => body?,
             () = completion_deadline.as_mut() => return Err(self.reject_late(&head)),
+            never = open.observe_arrivals() => match never {},
         };
+        let end_position = body.end_position;
         let started = self.dispatcher.start_call(head.call_attributes(), body.request(parts, &head, client));
         let Some((call, response)) = started else {
             discard_remaining(body.upload, &open);
@@ -119,8 +125,9 @@
         };
         let _guard = CallGuard { dispatcher: &self.dispatcher, call };
         let Some(upload) = body.upload else { return Ok(final_response(response.await.ok())) };
-        let response =
-            self.await_streamed(call, &upload, response, &open, completion_deadline.as_mut()).await;
+        let response = self
+            .await_streamed(call, &upload, end_position, response, &open, completion_deadline.as_mut())
+            .await;
         if matches!(response, Err(RequestError::ShuttingDown)) {
             discard(upload, &open);
             return Err(self.reject_late(&head));
@@ -130,7 +137,8 @@
         let mut response = final_response(response);
         if is_streaming {
             // The endpoint may still be reading the request although its response has begun.
-            response.body_mut().abort_if(incomplete_after(completion_deadline, upload));
+            let condition = incomplete_after(completion_deadline, upload, open, end_position);
+            response.body_mut().abort_if(condition);
         } else {
             discard(upload, &open);
         }
@@ -164,13 +172,23 @@
             }
             Err(error) => return Err(RequestError::Body(error)),
         };
-        if prefix.is_complete {
+        let buffered = prefix.bytes;
+        // Without the memory for a body beyond the size that is buffered, no part of it is forwarded.
+        let has_memory = self.memory.try_reserve(&mut reservation, buffered.len());
+        if prefix.is_complete && has_memory {
             open.complete();
-            let buffered = prefix.bytes;
-            return Ok(ReceivedBody { buffered, upload: None, length, _reservation: reservation });
+            let time_since_arrival = open.time_since_arrival(open.read_bytes()).unwrap_or_default();
+            return Ok(ReceivedBody {
+                buffered,
+                upload: None,
+                length,
+                end_position: None,
+                time_since_arrival,
+                _reservation: reservation,
+            });
         }
-        // Without the memory to stream the body, no part of it is forwarded.
-        let has_memory = self.memory.try_reserve(&mut reservation, MAX_BUFFERED_BODY_BYTES + 1);
+        // The HTTP parser has read no byte beyond those that the reader has received.
+        let end_position = length.map(|length| open.read_bytes() - reader.received_bytes() + length);
         let upload = Upload::new(reader, reservation, length);
         if !has_memory {
             self.dispatcher.count_rejected(head.class);
@@ -178,19 +196,24 @@
             return Err(RequestError::AtCapacity);
         }
         Ok(ReceivedBody {
-            buffered: prefix.bytes,
+            buffered,
             upload: Some(upload),
             length,
+            end_position,
+            time_since_arrival: Duration::ZERO,
             _reservation: MemoryReservation::default(),
         })
     }
 
-    /// Waits for the response to a request whose body is still arriving. Fails if the body fails before the
-    /// response begins, or is incomplete when `completion_deadline` resolves.
+    /// Waits for the response to a request whose body has not been read to its end, which is at
+    /// `end_position` where it is known. The request is complete once its last byte has arrived, even if the
+    /// endpoint does not accept it yet. Fails if the body fails before the response begins, or is incomplete
+    /// when `completion_deadline` resolves.
     async fn await_streamed(
         &self,
         call: CallId,
         upload: &Upload,
+        end_position: Option<u64>,
         response: oneshot::Receiver<FinalResponse>,
         open: &OpenRequest,
         completion_deadline: impl Future<Output = ()>,
@@ -200,19 +223,49 @@
             biased;
             response = response.as_mut() => return Ok(response.ok()),
             end = upload.ended() => end.map_err(RequestError::Body)?,
+            () = arrival(open, end_position) => {}
             () = completion_deadline => return Err(RequestError::ShuttingDown),
         }
+        let time_since_arrival = open.time_since_arrival(end_position.unwrap_or(open.read_bytes()));
+        let time_since_arrival = time_since_arrival.unwrap_or_default().max(upload.delay_before_claim());
+        self.dispatcher.complete_request(call, time_since_arrival);
+        tokio::select! {
+            biased;
+            response = response.as_mut() => return Ok(response.ok()),
+            end = upload.ended() => end.map_err(RequestError::Body)?,
+        }
         open.complete();
-        self.dispatcher.complete_request(call);
         Ok(response.await.ok())
     }
 }
 
-/// Resolves at the deadline; true if the upload is incomplete then.
-fn incomplete_after(deadline: impl Future<Output = ()> + 'static, upload: Rc<Upload>) -> AbortCondition {
+/// Resolves once the bytes up to `end_position` have arrived; never where it is not known, but then still
+/// observes when bytes arrive.
+async fn arrival(open: &OpenRequest, end_position: Option<u64>) {
+    match end_position {
+        Some(position) => open.arrival_of(position).await,
+        None => match open.observe_arrivals().await {},
+    }
+}
+
+/// Resolves to true at the deadline if the request has not arrived completely by then. Otherwise completes
+/// the request once it has been read.
+fn incomplete_after(
+    deadline: impl Future<Output = ()> + 'static,
+    upload: Rc<Upload>,
+    open: Rc<OpenRequest>,
+    end_position: Option<u64>,
+) -> AbortCondition {
     Box::pin(async move {
-        deadline.await;
-        upload.is_incomplete()
+        let has_arrived = tokio::select! {
+            biased;
+            _ = upload.ended() => true,
+            () = deadline => end_position.is_some_and(|position| open.has_arrived(position)),
+        };
+        if has_arrived && upload.ended().await.is_ok() {
+            open.complete();
+        }
+        !has_arrived
     })
 }
 
--- a/crates/proxy/src/downstream/stream.rs
+++ b/crates/proxy/src/downstream/stream.rs
@@ -35,7 +35,7 @@
         };
         read.map_ok(|count| {
             if count > 0 {
-                self.connection.record_read();
+                self.connection.record_read(count);
             }
         })
     }
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -156,12 +156,22 @@
 
     /// Number of bytes that were written and that the peer's system has not acknowledged; a shutdown of the
     /// writing side counts as one byte. 0 if the system does not report it.
-    #[allow(unsafe_code)]
     pub fn unacknowledged_bytes(&self) -> usize {
+        self.queued_bytes(nix::libc::TIOCOUTQ)
+    }
+
+    /// Number of bytes that have arrived and have not been read. 0 if the system does not report it.
+    pub fn unread_bytes(&self) -> usize {
+        self.queued_bytes(nix::libc::FIONREAD)
+    }
+
+    /// Number of bytes in a queue of the system, which `request` selects.
+    #[allow(unsafe_code)]
+    fn queued_bytes(&self, request: nix::libc::Ioctl) -> usize {
         let mut count: nix::libc::c_int = 0;
         // SAFETY: the descriptor stays open during the call, which writes one `c_int` to `count` and keeps no
         // pointer.
-        let result = unsafe { nix::libc::ioctl(self.0.as_raw_fd(), nix::libc::TIOCOUTQ, &mut count) };
+        let result = unsafe { nix::libc::ioctl(self.0.as_raw_fd(), request, &mut count) };
         if result == 0 {
             usize::try_from(count).unwrap_or(0)
         } else {
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,6 +1,9 @@
 //! Executes one attempt: obtains a connection, sends the request, and reads or streams the response.
 
-use crate::body::{DetachRequest, MemoryReservation, RequestStream, WriteProgress, MAX_BUFFERED_BODY_BYTES};
+use crate::body::{
+    DetachRequest, MemoryReservation, RequestStream, Upload, WriteProgress, MAX_BUFFERED_BODY_BYTES,
+};
+use crate::downstream::connection::ClientPresence;
 use crate::request::Request;
 use crate::response::{AttemptResult, CompleteResponse, StreamingResponse};
 use crate::upstream::connection::UpstreamConnection;
@@ -11,12 +14,17 @@
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use oakport_core::{Micros, Outcome};
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::mpsc;
 
-/// The least time without progress after which the upload of a streamed request counts as stalled.
+/// The upload of a streamed request that makes no progress counts as stalled after the time left to the client
+/// or, if longer, after this time.
 const MIN_UPLOAD_STALL: Duration = Duration::from_secs(1);
+/// An upload counts as stalled at the latest this long after the time left to the client: a final response is due 0.5 s
+/// after it (STANDING), and the last byte of the request may have arrived when the stall began.
+const MAX_STALL_AFTER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often the progress of a streamed request is checked.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -106,13 +114,15 @@
             pool.return_unused(&target, connection).await;
             return Outcome::NotSent.into();
         }
-        if request.upload.as_ref().is_some_and(|upload| !upload.try_claim()) {
+        if request.upload.as_ref().is_some_and(|upload| !claim(upload, &request.client)) {
             return Outcome::NotSent.into();
         }
-        let message = upstream_request(request, owner.remaining_time(), &connection.write_progress);
+        let remaining_time = owner.remaining_time();
+        let message = upstream_request(request, remaining_time, &connection.write_progress);
         let Some(message) = message else { return Outcome::NotSent.into() };
         let mut reservation = MemoryReservation::default();
-        match exchange(pool, &mut connection, request, message, &mut reservation).await {
+        let stalled = upload_stalled(Rc::clone(&connection.write_progress), request, remaining_time);
+        match exchange(pool, &mut connection, stalled, message, &mut reservation).await {
             ExchangeOutcome::Received(received) => {
                 return finish(pool, target, connection, received, reservation, owner).await;
             }
@@ -125,6 +135,11 @@
     }
 }
 
+/// Claims an upload for one attempt. False if an attempt has already claimed it.
+fn claim(upload: &Upload, client: &ClientPresence) -> bool {
+    upload.try_claim(client.time_since_last_byte())
+}
+
 /// Delivers a response, complete or as a stream, and returns its connection to the pool.
 async fn finish(
     pool: &Rc<ConnectionPool>,
@@ -169,16 +184,15 @@
     }
 }
 
-/// Sends a request and reads its response.
+/// Sends a request and reads its response. Fails once the upload has `stalled`.
 async fn exchange(
     pool: &ConnectionPool,
     connection: &mut UpstreamConnection,
-    request: &Request,
+    stalled: impl Future<Output = ()>,
     message: hyper::Request<RequestStream>,
     reservation: &mut MemoryReservation,
 ) -> ExchangeOutcome {
     let sent = connection.sender.send_request(message);
-    let stalled = upload_stalled(Rc::clone(&connection.write_progress), request);
     let received = connection.drive(&pool.metrics, async {
         let (head, body) = sent.await.ok()?.into_parts();
         let body = read_body(&head, body, reservation, &pool.memory).await?;
@@ -263,13 +277,14 @@
     Some(if is_delivered { outcome } else { Outcome::Cancelled })
 }
 
-/// Waits until the upload of a streamed request has made no progress for the client timeout, clamped to
-/// [`MIN_UPLOAD_STALL`] and [`MAX_STALL`]. Never resolves for a request that is not streamed.
-async fn upload_stalled(write_progress: Rc<WriteProgress>, request: &Request) {
+/// Waits until the upload of a streamed request has stalled; see [`MIN_UPLOAD_STALL`]. Never resolves for a request that is not streamed.
+async fn upload_stalled(write_progress: Rc<WriteProgress>, request: &Request, remaining_time: Micros) {
     if request.upload.is_none() {
         return std::future::pending().await;
     }
-    let max_stall = Duration::from_micros(request.client_timeout).clamp(MIN_UPLOAD_STALL, MAX_STALL);
+    let remaining_time = Duration::from_micros(remaining_time);
+    let max_stall =
+        remaining_time.clamp(MIN_UPLOAD_STALL, MAX_STALL).min(remaining_time + MAX_STALL_AFTER_TIMEOUT);
     while write_progress.stalled_for() < max_stall {
         tokio::time::sleep(STALL_CHECK_INTERVAL).await;
     }
