Hand over a response whose request is written while its endpoint is silent

Callers saw: in a hot restart, a response that had begun before its request was complete was cut by the kill (300,000 of 600,000 bytes) although a successor could deliver the rest.

Cause: whether the request had been written, which permits a handover, was looked at only at the next event of the response. An endpoint that is silent after it has read the request causes none.

Change: the forwarder waits for the end of the write and for the handover together.

Result: a_response_that_began_before_its_request_was_complete_is_completed_by_the_successor fails without this, passes with it.

--- a/crates/cli/tests/response_handover.rs
+++ b/crates/cli/tests/response_handover.rs
@@ -196,6 +196,48 @@
     assert_eq!(received, [RESPONSE_BYTES]);
 }
 
+/// Starts an endpoint that begins its response before it reads the request's body, and ends it after the kill.
+fn early_endpoint() -> SocketAddr {
+    endpoint(|head, stream| {
+        let Some((_, size)) = requested_response(head) else {
+            let _ = body(head, stream);
+            write_response(stream, "length", b"ok");
+            return;
+        };
+        let (beginning, rest) = response_body(size).split_at(size / 2);
+        send_bytes(stream, format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n").as_bytes());
+        send_bytes(stream, beginning);
+        let _ = body(head, stream);
+        thread::sleep(SEND_TIME_UNTIL_AFTER_KILL);
+        send_bytes(stream, rest);
+    })
+}
+
+#[test]
+fn a_response_that_began_before_its_request_was_complete_is_completed_by_the_successor() {
+    // Guards against a request whose last byte goes unnoticed once its response has begun: the kill cuts that
+    // response.
+    for framing in FRAMINGS {
+        let mut shutdown = Shutdown::prepare(Restart::Hot, early_endpoint());
+        let mut client = shutdown.connected_clients(1).remove(0);
+        let _successor = shutdown.start_successor();
+        let content = test_pattern(200_000);
+        let (header, content) = match framing {
+            "chunked" => ("Transfer-Encoding: chunked\r\n", chunked(&content, 9_000)),
+            _ => ("Content-Length: 200000\r\n", content),
+        };
+        let (beginning, rest) = content.split_at(120_000);
+        let target = format!("unsafe?framing=length&size={RESPONSE_BYTES}");
+        client.write(&request_head(&target, "900m", header));
+        assert!(send_bytes(&mut client.stream, beginning));
+        let head = head(&mut client.stream).expect("a response that begins");
+        assert!(send_bytes(&mut client.stream, rest));
+        thread::sleep(Duration::from_millis(100));
+        let received = read_across_kill(&mut shutdown, vec![client], &[head], RESPONSE_BYTES, false);
+        assert_eq!(received, [RESPONSE_BYTES], "{framing}");
+    }
+}
+
 /// A fault of the successor or its socket.
 #[derive(Clone, Copy, Debug)]
 enum BrokenSuccessor {
--- a/crates/proxy/src/upstream/response_forwarder.rs
+++ b/crates/proxy/src/upstream/response_forwarder.rs
@@ -1,7 +1,9 @@
 //! Streams the rest of a response to its client, and reads ahead of the client when the endpoint may soon
 //! close.
 
-use crate::body::{BodyChunk, DetachRequest, DetachedBody, MemoryLimit, ReadAheadBuffer, ReadAheadLimit};
+use crate::body::{
+    BodyChunk, DetachRequest, DetachedBody, MemoryLimit, ReadAheadBuffer, ReadAheadLimit, WriteProgress,
+};
 use crate::metrics::Metrics;
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::response::MAX_STALL;
@@ -10,9 +12,10 @@
 use hyper::body::{Body, Frame, Incoming};
 use oakport_core::Outcome;
 use std::error::Error as _;
-use std::future::Future;
+use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
+use std::task::Poll;
 use thiserror::Error;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
@@ -86,8 +89,6 @@
     reading_since: Option<Instant>,
     /// Whether to wait for memory to read ahead.
     awaits_memory: bool,
-    /// Whether to wait for a request to detach the response.
-    may_detach: bool,
 }
 
 /// How receiving a response ended.
@@ -172,18 +173,17 @@
     ) -> Result<ReceiveOutcome, Interruption> {
         let mut outdated = pin!(outdated);
         let mut reading_since = Some(Instant::now());
+        let write_progress = Rc::clone(&connection.write_progress);
         loop {
             let limit = self.limit(body);
             let may_read = self.buffer.try_reserve_chunk(limit);
             let pause_reason = (!may_read).then(|| self.read_pause_reason(limit));
             reading_since = may_read.then(|| reading_since.unwrap_or_else(Instant::now));
             // The connection is polled also while reading pauses, because part of the request may still have
-            // to be written. Until it is complete, the response cannot be detached from the parser that
-            // writes it.
-            let may_detach = connection.write_progress.is_complete();
+            // to be written.
             let awaits_memory = pause_reason == Some(ReadPauseReason::Memory);
-            let waits = WaitConditions { reading_since, awaits_memory, may_detach };
-            let next_event = self.next_event(body, waits, outdated.as_mut());
+            let waits = WaitConditions { reading_since, awaits_memory };
+            let next_event = self.next_event(body, &write_progress, waits, outdated.as_mut());
             let event = connection.drive_alongside(metrics, next_event).await;
             if let Some(reason) = pause_reason {
                 self.last_read_pause = Some(ReadPause { reason, until: Instant::now() });
@@ -219,10 +219,11 @@
     async fn next_event(
         &mut self,
         body: &mut Incoming,
+        write_progress: &WriteProgress,
         waits: WaitConditions,
         outdated: Pin<&mut impl Future<Output = ()>>,
     ) -> StreamEvent {
-        let WaitConditions { reading_since, awaits_memory, may_detach } = waits;
+        let WaitConditions { reading_since, awaits_memory } = waits;
         let memory_returned = self.buffer.memory_returned();
         let has_chunk = !self.buffer.is_empty();
         // After the last byte, a disconnect of the client no longer matters.
@@ -243,7 +244,7 @@
             }
             () = self.client.closed(), if needs_client => StreamEvent::ClientDisconnected,
             () = memory_returned, if awaits_memory => StreamEvent::MemoryReturned,
-            () = self.detach_request.received(), if may_detach => StreamEvent::DetachRequested,
+            () = may_detach(&self.detach_request, write_progress) => StreamEvent::DetachRequested,
             () = outdated, if !self.is_outdated => StreamEvent::EndpointOutdated,
         }
     }
@@ -305,6 +306,14 @@
     }
 }
 
+/// Resolves once the response is to be detached and its request has been written completely: until then, the
+/// response cannot be detached from the parser that writes the request. Must be polled together with the
+/// connection.
+async fn may_detach(request: &DetachRequest, write_progress: &WriteProgress) {
+    poll_fn(|_| if write_progress.is_complete() { Poll::Ready(()) } else { Poll::Pending }).await;
+    request.received().await;
+}
+
 /// The next frame of a body if it is already available.
 async fn next_frame_now(body: &mut Incoming) -> Option<Result<Frame<Bytes>, hyper::Error>> {
     tokio::select! {
