--- a/crates/cli/src/check/summary.rs
+++ b/crates/cli/src/check/summary.rs
@@ -54,7 +54,7 @@
     let max_attempts = config.settings.settings.limits.max_attempts;
     vec![
         ("descriptors", config.limits.sockets.to_string()),
-        ("memory", format!("{} MiB, at least a third of it for bodies", config.limits.memory_mb)),
+        ("memory", format!("{} MiB, up to three fifths of it for bodies", config.limits.memory_mb)),
         ("requests", format!("up to {max_open_requests} open, up to {max_attempts} attempts each")),
     ]
 }
--- /dev/null
+++ b/crates/cli/tests/memory_limit.rs
@@ -0,0 +1,248 @@
+//! The memory limit of the settings holds with as many clients as the platform allows, whatever they send and
+//! however slowly, and none of them is rejected or waits for it.
+
+mod peers;
+
+use peers::bodies::*;
+use peers::shutdown::write_response;
+use peers::*;
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// The least memory that the platform gives a process (TERMS).
+const MEMORY_MB: usize = 32;
+const MAX_SOCKETS: usize = 1_024;
+/// Clients hold up to a third of the descriptors (TERMS).
+const CLIENT_COUNT: usize = MAX_SOCKETS / 3;
+const ENDPOINT_COUNT: usize = 12;
+/// A client may take this long for a body of 64 KB (DAYS).
+const PIECE_BYTES: usize = 6_400;
+const PIECE_INTERVAL: Duration = Duration::from_millis(100);
+const SERVICE_TIME: Duration = Duration::from_millis(100);
+/// More than an endpoint takes to serve a request; a client that waits for memory waits longer.
+const MAX_RESPONSE_TIME: Duration = Duration::from_millis(900);
+const CLIENT_TIMEOUT: &str = "2000m";
+const PLAY: Duration = Duration::from_secs(6);
+
+/// Held by the test that runs: several crowds at a time would slow each other.
+static ONE_AT_A_TIME: Mutex<()> = Mutex::new(());
+
+/// What a client sends and receives again and again.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    request_bytes: usize,
+    framing: &'static str,
+    response_bytes: usize,
+    is_slow: bool,
+    pause: Duration,
+}
+
+/// What the clients have seen.
+#[derive(Debug, Default)]
+struct Counts {
+    served: AtomicUsize,
+    /// Rejected, failed, without a response, or later than [`MAX_RESPONSE_TIME`].
+    other: AtomicUsize,
+}
+
+fn endpoints() -> Vec<String> {
+    let start = |number| {
+        let address = endpoint(|head, stream| {
+            if body(head, stream).is_none() {
+                return;
+            }
+            thread::sleep(SERVICE_TIME);
+            let size = peers::shutdown::query_value(head, "size").and_then(|size| size.parse().ok());
+            write_response(stream, "length", &test_pattern(size.unwrap_or(0)));
+        });
+        entry(&format!("s-{number}"), address, "up", 0)
+    };
+    (0..ENDPOINT_COUNT).map(start).collect()
+}
+
+impl Load {
+    fn message(&self) -> Vec<u8> {
+        let (header, content) = match self.framing {
+            "chunked" => (
+                "Transfer-Encoding: chunked\r\n".to_owned(),
+                chunked(&test_pattern(self.request_bytes), PIECE_BYTES),
+            ),
+            _ => (format!("Content-Length: {}\r\n", self.request_bytes), test_pattern(self.request_bytes)),
+        };
+        let target = format!("unsafe?size={}", self.response_bytes);
+        [request_head(&target, CLIENT_TIMEOUT, &header).into_bytes(), content].concat()
+    }
+
+    /// Sends requests until `stop` is set. A connection that the process has closed between two requests is
+    /// replaced.
+    fn run(self, address: SocketAddr, message: &[u8], stop: &AtomicBool, counts: &Counts) {
+        while !stop.load(Ordering::SeqCst) {
+            let stream = std::net::TcpStream::connect(address).expect("a listening process");
+            stream.set_read_timeout(Some(LONG)).expect("a time-out");
+            let mut client = Client { stream: std::io::BufReader::new(stream) };
+            while !stop.load(Ordering::SeqCst) {
+                let Some(message) = self.call(&mut client, message, counts) else { break };
+                thread::sleep(self.pause);
+                if message.header("connection") == Some("close") {
+                    break;
+                }
+            }
+        }
+    }
+
+    /// Makes one call. `None` if its connection has ended.
+    fn call(&self, client: &mut Client, message: &[u8], counts: &Counts) -> Option<Message> {
+        let piece_bytes = if self.is_slow { PIECE_BYTES } else { message.len() };
+        for piece in message.chunks(piece_bytes) {
+            if !send_bytes(&mut client.stream, piece) {
+                return None;
+            }
+            if self.is_slow {
+                thread::sleep(PIECE_INTERVAL);
+            }
+        }
+        let sent_at = Instant::now();
+        let response = client.answer();
+        let is_served = response
+            .as_ref()
+            .is_some_and(|response| response.status() == 200 && response.body.len() == self.response_bytes);
+        let is_timely = sent_at.elapsed() < SERVICE_TIME + MAX_RESPONSE_TIME;
+        let counter = if is_served && is_timely { &counts.served } else { &counts.other };
+        counter.fetch_add(1, Ordering::SeqCst);
+        response
+    }
+}
+
+/// Memory of a process in kB, without the pages of its program file.
+fn own_memory_kb(process: u32) -> usize {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
+    let value = |key| {
+        let line = status.lines().find_map(|line| line.strip_prefix(key))?;
+        line.split_whitespace().next()?.parse::<usize>().ok()
+    };
+    value("RssAnon:").unwrap_or(0) + value("RssShmem:").unwrap_or(0)
+}
+
+/// Observes the memory of these processes together until `end`, and returns the maximum.
+fn peak_memory_kb(processes: &[u32], end: Instant) -> usize {
+    let mut peak_kb = 0;
+    while Instant::now() < end {
+        peak_kb = peak_kb.max(processes.iter().map(|&process| own_memory_kb(process)).sum());
+        thread::sleep(Duration::from_millis(5));
+    }
+    peak_kb
+}
+
+/// Starts clients that begin one after the other within a second.
+fn start_clients(
+    load: Load,
+    count: usize,
+    address: SocketAddr,
+    stop: &Arc<AtomicBool>,
+    counts: &Arc<Counts>,
+) -> Vec<thread::JoinHandle<()>> {
+    let message: Arc<[u8]> = load.message().into();
+    let start = |number: usize| {
+        let (message, stop, counts) = (Arc::clone(&message), Arc::clone(stop), Arc::clone(counts));
+        thread::spawn(move || {
+            thread::sleep(Duration::from_secs(1) * number as u32 / count as u32);
+            load.run(address, &message, &stop, &counts);
+        })
+    };
+    (0..count).map(start).collect()
+}
+
+fn limited_config(discovery: &Discovery) -> String {
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    config(listen, discovery.address, MAX_SOCKETS, &endpoints())
+        .replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"))
+}
+
+fn assert_limit_holds(loads: &[(Load, usize)]) {
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let discovery = Discovery::start();
+    let proxy = Proxy::with(&limited_config(&discovery));
+    let (stop, counts) = (Arc::<AtomicBool>::default(), Arc::<Counts>::default());
+    let clients: Vec<_> = loads
+        .iter()
+        .flat_map(|&(load, count)| start_clients(load, count, proxy.address, &stop, &counts))
+        .collect();
+    let peak_kb = peak_memory_kb(&[proxy.child.id()], Instant::now() + PLAY);
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    println!("{loads:?}: {counts:?}, {peak_kb} kB");
+    assert!(peak_kb <= MEMORY_MB * 1_024, "{loads:?}: {peak_kb} kB");
+    assert_eq!(counts.other.load(Ordering::SeqCst), 0, "{loads:?}: {counts:?}");
+    assert!(counts.served.load(Ordering::SeqCst) >= CLIENT_COUNT, "{loads:?}: {counts:?}");
+}
+
+const SLOW: Load = Load {
+    request_bytes: 60_000,
+    framing: "length",
+    response_bytes: 60_000,
+    is_slow: true,
+    pause: Duration::from_millis(250),
+};
+const SMALL: Load = Load {
+    request_bytes: 300,
+    framing: "length",
+    response_bytes: 300,
+    is_slow: false,
+    pause: Duration::from_millis(1_200),
+};
+
+#[test]
+fn many_slow_bodies_of_known_length_stay_within_the_memory_limit() {
+    // Guards against bodies whose buffers are not counted, and against rejections to keep the limit.
+    assert_limit_holds(&[(SLOW, CLIENT_COUNT)]);
+}
+
+#[test]
+fn many_slow_chunked_bodies_stay_within_the_memory_limit() {
+    // Guards against the same fault where the length of a body is not known before its end.
+    assert_limit_holds(&[(Load { framing: "chunked", ..SLOW }, CLIENT_COUNT)]);
+}
+
+#[test]
+fn large_slow_bodies_among_small_requests_stay_within_the_memory_limit() {
+    // Guards against the same fault for bodies that are streamed. Few at a time, as each holds an endpoint.
+    let large = Load { request_bytes: 200_000, ..SLOW };
+    assert_limit_holds(&[(large, 40), (SMALL, CLIENT_COUNT - 40)]);
+}
+
+#[test]
+fn connections_that_carry_few_requests_leave_memory_to_the_others() {
+    // Guards against connections that keep the memory of what they once carried.
+    let rare = Load { pause: Duration::from_millis(1_900), is_slow: false, ..SLOW };
+    let frequent = Load { pause: Duration::from_millis(300), ..SLOW };
+    assert_limit_holds(&[(rare, CLIENT_COUNT / 2), (frequent, CLIENT_COUNT / 2)]);
+}
+
+#[test]
+fn two_processes_of_a_hot_restart_stay_within_the_memory_limit_together() {
+    // Guards against a successor that takes memory which its predecessor has not returned yet.
+    let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
+    let discovery = Discovery::start();
+    let config = limited_config(&discovery);
+    let platform = Platform::new();
+    let predecessor = platform.start(&config);
+    let (stop, counts) = (Arc::<AtomicBool>::default(), Arc::<Counts>::default());
+    let address = platform.listener.local_addr().expect("its address");
+    let clients = start_clients(SLOW, CLIENT_COUNT, address, &stop, &counts);
+    let mut peak_kb = peak_memory_kb(&[predecessor.child.id()], Instant::now() + Duration::from_secs(3));
+    let successor = platform.start(&config);
+    let processes = [predecessor.child.id(), successor.child.id()];
+    peak_kb = peak_kb.max(peak_memory_kb(&processes, Instant::now() + Duration::from_secs(2)));
+    predecessor.terminate();
+    peak_kb = peak_kb.max(peak_memory_kb(&processes, Instant::now() + Duration::from_millis(3_700)));
+    drop(predecessor);
+    peak_kb = peak_kb.max(peak_memory_kb(&processes[1..], Instant::now() + Duration::from_secs(2)));
+    stop.store(true, Ordering::SeqCst);
+    clients.into_iter().for_each(|client| client.join().expect("a client"));
+    println!("{counts:?}, {peak_kb} kB");
+    assert!(peak_kb <= MEMORY_MB * 1_024, "{peak_kb} kB");
+    assert!(counts.served.load(Ordering::SeqCst) >= CLIENT_COUNT, "{counts:?}");
+}
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -3,123 +3,122 @@
 #[cfg(test)]
 mod tests;
 
+use crate::memory_accounts::{ConnectionMemory, MemoryAccounts};
+use crate::socket::READ_BUFFER_BYTES;
 use std::future::Future;
 use std::rc::Rc;
-use std::sync::Arc;
-use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
 
 /// Maximum size of a request or response body that is buffered completely.
 pub const MAX_BUFFERED_BODY_BYTES: usize = 64 * 1024;
 /// Maximum size of a connection's own buffer.
 pub const MAX_CONNECTION_BUFFER_BYTES: usize = 32 * 1024;
-/// A body of up to this size needs no reservation: it uses no more memory than its connection does anyway.
-const MAX_UNRESERVED_BODY_BYTES: usize = 16 * 1024;
-/// Memory in use for a streamed body at any moment: a buffer on either side and the chunk between them.
-const STREAMED_BODY_BYTES: usize = MAX_BUFFERED_BODY_BYTES + 3 * MAX_CONNECTION_BUFFER_BYTES;
-/// Memory that a single process leaves to everything but bodies, mainly to the buffers of its connections,
-/// provided that a third of the memory remains for bodies.
-const OTHER_MEMORY_MB: usize = 20;
-/// Upper bound on the share of bodies in the memory of a single process, in fifths: the amount of freed
-/// memory that the allocator cannot reuse grows with this share.
-const MAX_BODY_MEMORY_FIFTHS: usize = 3;
-const FIFTHS: usize = 5;
+/// A body of up to this size needs no reservation: it uses no more memory than is counted for its connection.
+const MAX_UNRESERVED_BODY_BYTES: usize = 4 * 1024;
+/// Memory in use for a streamed body at any moment, besides its beginning: what waits to be written, and a read
+/// with the chunk that follows it.
+pub const STREAMED_BODY_BYTES: usize = MAX_CONNECTION_BUFFER_BYTES + 2 * READ_BUFFER_BYTES;
+/// Memory that optional reservations leave to connections that may still come, provided that a third of the
+/// memory remains for bodies: what was read ahead is returned only as its clients take it.
+const OTHER_MEMORY_KIB: usize = 20 * KIB_PER_MB;
 /// Optional reservations leave `1 / BODY_RESERVE_DIVISOR` of the memory free for uploads, buffered bodies and
 /// responses that begin.
 const BODY_RESERVE_DIVISOR: usize = 6;
 /// Speculative read-ahead leaves another `1 / SPECULATION_RESERVE_DIVISOR` of the remaining body memory free
 /// for bytes that are certainly needed.
 const SPECULATION_RESERVE_DIVISOR: usize = 2;
-/// The limit allows at least this number of streamed bodies.
+/// The limit allows at least this number of streamed bodies, each with a beginning that fills the buffer.
 const MIN_STREAMED_BODIES: usize = 4;
+const MIN_BODY_KIB: usize =
+    MIN_STREAMED_BODIES * (MAX_BUFFERED_BODY_BYTES + STREAMED_BODY_BYTES) / BYTES_PER_KIB;
 const BYTES_PER_KIB: usize = 1024;
 const KIB_PER_MB: usize = 1024;
 
-/// The processes that share the platform's memory limit.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum MemoryUsers {
-    /// This process.
-    OneProcess,
-    /// This process and, during a hot restart, another one. Each also needs memory for everything but bodies.
-    TwoProcesses,
-}
-
-impl MemoryUsers {
-    /// Memory for the bodies of one process, out of `memory_kib`.
-    fn body_memory_kib(self, memory_kib: usize) -> usize {
-        let third_kib = memory_kib / 3;
-        match self {
-            MemoryUsers::OneProcess => {
-                let remaining_kib = memory_kib.saturating_sub(OTHER_MEMORY_MB * KIB_PER_MB);
-                remaining_kib.clamp(third_kib, memory_kib * MAX_BODY_MEMORY_FIFTHS / FIFTHS)
-            }
-            MemoryUsers::TwoProcesses => third_kib,
-        }
-    }
-}
-
 /// The memory that bodies may reserve, in units of 1 KiB.
 #[derive(Debug)]
 pub struct MemoryLimit {
-    available_kib: Arc<Semaphore>,
-    /// Notified when a reservation has been returned.
-    returned: Rc<Notify>,
+    accounts: Rc<MemoryAccounts>,
     /// See [`BODY_RESERVE_DIVISOR`].
     body_reserve_kib: usize,
-    /// See [`SPECULATION_RESERVE_DIVISOR`].
-    speculation_reserve_kib: usize,
 }
 
 /// A body's reservation of memory, returned when dropped.
 #[derive(Debug, Default)]
 pub struct MemoryReservation {
-    permits: Vec<OwnedSemaphorePermit>,
     kib: usize,
-    /// See [`MemoryLimit::returned`].
-    returned: Option<Rc<Notify>>,
+    accounts: Option<Rc<MemoryAccounts>>,
 }
 
 impl MemoryReservation {
-    fn grow(&mut self, kib: u32, permit: OwnedSemaphorePermit, returned: &Rc<Notify>) {
+    fn grow(&mut self, kib: u32, accounts: &Rc<MemoryAccounts>) {
+        accounts.record_reserved(kib as usize);
         self.kib += kib as usize;
-        self.permits.push(permit);
-        self.returned = Some(Rc::clone(returned));
+        self.accounts = Some(Rc::clone(accounts));
     }
 }
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        self.permits.clear();
-        if let Some(returned) = &self.returned {
-            returned.notify_waiters();
+        if let Some(accounts) = &self.accounts {
+            accounts.release(self.kib);
         }
     }
 }
 
 impl MemoryLimit {
-    /// Limits bodies to their share of `memory_mb`, the memory of all `users` together.
-    pub fn new(memory_mb: usize, users: MemoryUsers) -> Rc<Self> {
-        let min_kib = MIN_STREAMED_BODIES * STREAMED_BODY_BYTES / BYTES_PER_KIB;
+    /// The memory of a process that may use `memory_mb` in total.
+    pub fn new(memory_mb: usize) -> Rc<Self> {
         let memory_kib = memory_mb * KIB_PER_MB;
-        let total_kib = users.body_memory_kib(memory_kib).clamp(min_kib, Semaphore::MAX_PERMITS);
-        let body_reserve_kib = memory_kib / BODY_RESERVE_DIVISOR;
-        let optional_kib = total_kib.saturating_sub(body_reserve_kib);
         Rc::new(MemoryLimit {
-            available_kib: Arc::new(Semaphore::new(total_kib)),
-            returned: Rc::default(),
-            body_reserve_kib,
-            speculation_reserve_kib: optional_kib / SPECULATION_RESERVE_DIVISOR,
+            accounts: MemoryAccounts::new(memory_kib, MIN_BODY_KIB),
+            body_reserve_kib: memory_kib / BODY_RESERVE_DIVISOR,
         })
     }
 
+    /// Sets the memory that the process may use.
+    pub fn set_limit(&self, limit_kib: usize) {
+        self.accounts.set_limit(limit_kib);
+    }
+
+    /// Records how much memory the process uses, and how much it uses at least without a connection.
+    pub fn record_resident(&self, resident_kib: usize, min_base_kib: usize) {
+        self.accounts.record_resident(resident_kib, min_base_kib);
+    }
+
+    /// Counts the memory of a connection.
+    pub fn connection(&self) -> ConnectionMemory {
+        ConnectionMemory::of_connection(&self.accounts)
+    }
+
+    /// Counts the memory of a request, besides its body.
+    pub fn request(&self) -> ConnectionMemory {
+        ConnectionMemory::of_request(&self.accounts)
+    }
+
+    /// The memory that optional reservations leave to bodies; see [`BODY_RESERVE_DIVISOR`] and
+    /// [`OTHER_MEMORY_KIB`].
+    fn optional_reserve_kib(&self) -> usize {
+        let body_memory_kib = self.accounts.body_memory_kib();
+        let limit_kib = self.accounts.limit_kib();
+        let max_optional_kib = limit_kib.saturating_sub(OTHER_MEMORY_KIB).max(limit_kib / 3);
+        let unavailable_kib = body_memory_kib.saturating_sub(max_optional_kib);
+        self.body_reserve_kib + unavailable_kib
+    }
+
+    /// See [`SPECULATION_RESERVE_DIVISOR`].
+    fn speculation_reserve_kib(&self) -> usize {
+        let optional_kib = self.accounts.body_memory_kib().saturating_sub(self.optional_reserve_kib());
+        optional_kib / SPECULATION_RESERVE_DIVISOR
+    }
+
     /// The memory that is not reserved.
     pub fn available_bytes(&self) -> usize {
-        self.available_kib.available_permits() * BYTES_PER_KIB
+        self.accounts.available_kib.available_permits() * BYTES_PER_KIB
     }
 
     /// Resolves once memory has been returned after this call. The available memory may still not suffice
     /// then.
     pub fn returned(&self) -> impl Future<Output = ()> + '_ {
-        self.returned.notified()
+        self.accounts.returned.notified()
     }
 
     /// Whether a body of this size uses no more memory than its connection does anyway.
@@ -129,7 +128,6 @@
 
     /// Number of KiB by which a reservation must grow for a body of this size.
     fn missing_kib(reservation: &MemoryReservation, size_bytes: usize) -> u32 {
-        let size_bytes = if size_bytes > MAX_BUFFERED_BODY_BYTES { STREAMED_BODY_BYTES } else { size_bytes };
         if MemoryLimit::needs_no_reservation(size_bytes) {
             return 0;
         }
@@ -137,8 +135,9 @@
     }
 
     fn try_grow(&self, reservation: &mut MemoryReservation, kib: u32) -> bool {
-        let Ok(permit) = Arc::clone(&self.available_kib).try_acquire_many_owned(kib) else { return false };
-        reservation.grow(kib, permit, &self.returned);
+        let Ok(permit) = self.accounts.available_kib.try_acquire_many(kib) else { return false };
+        permit.forget();
+        reservation.grow(kib, &self.accounts);
         true
     }
 
@@ -158,7 +157,7 @@
     /// Grows a reservation by `additional_bytes` that no body needs to make progress. False if that would
     /// leave less than the body reserve; see [`BODY_RESERVE_DIVISOR`].
     pub fn try_reserve_optional(&self, reservation: &mut MemoryReservation, additional_bytes: usize) -> bool {
-        self.try_reserve_beyond(self.body_reserve_kib, reservation, additional_bytes)
+        self.try_reserve_beyond(self.optional_reserve_kib(), reservation, additional_bytes)
     }
 
     /// Like [`Self::try_reserve_optional`], for bytes that may never be needed: also leaves the speculation
@@ -168,7 +167,7 @@
         reservation: &mut MemoryReservation,
         additional_bytes: usize,
     ) -> bool {
-        let reserve_kib = self.body_reserve_kib + self.speculation_reserve_kib;
+        let reserve_kib = self.optional_reserve_kib() + self.speculation_reserve_kib();
         self.try_reserve_beyond(reserve_kib, reservation, additional_bytes)
     }
 
@@ -179,7 +178,11 @@
         reservation: &mut MemoryReservation,
         additional_bytes: usize,
     ) -> bool {
-        self.try_reserve_beyond(self.body_reserve_kib / 2, reservation, additional_bytes)
+        self.try_reserve_beyond(
+            self.optional_reserve_kib() - self.body_reserve_kib / 2,
+            reservation,
+            additional_bytes,
+        )
     }
 
     /// Grows a reservation by `additional_bytes` if at least `reserve_kib` remain available afterwards.
@@ -190,15 +193,16 @@
         additional_bytes: usize,
     ) -> bool {
         let additional_kib = additional_bytes.div_ceil(BYTES_PER_KIB);
-        self.available_kib.available_permits() >= reserve_kib.saturating_add(additional_kib)
+        self.accounts.available_kib.available_permits() >= reserve_kib.saturating_add(additional_kib)
             && self.try_grow(reservation, additional_kib as u32)
     }
 
     /// Grows a reservation to fit a body of this size, waiting until the memory suffices.
     pub async fn reserve(&self, reservation: &mut MemoryReservation, size_bytes: usize) {
         let kib = MemoryLimit::missing_kib(reservation, size_bytes);
-        if let Ok(permit) = Arc::clone(&self.available_kib).acquire_many_owned(kib).await {
-            reservation.grow(kib, permit, &self.returned);
+        if let Ok(permit) = self.accounts.available_kib.acquire_many(kib).await {
+            permit.forget();
+            reservation.grow(kib, &self.accounts);
         }
     }
 }
--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -10,9 +10,9 @@
 
 pub use detached_body::{BodySource, DetachRequest, DetachedBody, DetachedResponse};
 pub use memory_limit::{
-    MemoryLimit, MemoryReservation, MemoryUsers, MAX_BUFFERED_BODY_BYTES, MAX_CONNECTION_BUFFER_BYTES,
+    MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES, MAX_CONNECTION_BUFFER_BYTES, STREAMED_BODY_BYTES,
 };
 pub use read_ahead_buffer::{ReadAheadBuffer, ReadAheadLimit};
 pub use request_stream::{RequestStream, WriteProgress};
 pub use response_stream::{AbortCondition, BodyChunk, ResponseStream};
-pub use upload::{BodyError, RequestBodyReader, Upload};
+pub use upload::{reserve, BodyError, ByteArrivals, RequestBodyReader, Upload};
--- a/crates/proxy/src/body/read_ahead_buffer/tests.rs
+++ b/crates/proxy/src/body/read_ahead_buffer/tests.rs
@@ -1,11 +1,17 @@
 //! The order of the chunks and the memory reserved for them.
 
 use super::*;
-use crate::body::MemoryUsers;
 
 const MEMORY_MB: usize = 32;
 const CHUNK_BYTES: usize = 20_000;
 
+/// The memory of a process that leaves a third of it to bodies.
+fn shared_memory() -> Rc<MemoryLimit> {
+    let memory = MemoryLimit::new(MEMORY_MB);
+    memory.record_resident(MEMORY_MB * 1_024 * 15 / 16 - MEMORY_MB * 1_024 / 3, 0);
+    memory
+}
+
 fn chunk(number: u8) -> Bytes {
     vec![number; CHUNK_BYTES].into()
 }
@@ -26,7 +32,7 @@
 
 #[test]
 fn chunks_are_removed_in_order_and_their_memory_is_returned() {
-    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
+    let memory = shared_memory();
     let total_bytes = memory.available_bytes();
     let mut buffer = ReadAheadBuffer::new(&memory);
     let count = fill(&mut buffer, ReadAheadLimit::AvailableMemory);
@@ -37,7 +43,7 @@
 
 #[test]
 fn all_buffers_together_leave_half_of_the_memory_to_other_bodies() {
-    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
+    let memory = shared_memory();
     let total_bytes = memory.available_bytes();
     let mut buffers: Vec<_> = (0..3).map(|_| ReadAheadBuffer::new(&memory)).collect();
     let counts: Vec<usize> =
@@ -51,7 +57,7 @@
 
 #[test]
 fn without_read_ahead_one_chunk_is_buffered_without_a_reservation() {
-    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
+    let memory = shared_memory();
     let total_bytes = memory.available_bytes();
     let mut buffer = ReadAheadBuffer::new(&memory);
     assert_eq!(fill(&mut buffer, ReadAheadLimit::OneChunk), 1);
@@ -62,7 +68,7 @@
 
 #[test]
 fn a_speculative_buffer_is_bounded_and_leaves_memory_to_others() {
-    let memory = MemoryLimit::new(MEMORY_MB, MemoryUsers::TwoProcesses);
+    let memory = shared_memory();
     let mut bounded = ReadAheadBuffer::new(&memory);
     let max_bytes = 40 * CHUNK_BYTES;
     let bounded_count = fill(&mut bounded, ReadAheadLimit::Speculative { max_bytes });
--- a/crates/proxy/src/body/upload.rs
+++ b/crates/proxy/src/body/upload.rs
@@ -5,7 +5,7 @@
 use hyper::body::{Body, Frame, Incoming};
 use std::cell::{Cell, RefCell};
 use std::future::{poll_fn, Future};
-use std::pin::Pin;
+use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
@@ -46,6 +46,22 @@
     pub is_complete: bool,
 }
 
+/// The bytes that arrive on the connection of a request, whether or not they have been read. Positions count all
+/// bytes of the connection.
+pub trait ByteArrivals {
+    /// Number of bytes that the HTTP parser has read.
+    fn read_bytes(&self) -> u64;
+
+    /// Number of bytes that have arrived.
+    fn arrived_bytes(&self) -> u64;
+
+    /// When the latest byte is known to have arrived.
+    fn latest_arrival(&self) -> Instant;
+
+    /// Waits until the bytes up to `position` have arrived, or no more can arrive before some are read.
+    fn arrival(&self, position: u64) -> impl Future<Output = ()>;
+}
+
 /// Reads a client's body and detects stalls: only the time spent waiting for the client counts.
 pub struct RequestBodyReader {
     body: Incoming,
@@ -82,9 +98,40 @@
 
     /// When the body counts as stalled if no byte arrives after `waiting_since`.
     fn stall_deadline(&self, waiting_since: Instant) -> Instant {
-        let expected = Duration::from_secs_f64(self.received_bytes as f64 / MIN_UPLOAD_BYTES_PER_S);
-        let remaining = (self.slack + expected).saturating_sub(self.waited);
-        waiting_since + remaining.min(MAX_STALL)
+        waiting_since + self.remaining_wait(self.received_bytes).min(MAX_STALL)
+    }
+
+    /// How much longer the client may take in total if `arrived_bytes` of the body have arrived.
+    fn remaining_wait(&self, arrived_bytes: u64) -> Duration {
+        let expected = Duration::from_secs_f64(arrived_bytes as f64 / MIN_UPLOAD_BYTES_PER_S);
+        (self.slack + expected).saturating_sub(self.waited)
+    }
+
+    /// Waits until the body has arrived, whose last byte is at `end_position`, while the system buffers it: a
+    /// slow client needs no memory of the process meanwhile.
+    async fn wait_for_arrival(
+        &mut self,
+        arrivals: &impl ByteArrivals,
+        end_position: u64,
+    ) -> Result<(), BodyError> {
+        let began = Instant::now();
+        let first_position = arrivals.read_bytes() - self.received_bytes;
+        let mut arrival = pin!(arrivals.arrival(end_position));
+        loop {
+            let arrived_bytes = arrivals.arrived_bytes() - first_position;
+            let deadline = began + self.remaining_wait(arrived_bytes);
+            let deadline = deadline.min(arrivals.latest_arrival() + MAX_STALL);
+            if deadline <= Instant::now() {
+                return Err(BodyError::Stalled);
+            }
+            tokio::select! {
+                biased;
+                () = arrival.as_mut() => break,
+                () = tokio::time::sleep_until(deadline) => {}
+            }
+        }
+        self.waited += began.elapsed();
+        Ok(())
     }
 
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
@@ -126,9 +173,9 @@
         poll_fn(|cx| self.poll_chunk(cx)).await
     }
 
-    /// Reads the body to its end, or until it exceeds the size that is buffered by at most one piece. Waits for memory no longer
-    /// than `memory_wait`, and reserves it for the whole body at once: bodies that each held a part and
-    /// waited for more would deadlock.
+    /// Reads the body to its end or, if it exceeds the size that is buffered, its beginning. A body of known length
+    /// is left to the system until it has arrived, or as much of it as is buffered. Then memory is reserved for all
+    /// of it: bodies that each held a part and waited for more would reject each other.
     ///
     /// # Errors
     /// The body is incomplete or too large, or no memory became available in time.
@@ -137,20 +184,30 @@
         reservation: &mut MemoryReservation,
         memory: &MemoryLimit,
         memory_wait: Duration,
+        arrivals: &impl ByteArrivals,
     ) -> Result<BodyPrefix, BodyError> {
         let length = self.length();
         if length.is_some_and(|length| length > MAX_BODY_BYTES) {
             return Err(BodyError::TooLarge);
         }
-        let max_buffered = MAX_BUFFERED_BODY_BYTES as u64;
-        let buffered_size = length.map_or(max_buffered, |length| length.min(max_buffered)) as usize;
         let mut bytes = BytesMut::new();
+        let mut has_arrived = false;
         while let Some(chunk) = self.next_chunk().await {
             let chunk = chunk?;
-            if !MemoryLimit::needs_no_reservation(bytes.len() + chunk.len()) {
-                let reserved = tokio::time::timeout(memory_wait, memory.reserve(reservation, buffered_size));
-                reserved.await.map_err(|_| BodyError::OutOfMemory)?;
+            let received_size = bytes.len() + chunk.len();
+            if let Some(length) = length.filter(|_| !has_arrived && !self.body.is_end_stream()) {
+                // The HTTP parser has read no byte beyond this chunk.
+                let start_position = arrivals.read_bytes() - self.received_bytes;
+                let buffered_length = length.min(MAX_BUFFERED_BODY_BYTES as u64);
+                self.wait_for_arrival(arrivals, start_position + buffered_length).await?;
+                has_arrived = true;
+                if length > buffered_length {
+                    return Ok(BodyPrefix { bytes: chunk, is_complete: false });
+                }
+                reserve(reservation, memory, length as usize, memory_wait, arrivals).await?;
+                bytes.reserve(length as usize - bytes.len());
             }
+            reserve(reservation, memory, received_size, memory_wait, arrivals).await?;
             bytes.extend_from_slice(&chunk);
             if bytes.len() > MAX_BUFFERED_BODY_BYTES {
                 // A piece that exceeds the buffer may also hold the end of a body of known length.
@@ -161,6 +218,35 @@
     }
 }
 
+/// Reserves memory for a body. While bytes still arrive, the system buffers them, and the client does not wait.
+///
+/// # Errors
+/// No memory became available within `memory_wait` after the latest byte.
+pub async fn reserve(
+    reservation: &mut MemoryReservation,
+    memory: &MemoryLimit,
+    size_bytes: usize,
+    memory_wait: Duration,
+    arrivals: &impl ByteArrivals,
+) -> Result<(), BodyError> {
+    if memory.try_reserve(reservation, size_bytes) {
+        return Ok(());
+    }
+    let mut reserved = pin!(memory.reserve(reservation, size_bytes));
+    let began = Instant::now();
+    loop {
+        let deadline = arrivals.latest_arrival().max(began) + memory_wait;
+        if deadline <= Instant::now() {
+            return Err(BodyError::OutOfMemory);
+        }
+        tokio::select! {
+            biased;
+            () = reserved.as_mut() => return Ok(()),
+            () = tokio::time::sleep_until(deadline) => {}
+        }
+    }
+}
+
 /// The remainder of a client's body that is too large to be buffered. It can be read only once.
 pub struct Upload {
     reader: RefCell<RequestBodyReader>,
--- a/crates/proxy/src/descriptors.rs
+++ b/crates/proxy/src/descriptors.rs
@@ -1,6 +1,7 @@
 //! Counts open sockets, so that the process stays below its descriptor limit instead of failing when it is
 //! reached.
 
+use crate::memory_accounts::ConnectionMemory;
 use std::cell::Cell;
 use std::rc::Rc;
 
@@ -52,21 +53,22 @@
     }
 }
 
-/// The descriptors that a connection to an endpoint occupies while it is open.
+/// The descriptors and the memory that a connection to an endpoint occupies while it is open.
 #[derive(Debug)]
 pub struct ConnectionDescriptors {
     _process: Descriptor,
     _endpoint: Option<Descriptor>,
+    _memory: Option<ConnectionMemory>,
 }
 
 impl ConnectionDescriptors {
     /// For a connection opened by this process: counted for the process and for the endpoint.
-    pub fn new(process: Descriptor, endpoint: Descriptor) -> Self {
-        ConnectionDescriptors { _process: process, _endpoint: Some(endpoint) }
+    pub fn new(process: Descriptor, endpoint: Descriptor, memory: ConnectionMemory) -> Self {
+        ConnectionDescriptors { _process: process, _endpoint: Some(endpoint), _memory: Some(memory) }
     }
 
     /// For a connection opened by another process: counted for this process only.
     pub fn of_handed_over(process: Descriptor) -> Self {
-        ConnectionDescriptors { _process: process, _endpoint: None }
+        ConnectionDescriptors { _process: process, _endpoint: None, _memory: None }
     }
 }
--- a/crates/proxy/src/downstream/arrivals.rs
+++ b/crates/proxy/src/downstream/arrivals.rs
@@ -63,7 +63,7 @@
     }
 
     /// Number of bytes that are known to have arrived.
-    fn arrived_bytes(&self) -> u64 {
+    pub fn arrived_bytes(&self) -> u64 {
         let sampled = self.samples.borrow().back().map_or(0, |sample| sample.arrived_bytes);
         sampled.max(self.read_bytes.get())
     }
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -11,7 +11,7 @@
 use crate::socket::Socket;
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
-use std::task::Waker;
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
@@ -299,6 +299,30 @@
         self.arrivals.record_unread(Instant::now(), unread_bytes);
     }
 
+    /// Ready once the bytes up to `position` have arrived, the system has no room for more, or the client has
+    /// closed. The low watermark stays set until [`Self::stop_awaiting_arrival`].
+    pub(super) fn poll_arrival(&self, cx: &mut Context<'_>, position: u64) -> Poll<()> {
+        let missing_bytes =
+            position.saturating_sub(self.arrivals.read_bytes() + self.read_ahead.len() as u64);
+        let missing_bytes = usize::try_from(missing_bytes).unwrap_or(usize::MAX);
+        if self.socket.unread_bytes() >= missing_bytes {
+            return Poll::Ready(());
+        }
+        self.socket.set_receive_low_watermark(missing_bytes);
+        self.socket.poll_readable_at_watermark(cx)
+    }
+
+    /// Resets the low watermark that [`Self::poll_arrival`] has set.
+    pub(super) fn stop_awaiting_arrival(&self) {
+        self.socket.set_receive_low_watermark(1);
+    }
+
+    /// Number of bytes that have arrived, whether or not they have been read.
+    pub(super) fn arrived_bytes(&self) -> u64 {
+        self.observe_arrivals();
+        self.arrivals.arrived_bytes()
+    }
+
     pub(super) fn arrivals(&self) -> &Arrivals {
         &self.arrivals
     }
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -10,6 +10,7 @@
 use crate::body::MemoryReservation;
 use crate::descriptors::{ConnectionDescriptors, Descriptor, Descriptors};
 use crate::hot_restart::{HandoverError, HandoverListener, PredecessorConnection, SuccessorAddress};
+use crate::memory_accounts::ConnectionMemory;
 use crate::socket::Socket;
 use crate::upstream::pool::ConnectionPool;
 use std::future::Future;
@@ -53,6 +54,7 @@
 struct ConnectionPermit {
     _slot: Option<OwnedSemaphorePermit>,
     _descriptor: Descriptor,
+    _memory: ConnectionMemory,
 }
 
 /// The accept loop's state.
@@ -226,7 +228,11 @@
         }
         let slot = Arc::clone(&self.slots).try_acquire_owned().ok()?;
         let descriptor = self.downstream.try_acquire_descriptor()?;
-        Some(ConnectionPermit { _slot: Some(slot), _descriptor: descriptor })
+        Some(ConnectionPermit {
+            _slot: Some(slot),
+            _descriptor: descriptor,
+            _memory: self.downstream.handler.memory.connection(),
+        })
     }
 
     /// Spawns a task that serves a connection. Closes the connection immediately if no descriptor is left for
@@ -238,7 +244,8 @@
             None => (downstream.reserved_descriptors.try_acquire(), true),
         };
         let Some(descriptor) = descriptor else { return };
-        let permit = ConnectionPermit { _slot: slot, _descriptor: descriptor };
+        let memory = downstream.handler.memory.connection();
+        let permit = ConnectionPermit { _slot: slot, _descriptor: descriptor, _memory: memory };
         let connection = HttpConnection {
             connection: ClientConnection::new(
                 Socket::new(stream),
--- a/crates/proxy/src/downstream/open_request.rs
+++ b/crates/proxy/src/downstream/open_request.rs
@@ -1,11 +1,13 @@
 //! A request that is open on a client connection.
 
 use super::connection::ClientConnection;
-use crate::body::{DetachRequest, DetachedBody};
+use crate::body::{ByteArrivals, DetachRequest, DetachedBody};
 use std::convert::Infallible;
+use std::future::poll_fn;
 use std::rc::Rc;
 use std::task::Waker;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How often the arrival of bytes is observed that the proxy does not read yet.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -35,11 +37,6 @@
         self.connection.complete_request(self.number);
     }
 
-    /// Number of bytes that the HTTP parser has read from the connection.
-    pub fn read_bytes(&self) -> u64 {
-        self.connection.arrivals().read_bytes()
-    }
-
     /// How long ago the byte before `position` arrived, which the HTTP parser has read or may still read.
     /// `None` if it has not arrived.
     pub fn time_since_arrival(&self, position: u64) -> Option<Duration> {
@@ -100,6 +97,34 @@
     }
 }
 
+impl ByteArrivals for OpenRequest {
+    fn read_bytes(&self) -> u64 {
+        self.connection.arrivals().read_bytes()
+    }
+
+    fn arrived_bytes(&self) -> u64 {
+        self.connection.arrived_bytes()
+    }
+
+    fn latest_arrival(&self) -> Instant {
+        self.connection.arrivals().latest()
+    }
+
+    async fn arrival(&self, position: u64) {
+        let _reset = AwaitedArrival(&self.connection);
+        poll_fn(|cx| self.connection.poll_arrival(cx, position)).await;
+    }
+}
+
+/// Ends the wait for an arrival when dropped.
+struct AwaitedArrival<'a>(&'a ClientConnection);
+
+impl Drop for AwaitedArrival<'_> {
+    fn drop(&mut self) {
+        self.0.stop_awaiting_arrival();
+    }
+}
+
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.connection.end_request(self.number);
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -2,17 +2,18 @@
 
 use super::connection::ClientPresence;
 use super::open_request::OpenRequest;
-use super::request_head::{class_id, is_health_check, RequestHead};
+use super::request_head::{class_id, is_health_check, release_read_buffer, RequestHead};
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
 use super::shutdown::{completion_deadline, is_past_latest_completion, ShutdownSignal};
 use crate::body::{
-    AbortCondition, BodyError, MemoryLimit, MemoryReservation, RequestBodyReader, ResponseStream, Upload,
+    reserve, AbortCondition, BodyError, ByteArrivals, MemoryLimit, MemoryReservation, RequestBodyReader,
+    ResponseStream, Upload, STREAMED_BODY_BYTES,
 };
 use crate::dispatcher::Dispatcher;
 use crate::request::{Request, REQUEST_ID_HEADER};
 use crate::response::FinalResponse;
 use bytes::Bytes;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use oakport_core::{CallId, Micros};
@@ -89,10 +90,14 @@
         request: hyper::Request<Incoming>,
         context: RequestContext,
     ) -> Response<ResponseStream> {
-        let (parts, body) = request.into_parts();
+        let (mut parts, body) = request.into_parts();
         if is_health_check(&parts) {
             return text_response(StatusCode::OK, "ok");
         }
+        if !body.is_end_stream() {
+            release_read_buffer(&mut parts);
+        }
+        let _memory = self.memory.request();
         let response = self.forward(parts, body, context).await;
         response.unwrap_or_else(RequestError::into_response)
     }
@@ -163,7 +168,7 @@
         let mut reader = RequestBodyReader::new(body, open.body_slack());
         let length = reader.length();
         let memory_wait = Duration::from_micros(head.client_timeout_us / MEMORY_WAIT_DIVISOR);
-        let prefix = match reader.read_prefix(&mut reservation, &self.memory, memory_wait).await {
+        let prefix = match reader.read_prefix(&mut reservation, &self.memory, memory_wait, &**open).await {
             Ok(prefix) => prefix,
             Err(BodyError::OutOfMemory) => {
                 self.dispatcher.count_rejected(head.class);
@@ -173,9 +178,7 @@
             Err(error) => return Err(RequestError::Body(error)),
         };
         let buffered = prefix.bytes;
-        // Without the memory for a body beyond the size that is buffered, no part of it is forwarded.
-        let has_memory = self.memory.try_reserve(&mut reservation, buffered.len());
-        if prefix.is_complete && has_memory {
+        if prefix.is_complete {
             open.complete();
             let time_since_arrival = open.time_since_arrival(open.read_bytes()).unwrap_or_default();
             return Ok(ReceivedBody {
@@ -188,9 +191,12 @@
             });
         }
         // The HTTP parser has read no byte beyond those that the reader has received.
+        let size_bytes = buffered.len() + STREAMED_BODY_BYTES;
+        let reserved = reserve(&mut reservation, &self.memory, size_bytes, memory_wait, &**open).await;
         let end_position = length.map(|length| open.read_bytes() - reader.received_bytes() + length);
         let upload = Upload::new(reader, reservation, length);
-        if !has_memory {
+        // Without the memory to stream the body, no part of it is forwarded.
+        if reserved.is_err() {
             self.dispatcher.count_rejected(head.class);
             discard(upload, open);
             return Err(RequestError::AtCapacity);
--- a/crates/proxy/src/hot_restart/handover.rs
+++ b/crates/proxy/src/hot_restart/handover.rs
@@ -1,7 +1,7 @@
 //! The endpoint list that a process writes for its successor, and whether a successor runs.
 
 use super::directory::shared_directory;
-use super::lock::ProcessLocks;
+use super::lock::{OtherProcess, ProcessLocks};
 use crate::endpoint_list::EndpointList;
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -43,6 +43,11 @@
         self.locks.is_alone()
     }
 
+    /// See [`ProcessLocks::other_process`].
+    pub fn other_process(&mut self) -> Option<OtherProcess> {
+        self.locks.other_process()
+    }
+
     /// See [`ProcessLocks::has_successor`].
     pub fn has_successor(&self) -> bool {
         self.locks.has_successor()
--- a/crates/proxy/src/hot_restart/lock.rs
+++ b/crates/proxy/src/hot_restart/lock.rs
@@ -2,7 +2,7 @@
 //! process ends, also after a crash or a kill.
 
 use std::fs::{File, OpenOptions, TryLockError};
-use std::io;
+use std::io::{self, Write};
 use std::path::PathBuf;
 
 /// Held by the process that serves.
@@ -10,6 +10,13 @@
 /// Held by the successor until its predecessor has ended.
 const SUCCESSOR_LOCK_FILE: &str = "oakport-next.lock";
 
+/// Another process of the same proxy.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct OtherProcess {
+    /// `None` if the process has not written it.
+    pub id: Option<u32>,
+}
+
 /// The locks of this process in a directory that it shares with its predecessor and its successor.
 #[derive(Debug)]
 pub struct ProcessLocks {
@@ -33,6 +40,7 @@
         // Without the file another process cannot be detected, so no capacity is left for one.
         let Ok(file) = self.open(SERVING_LOCK_FILE) else { return true };
         if file.try_lock().is_ok() {
+            write_process_id(&file);
             self.serving = Some(file);
             self.successor = None;
             return true;
@@ -40,10 +48,22 @@
         if self.successor.is_none() {
             let file = self.open(SUCCESSOR_LOCK_FILE);
             self.successor = file.ok().filter(|file| file.try_lock().is_ok());
+            self.successor.iter().for_each(write_process_id);
         }
         false
     }
 
+    /// The other process that runs. `None` if there is none.
+    pub fn other_process(&mut self) -> Option<OtherProcess> {
+        let file = match self.is_alone() {
+            false => SERVING_LOCK_FILE,
+            true if self.has_successor() => SUCCESSOR_LOCK_FILE,
+            true => return None,
+        };
+        let id = std::fs::read_to_string(self.directory.join(file)).ok();
+        Some(OtherProcess { id: id.and_then(|id| id.trim().parse().ok()) })
+    }
+
     /// Whether a successor is running.
     pub fn has_successor(&self) -> bool {
         let Ok(file) = self.open(SUCCESSOR_LOCK_FILE) else { return false };
@@ -54,3 +74,10 @@
         OpenOptions::new().write(true).create(true).truncate(false).open(self.directory.join(name))
     }
 }
+
+/// Writes the id of this process to a lock file that it holds. If that fails, the other process counts with half
+/// of the memory for this one.
+fn write_process_id(file: &File) {
+    let mut file = file;
+    let _ = file.set_len(0).and_then(|()| write!(file, "{}", std::process::id()));
+}
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -1,7 +1,7 @@
 //! One process of a client proxy: creates, runs and ends its components.
 
 use crate::admin;
-use crate::body::{MemoryLimit, MemoryUsers};
+use crate::body::MemoryLimit;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::descriptor_budget::{
@@ -15,6 +15,7 @@
 use crate::hot_restart::{bind_when_free, newer_list, HandoverDirectory, HandoverListener, SuccessorAddress};
 use crate::membership::MembershipService;
 use crate::metrics::Metrics;
+use crate::process_memory::{return_large_blocks, MemoryBudget};
 use crate::reload::Reloader;
 use crate::shutdown_progress::ShutdownProgress;
 use crate::upstream::pool::ConnectionPool;
@@ -68,6 +69,7 @@
     /// The platform holds the listener: another process follows this one, or ran before it.
     shares_listener: bool,
     budget: Rc<DescriptorBudget>,
+    memory_budget: MemoryBudget,
     pool: Rc<ConnectionPool>,
     memory: Rc<MemoryLimit>,
     metrics: Rc<Metrics>,
@@ -90,6 +92,7 @@
         mut config: Config,
         inherited: Option<std::net::TcpListener>,
     ) -> Result<Self, StartError> {
+        return_large_blocks();
         let terminate = signal(SignalKind::terminate()).map_err(StartError::Signals)?;
         let hangup = signal(SignalKind::hangup()).map_err(StartError::Signals)?;
         let shares_listener = inherited.is_some();
@@ -107,8 +110,7 @@
 
         let clock = Clock::start();
         let metrics = Rc::<Metrics>::default();
-        let memory_users = if shares_listener { MemoryUsers::TwoProcesses } else { MemoryUsers::OneProcess };
-        let memory = MemoryLimit::new(config.limits.memory_mb, memory_users);
+        let memory = MemoryLimit::new(config.limits.memory_mb);
         let proxy_count = config.settings.settings.proxy_count;
         let pool = ConnectionPool::new(
             config.settings.transport,
@@ -132,11 +134,14 @@
             .map(|parameters| MembershipService::new(parameters, name, config.seed, clock, proxy_count));
         let endpoints = list.as_ref().map_or(&[][..], |list| &list.endpoints);
         dispatcher.update_endpoints(ListUpdateKind::Cached, endpoints);
+        let memory_budget =
+            MemoryBudget::new(Rc::clone(&memory), config.limits.memory_mb, budget.handover.clone());
         Ok(Process {
             config,
             listener,
             shares_listener,
             budget,
+            memory_budget,
             pool,
             memory,
             metrics,
@@ -167,7 +172,7 @@
         let handover_listener = self.handover_listener.take();
         let downstream = self.downstream(&idle_connections, open_connections, handover_listener);
         let downstream = Rc::new(downstream);
-        let Process { shares_listener, budget, pool, membership, .. } = self;
+        let Process { shares_listener, budget, memory_budget, pool, membership, .. } = self;
         let reloader = Reloader {
             hangup: self.hangup,
             config: Arc::new(self.config),
@@ -201,7 +206,7 @@
             }
             ended = &mut timers => Err(ServeError::TimersEnded(ended)),
             ended = &mut discovery => Err(ServeError::DiscoveryEnded(ended)),
-            () = check_periodically(&budget, &pool, &idle_connections) => Ok(()),
+            () = check_periodically(&budget, &memory_budget, &pool, &idle_connections) => Ok(()),
             () = shutdown.log_open_connections() => Ok(()),
             () = reloader.run() => Err(ServeError::SignalsEnded),
         }
@@ -267,9 +272,11 @@
     listener.map_err(|source| StartError::Listen { address, source })
 }
 
-/// Periodically closes expired upstream connections and checks whether another process has started or ended.
+/// Periodically closes expired upstream connections, and checks the memory in use and whether another process has
+/// started or ended.
 async fn check_periodically(
     budget: &DescriptorBudget,
+    memory_budget: &MemoryBudget,
     pool: &ConnectionPool,
     idle_connections: &IdleConnections,
 ) {
@@ -277,5 +284,6 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         pool.close_expired();
         budget.check(pool, idle_connections);
+        memory_budget.check();
     }
 }
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,5 +1,6 @@
 //! A TCP stream that several components share: one reads and writes messages, others detect its close.
 
+use bytes::BufMut;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
@@ -10,8 +11,13 @@
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Size of a read where the number of available bytes is unknown.
-const READ_BUFFER_BYTES: usize = 8 * 1024;
+/// Size of a read where the number of available bytes is unknown, and of the buffer with which an HTTP parser
+/// begins.
+pub const READ_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Maximum size of a read by an HTTP parser. A read that fills the buffer would enlarge it for as long as the
+/// connection is open.
+const MAX_READ_BYTES: usize = READ_BUFFER_BYTES - 1;
 
 /// Linux makes a send buffer larger than requested by this factor, for its own overhead (socket(7)).
 pub const SEND_BUFFER_OVERHEAD_FACTOR: usize = 2;
@@ -34,15 +40,12 @@
         Ok(Socket::new(TcpStream::from_std(stream)?))
     }
 
-    /// Reads some bytes and returns their number; 0 at the end of the stream.
+    /// Reads at most [`MAX_READ_BYTES`] and returns their number; 0 at the end of the stream.
     pub fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read(buf.initialize_unfilled()) {
-                Ok(count) => {
-                    buf.advance(count);
-                    return Poll::Ready(Ok(count));
-                }
+            match self.0.try_read_buf(&mut buf.limit(MAX_READ_BYTES)) {
+                Ok(count) => return Poll::Ready(Ok(count)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
@@ -94,6 +97,32 @@
         is_set && self.send_buffer_bytes().is_ok_and(|size_bytes| size_bytes > previous_bytes)
     }
 
+    /// Sets how many bytes must be unread before the system reports the socket as readable.
+    #[allow(unsafe_code)]
+    pub fn set_receive_low_watermark(&self, bytes: usize) {
+        let bytes = nix::libc::c_int::try_from(bytes).unwrap_or(nix::libc::c_int::MAX);
+        // SAFETY: the descriptor stays open during the call, which reads one `c_int` and keeps no pointer.
+        unsafe {
+            nix::libc::setsockopt(
+                self.0.as_raw_fd(),
+                nix::libc::SOL_SOCKET,
+                nix::libc::SO_RCVLOWAT,
+                (&raw const bytes).cast(),
+                size_of::<nix::libc::c_int>() as nix::libc::socklen_t,
+            )
+        };
+    }
+
+    /// Ready once the system reports the socket as readable, which bytes below the low watermark do not make
+    /// it, or once the connection has failed.
+    pub fn poll_readable_at_watermark(&self, cx: &mut Context<'_>) -> Poll<()> {
+        while ready!(self.0.poll_read_ready(cx)).is_ok() && !self.is_readable() {
+            // The runtime still holds the readiness of earlier bytes.
+            let _ = self.0.try_io(Interest::READABLE, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+        }
+        Poll::Ready(())
+    }
+
     /// Shuts down the writing side.
     pub fn shutdown_write(&self) -> io::Result<()> {
         socket2::SockRef::from(&*self.0).shutdown(Shutdown::Write)
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,7 +1,7 @@
 //! Executes one attempt: obtains a connection, sends the request, and reads or streams the response.
 
 use crate::body::{
-    DetachRequest, MemoryReservation, RequestStream, Upload, WriteProgress, MAX_BUFFERED_BODY_BYTES,
+    DetachRequest, MemoryReservation, RequestStream, Upload, WriteProgress, STREAMED_BODY_BYTES,
 };
 use crate::downstream::connection::ClientPresence;
 use crate::request::Request;
@@ -161,7 +161,8 @@
             AttemptResult { outcome, load, response }
         }
         ResponseBody::Partial(body) if outcome == Outcome::Served => {
-            pool.memory.reserve(&mut reservation, MAX_BUFFERED_BODY_BYTES + 1).await;
+            let size_bytes = body.first_chunk.len() + STREAMED_BODY_BYTES;
+            pool.memory.reserve(&mut reservation, size_bytes).await;
             match stream_response(pool, &target, connection, body, content_type, owner).await {
                 Some(outcome) => AttemptResult { outcome, load, response: None },
                 None => Outcome::Cancelled.into(),
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -12,7 +12,7 @@
 use std::cell::Cell;
 use std::error::Error;
 use std::future::{poll_fn, Future};
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -66,19 +66,34 @@
 }
 
 impl AsyncWrite for WatchedStream {
-    // Not vectored, so that hyper joins head and body into one write.
     fn poll_write(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
+        self.poll_write_vectored(cx, &[IoSlice::new(buf)])
+    }
+
+    fn poll_write_vectored(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
         if !self.exchange.is_in_progress.get() {
             self.begin_exchange()?;
         }
-        let written = self.socket.poll_write(cx, buf);
+        let written = self.socket.poll_write_vectored(cx, bufs);
         if let Poll::Ready(Ok(count)) = written {
-            self.write_progress.emptied.set(count == buf.len());
+            // hyper passes all pending bytes at once: it queues fewer chunks than it writes in one call.
+            let pending_bytes: usize = bufs.iter().map(|buf| buf.len()).sum();
+            self.write_progress.emptied.set(count == pending_bytes);
         }
         self.write_progress.record_write(written.is_ready());
         written
     }
 
+    /// With vectored writes, head and body go out together without a copy of the body, which would stay
+    /// allocated for as long as the connection is open.
+    fn is_write_vectored(&self) -> bool {
+        true
+    }
+
     fn poll_flush(self: Pin<&mut Self>, _: &mut Context<'_>) -> Poll<io::Result<()>> {
         Poll::Ready(Ok(()))
     }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -268,7 +268,7 @@
     fn acquire_descriptors(&self, connections: &EndpointConnections) -> Option<ConnectionDescriptors> {
         let process = self.descriptors.try_acquire()?;
         let endpoint = connections.open.try_acquire()?;
-        Some(ConnectionDescriptors::new(process, endpoint))
+        Some(ConnectionDescriptors::new(process, endpoint, self.memory.connection()))
     }
 
     /// Opens a connection for a call that waits for it. If no descriptor is left, closes the connection that
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -52,6 +52,8 @@
     let length = body.size_hint().exact();
     let is_delimited = is_delimited(head);
     let is_large = length.is_some_and(|length| length > MAX_BUFFERED_BODY_BYTES as u64);
+    // The memory for a body of known length is reserved at once.
+    let buffered_length = length.filter(|_| !is_large).unwrap_or_default() as usize;
     let mut buffered = BytesMut::new();
     let mut first_chunk_at: Option<Instant> = None;
     loop {
@@ -65,7 +67,10 @@
             Ok(Some(frame)) => {
                 if let Ok(chunk) = frame.ok()?.into_data() {
                     first_chunk_at = first_chunk_at.or(Some(Instant::now()));
-                    memory.reserve(reservation, buffered.len() + chunk.len()).await;
+                    let received_bytes = buffered.len() + chunk.len();
+                    memory.reserve(reservation, received_bytes.max(buffered_length)).await;
+                    // Without its length, a body grows in steps that the reservation does not include.
+                    buffered.reserve(received_bytes.max(buffered_length) - buffered.len());
                     buffered.extend_from_slice(&chunk);
                 }
             }
--- a/crates/proxy/src/upstream/test_support.rs
+++ b/crates/proxy/src/upstream/test_support.rs
@@ -1,6 +1,6 @@
 //! Fixtures shared by the tests of calls, attempts and the dispatcher.
 
-use crate::body::{MemoryLimit, MemoryUsers};
+use crate::body::MemoryLimit;
 use crate::clock::Clock;
 use crate::descriptors::Descriptors;
 use crate::downstream::connection::ClientPresence;
@@ -25,14 +25,7 @@
 
 /// The connection pool of a single client proxy.
 pub fn pool(clock: Clock, metrics: Rc<Metrics>) -> Rc<ConnectionPool> {
-    ConnectionPool::new(
-        transport_settings(),
-        1,
-        Descriptors::new(9),
-        clock,
-        metrics,
-        MemoryLimit::new(64, MemoryUsers::TwoProcesses),
-    )
+    ConnectionPool::new(transport_settings(), 1, Descriptors::new(9), clock, metrics, MemoryLimit::new(64))
 }
 
 /// A request without a body, with a client timeout in microseconds.
