Return the memory of a reload to the system

Cause: the file is read on another thread, whose freed memory the allocator keeps, apart from that of the main thread.

Change: that thread returns free memory to the system after each reload.

--- a/crates/cli/tests/memory_limit.rs
+++ b/crates/cli/tests/memory_limit.rs
@@ -246,3 +246,29 @@
     assert!(peak_kb <= MEMORY_MB * 1_024, "{peak_kb} kB");
     assert!(counts.served.load(Ordering::SeqCst) >= CLIENT_COUNT, "{counts:?}");
 }
+
+/// The largest fleet of endpoints (FLEET).
+const MAX_ENDPOINT_COUNT: usize = 3_200;
+const RELOAD_COUNT: usize = 3;
+
+#[test]
+fn reloads_of_a_file_with_many_endpoints_return_their_memory() {
+    // Guards against memory that each reload leaves in the allocator.
+    let discovery = Discovery::start();
+    let known: Vec<String> = (0..MAX_ENDPOINT_COUNT)
+        .map(|number| {
+            let address = format!("127.1.{}.{}:5000", number / 250, number % 250 + 1);
+            entry(&format!("s-{number:08x}"), address.parse().expect("an address"), "up", 0)
+        })
+        .collect();
+    let listen = "127.0.0.1:0".parse().expect("an address");
+    let config = config(listen, discovery.address, MAX_SOCKETS, &known)
+        .replace("\"memory_mb\":192", &format!("\"memory_mb\":{MEMORY_MB}"));
+    let mut proxy = Proxy::with(&config);
+    for _ in 0..RELOAD_COUNT {
+        proxy.reload(&config);
+        proxy.expect_log("reloaded", "attempts=3");
+        let memory_kb = peak_memory_kb(&[proxy.child.id()], Instant::now() + SHORT);
+        assert!(memory_kb <= MEMORY_MB * 1_024, "{memory_kb} kB after a reload");
+    }
+}
--- a/crates/proxy/src/reload.rs
+++ b/crates/proxy/src/reload.rs
@@ -5,6 +5,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::membership::MembershipService;
 use crate::metrics::Metrics;
+use crate::process_memory::return_free_memory;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -51,13 +52,22 @@
 
     async fn read_file(&self) -> Result<Config, ReloadError> {
         let in_force = Arc::clone(&self.config);
-        Ok(spawn_blocking(move || in_force.reload()).await??)
+        let reload = move || {
+            let reloaded = in_force.reload();
+            return_free_memory();
+            reloaded
+        };
+        Ok(spawn_blocking(reload).await??)
     }
 
     fn apply(&mut self, config: Config) {
         let previous = std::mem::replace(&mut self.config, Arc::new(config));
         // Frees the memory of a possibly large file on another thread, without waiting for it.
-        drop(spawn_blocking(move || drop(previous)));
+        let free_previous = move || {
+            drop(previous);
+            return_free_memory();
+        };
+        drop(spawn_blocking(free_previous));
         let settings = &self.config.settings;
         let discovery = self.config.discovery;
         let classes = settings.class_names.join(" ");
