Wait for the arrival of a body without a loop that may not end

By reading: the wait for the low watermark cleared the runtime's readiness and looked again until the socket was readable. The readiness of a connection that its peer has closed cannot be cleared, so where poll did not report such a connection as readable, the loop would not end.

Change: readiness is cleared once; what cannot be cleared ends the wait, and the parser reads what there is.

--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -116,9 +116,12 @@
     /// Ready once the system reports the socket as readable, which bytes below the low watermark do not make
     /// it, or once the connection has failed.
     pub fn poll_readable_at_watermark(&self, cx: &mut Context<'_>) -> Poll<()> {
-        while ready!(self.0.poll_read_ready(cx)).is_ok() && !self.is_readable() {
-            // The runtime still holds the readiness of earlier bytes.
+        let is_open = ready!(self.0.poll_read_ready(cx)).is_ok();
+        if is_open && !self.is_readable() {
+            // The runtime still holds the readiness of earlier bytes. It cannot be cleared once the peer has
+            // closed, so a second attempt would never end.
             let _ = self.0.try_io(Interest::READABLE, || Err::<(), _>(io::ErrorKind::WouldBlock.into()));
+            return self.0.poll_read_ready(cx).map(drop);
         }
         Poll::Ready(())
     }
