Find the end of a streamed body before waiting for its arrival

By reading: the position at which a body of known length ends was found after the wait for its arrival and for memory. In the meantime the HTTP parser reads another piece, so the position was up to 8 KiB too far, and such a request counted as arrived only once it had been read. Its effect is confined to an endpoint that accepts no more bytes, where the bound on stalled uploads answers in time as well; no test shows it.

Change: the position is found with the first piece. Bodies of known and of unknown length are read by a function each.

--- a/crates/proxy/src/body/upload.rs
+++ b/crates/proxy/src/body/upload.rs
@@ -19,7 +19,6 @@
 const MIN_UPLOAD_BYTES_PER_S: f64 = 32.0 * 1024.0;
 /// A body counts as stalled after this long without a byte.
 const MAX_STALL: Duration = Duration::from_secs(3);
-
 /// Bytes that the client's system has buffered arrive within this time once the proxy reads on.
 const MAX_TRANSIT: Duration = Duration::from_millis(20);
 
@@ -44,6 +43,14 @@
     pub bytes: Bytes,
     /// The prefix is the complete body.
     pub is_complete: bool,
+    /// Position on the connection at which a longer body ends, if its length is known.
+    pub end_position: Option<u64>,
+}
+
+impl BodyPrefix {
+    fn complete(bytes: Bytes) -> Self {
+        BodyPrefix { bytes, is_complete: true, end_position: None }
+    }
 }
 
 /// The bytes that arrive on the connection of a request, whether or not they have been read. Positions count all
@@ -85,11 +92,6 @@
         }
     }
 
-    /// Number of bytes of the body that have been read.
-    pub fn received_bytes(&self) -> u64 {
-        self.received_bytes
-    }
-
     /// The length in bytes that the request's head declares, if it does. Must be called before the body is
     /// read.
     pub fn length(&self) -> Option<u64> {
@@ -173,9 +175,7 @@
         poll_fn(|cx| self.poll_chunk(cx)).await
     }
 
-    /// Reads the body to its end or, if it exceeds the size that is buffered, its beginning. A body of known length
-    /// is left to the system until it has arrived, or as much of it as is buffered. Then memory is reserved for all
-    /// of it: bodies that each held a part and waited for more would reject each other.
+    /// Reads the body to its end or, if it exceeds the size that is buffered, its beginning.
     ///
     /// # Errors
     /// The body is incomplete or too large, or no memory became available in time.
@@ -186,35 +186,66 @@
         memory_wait: Duration,
         arrivals: &impl ByteArrivals,
     ) -> Result<BodyPrefix, BodyError> {
-        let length = self.length();
-        if length.is_some_and(|length| length > MAX_BODY_BYTES) {
-            return Err(BodyError::TooLarge);
+        match self.length() {
+            Some(length) if length > MAX_BODY_BYTES => Err(BodyError::TooLarge),
+            Some(length) => self.read_known_length(length, reservation, memory, memory_wait, arrivals).await,
+            None => self.read_unknown_length(reservation, memory, memory_wait, arrivals).await,
         }
+    }
+
+    /// Leaves the body to the system until it has arrived, or as much of it as is buffered. Then memory is
+    /// reserved for all of it at once: bodies that each held a part and waited for more would reject each other.
+    async fn read_known_length(
+        &mut self,
+        length: u64,
+        reservation: &mut MemoryReservation,
+        memory: &MemoryLimit,
+        memory_wait: Duration,
+        arrivals: &impl ByteArrivals,
+    ) -> Result<BodyPrefix, BodyError> {
+        let Some(first_chunk) = self.next_chunk().await.transpose()? else {
+            return Ok(BodyPrefix::complete(Bytes::new()));
+        };
+        // The HTTP parser has read no byte beyond this chunk yet. While the body waits, it reads another one.
+        let start_position = arrivals.read_bytes() - self.received_bytes;
+        let buffered_length = length.min(MAX_BUFFERED_BODY_BYTES as u64);
+        if !self.body.is_end_stream() {
+            self.wait_for_arrival(arrivals, start_position + buffered_length).await?;
+        }
+        if length > buffered_length {
+            let end_position = Some(start_position + length);
+            return Ok(BodyPrefix { bytes: first_chunk, is_complete: false, end_position });
+        }
+        let length = length as usize;
+        reserve_while_arriving(reservation, memory, length, memory_wait, arrivals).await?;
+        let mut bytes = BytesMut::with_capacity(length);
+        bytes.extend_from_slice(&first_chunk);
+        drop(first_chunk);
+        while let Some(chunk) = self.next_chunk().await {
+            bytes.extend_from_slice(&chunk?);
+        }
+        Ok(BodyPrefix::complete(bytes.freeze()))
+    }
+
+    /// Reserves memory as the body arrives: most are much smaller than the size that is buffered.
+    async fn read_unknown_length(
+        &mut self,
+        reservation: &mut MemoryReservation,
+        memory: &MemoryLimit,
+        memory_wait: Duration,
+        arrivals: &impl ByteArrivals,
+    ) -> Result<BodyPrefix, BodyError> {
         let mut bytes = BytesMut::new();
-        let mut has_arrived = false;
         while let Some(chunk) = self.next_chunk().await {
             let chunk = chunk?;
             let received_size = bytes.len() + chunk.len();
-            if let Some(length) = length.filter(|_| !has_arrived && !self.body.is_end_stream()) {
-                // The HTTP parser has read no byte beyond this chunk.
-                let start_position = arrivals.read_bytes() - self.received_bytes;
-                let buffered_length = length.min(MAX_BUFFERED_BODY_BYTES as u64);
-                self.wait_for_arrival(arrivals, start_position + buffered_length).await?;
-                has_arrived = true;
-                if length > buffered_length {
-                    return Ok(BodyPrefix { bytes: chunk, is_complete: false });
-                }
-                reserve(reservation, memory, length as usize, memory_wait, arrivals).await?;
-                bytes.reserve(length as usize - bytes.len());
-            }
-            reserve(reservation, memory, received_size, memory_wait, arrivals).await?;
+            reserve_while_arriving(reservation, memory, received_size, memory_wait, arrivals).await?;
             bytes.extend_from_slice(&chunk);
             if bytes.len() > MAX_BUFFERED_BODY_BYTES {
-                // A piece that exceeds the buffer may also hold the end of a body of known length.
-                return Ok(BodyPrefix { bytes: bytes.freeze(), is_complete: self.body.is_end_stream() });
+                return Ok(BodyPrefix { bytes: bytes.freeze(), is_complete: false, end_position: None });
             }
         }
-        Ok(BodyPrefix { bytes: bytes.freeze(), is_complete: true })
+        Ok(BodyPrefix::complete(bytes.freeze()))
     }
 }
 
@@ -222,7 +253,7 @@
 ///
 /// # Errors
 /// No memory became available within `memory_wait` after the latest byte.
-pub async fn reserve(
+pub async fn reserve_while_arriving(
     reservation: &mut MemoryReservation,
     memory: &MemoryLimit,
     size_bytes: usize,
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -6,8 +6,8 @@
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
 use super::shutdown::{completion_deadline, is_past_latest_completion, ShutdownSignal};
 use crate::body::{
-    reserve, AbortCondition, BodyError, ByteArrivals, MemoryLimit, MemoryReservation, RequestBodyReader,
-    ResponseStream, Upload, STREAMED_BODY_BYTES,
+    reserve_while_arriving, AbortCondition, BodyError, ByteArrivals, MemoryLimit, MemoryReservation,
+    RequestBodyReader, ResponseStream, Upload, STREAMED_BODY_BYTES,
 };
 use crate::dispatcher::Dispatcher;
 use crate::request::{Request, REQUEST_ID_HEADER};
@@ -190,10 +190,9 @@
                 _reservation: reservation,
             });
         }
-        // The HTTP parser has read no byte beyond those that the reader has received.
         let size_bytes = buffered.len() + STREAMED_BODY_BYTES;
-        let reserved = reserve(&mut reservation, &self.memory, size_bytes, memory_wait, &**open).await;
-        let end_position = length.map(|length| open.read_bytes() - reader.received_bytes() + length);
+        let reserved =
+            reserve_while_arriving(&mut reservation, &self.memory, size_bytes, memory_wait, &**open).await;
         let upload = Upload::new(reader, reservation, length);
         // Without the memory to stream the body, no part of it is forwarded.
         if reserved.is_err() {
@@ -205,7 +204,7 @@
             buffered,
             upload: Some(upload),
             length,
-            end_position,
+            end_position: prefix.end_position,
             time_since_arrival: Duration::ZERO,
             _reservation: MemoryReservation::default(),
         })
