Name the shares of memory in percent, and keep the head where it arrived

Change: MAX_BODY_MEMORY_PERCENT, ALLOCATOR_OVERHEAD_PERCENT (6, a sixteenth before), MIN_STATED_TIME_US; the copy is gone; start_dispatcher stands by itself. The tests of memory_limit ask for the same shares as before, and those of read_ahead_buffer for the same third.

--- a/crates/proxy/src/body/read_ahead_buffer/tests.rs
+++ b/crates/proxy/src/body/read_ahead_buffer/tests.rs
@@ -8,7 +8,10 @@
 /// The memory of a process that leaves a third of it to bodies.
 fn shared_memory() -> Rc<MemoryLimit> {
     let memory = MemoryLimit::new(MEMORY_MB);
-    memory.record_resident(MEMORY_MB * 1_024 * 15 / 16 - MEMORY_MB * 1_024 / 3, 0);
+    let surplus_kib = (memory.available_bytes() >> 10) - MEMORY_MB * 1_024 / 3;
+    // Without other uses, bodies get three fifths of the memory; the allocator takes 6%.
+    let unused_kib = MEMORY_MB * 1_024 * 34 / 100;
+    memory.record_resident(unused_kib + surplus_kib, 0);
     memory
 }
 
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -25,7 +25,7 @@
 use tracing::info;
 
 /// The least remaining time that an attempt states while its request is still arriving.
-const MIN_TOLD_TIME_US: Micros = 1_000;
+const MIN_STATED_TIME_US: Micros = 1_000;
 
 /// The settings that apply to polls of the endpoint list.
 pub struct ListRules {
@@ -390,7 +390,7 @@
             // The latest byte may be the last one of the request.
             None => {
                 let time_since_last_byte_us = request.client.time_since_last_byte().as_micros() as Micros;
-                request.client_timeout.saturating_sub(time_since_last_byte_us).max(MIN_TOLD_TIME_US)
+                request.client_timeout.saturating_sub(time_since_last_byte_us).max(MIN_STATED_TIME_US)
             }
         }
     }
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -2,7 +2,7 @@
 
 use super::connection::ClientPresence;
 use super::open_request::OpenRequest;
-use super::request_head::{class_id, is_health_check, release_read_buffer, RequestHead};
+use super::request_head::{class_id, is_health_check, RequestHead};
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
 use super::shutdown::{completion_deadline, is_past_latest_completion, ShutdownSignal};
 use crate::body::{
@@ -13,7 +13,7 @@
 use crate::request::{Request, REQUEST_ID_HEADER};
 use crate::response::FinalResponse;
 use bytes::Bytes;
-use hyper::body::{Body, Incoming};
+use hyper::body::Incoming;
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
 use oakport_core::{CallId, Micros};
@@ -90,13 +90,10 @@
         request: hyper::Request<Incoming>,
         context: RequestContext,
     ) -> Response<ResponseStream> {
-        let (mut parts, body) = request.into_parts();
+        let (parts, body) = request.into_parts();
         if is_health_check(&parts) {
             return text_response(StatusCode::OK, "ok");
         }
-        if !body.is_end_stream() {
-            release_read_buffer(&mut parts);
-        }
         let _memory = self.memory.request();
         let response = self.forward(parts, body, context).await;
         response.unwrap_or_else(RequestError::into_response)
--- a/crates/proxy/src/downstream/request_head.rs
+++ b/crates/proxy/src/downstream/request_head.rs
@@ -6,7 +6,7 @@
 use super::response::RequestError;
 use crate::dispatcher::Dispatcher;
 use crate::request::{CallAttributes, REQUEST_ID_HEADER};
-use hyper::header::{HeaderMap, HeaderValue};
+use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::Method;
 use oakport_core::{ClassId, Micros};
@@ -90,17 +90,3 @@
     let timeout_us = number.parse::<Micros>().ok()?.saturating_mul(unit_us);
     (timeout_us > 0).then_some(timeout_us.min(MAX_CLIENT_TIMEOUT_US))
 }
-
-/// Copies the parts of a head that refer to the buffer in which it arrived, so that the buffer can be reused while
-/// the body arrives.
-pub fn release_read_buffer(parts: &mut Parts) {
-    for value in parts.headers.values_mut() {
-        // A copy of a valid value is valid.
-        if let Ok(copy) = HeaderValue::from_bytes(value.as_bytes()) {
-            *value = copy;
-        }
-    }
-    if let Ok(copy) = parts.uri.to_string().parse() {
-        parts.uri = copy;
-    }
-}
--- a/crates/proxy/src/memory_accounts.rs
+++ b/crates/proxy/src/memory_accounts.rs
@@ -10,12 +10,11 @@
 /// Memory of a request that is being read or served, in KiB, besides its body: its head, and a chunk
 /// that the parser has read and the body has not taken yet.
 const REQUEST_KIB: usize = 10;
-/// Upper bound on the share of bodies in the memory of a process, in fifths: the amount of freed memory that the
-/// allocator cannot reuse grows with this share.
-const MAX_BODY_MEMORY_FIFTHS: usize = 3;
-const FIFTHS: usize = 5;
-/// One part in this many of the memory goes to the allocator, for the gaps between blocks.
-const ALLOCATOR_OVERHEAD_DIVISOR: usize = 16;
+/// Upper bound on the share of bodies in the memory of a process: the amount of freed memory that the allocator
+/// cannot reuse grows with this share.
+const MAX_BODY_MEMORY_PERCENT: usize = 60;
+/// The share of the memory that the allocator takes for the gaps between blocks.
+const ALLOCATOR_OVERHEAD_PERCENT: usize = 6;
 
 /// The memory of a process, in units of 1 KiB.
 #[derive(Debug)]
@@ -61,10 +60,10 @@
     /// The memory that all bodies together may use.
     pub fn body_memory_kib(&self) -> usize {
         let limit_kib = self.limit_kib.get();
-        let overhead_kib = limit_kib / ALLOCATOR_OVERHEAD_DIVISOR;
+        let overhead_kib = percent_of(limit_kib, ALLOCATOR_OVERHEAD_PERCENT);
         let other_kib = self.base_kib.get() + self.connections_kib.get() + overhead_kib;
         let remaining_kib = limit_kib.saturating_sub(other_kib);
-        let max_kib = (limit_kib * MAX_BODY_MEMORY_FIFTHS / FIFTHS).min(Semaphore::MAX_PERMITS);
+        let max_kib = percent_of(limit_kib, MAX_BODY_MEMORY_PERCENT).min(Semaphore::MAX_PERMITS);
         remaining_kib.min(max_kib).max(self.min_body_kib)
     }
 
@@ -145,3 +144,7 @@
         accounts.update(|| accounts.connections_kib.set(accounts.connections_kib.get() - self.kib));
     }
 }
+
+fn percent_of(kib: usize, percent: usize) -> usize {
+    kib * percent / 100
+}
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -120,14 +120,7 @@
             Rc::clone(&metrics),
             Rc::clone(&memory),
         );
-        let dispatcher = Dispatcher::new(
-            config.seed,
-            config.settings.clone(),
-            clock,
-            Rc::clone(&pool),
-            Rc::clone(&metrics),
-        );
-        dispatcher.start();
+        let dispatcher = start_dispatcher(&config, clock, &pool, &metrics);
         let name = config.name.clone().unwrap_or_else(|| config.listen.to_string());
         let membership = config.membership.clone();
         let membership = membership
@@ -261,6 +254,18 @@
     }
 }
 
+fn start_dispatcher(
+    config: &Config,
+    clock: Clock,
+    pool: &Rc<ConnectionPool>,
+    metrics: &Rc<Metrics>,
+) -> Dispatcher {
+    let settings = config.settings.clone();
+    let dispatcher = Dispatcher::new(config.seed, settings, clock, Rc::clone(pool), Rc::clone(metrics));
+    dispatcher.start();
+    dispatcher
+}
+
 async fn open_listener(
     address: SocketAddr,
     inherited: Option<std::net::TcpListener>,
