Share the memory by halves with a process whose id is not known

Cause: the memory of the other process of a hot restart was read by the id in its lock file. A release before this one writes none, and after it the file may hold the id of a process that has ended, which another program may have by then: its memory would count for that of the other process.

Change: the id counts only if it belongs to a process of the same program; otherwise each process takes half.

--- a/crates/cli/tests/memory_limit.rs
+++ b/crates/cli/tests/memory_limit.rs
@@ -221,19 +221,42 @@
     assert_limit_holds(&[(rare, CLIENT_COUNT / 2), (frequent, CLIENT_COUNT / 2)]);
 }
 
-#[test]
-fn two_processes_of_a_hot_restart_stay_within_the_memory_limit_together() {
-    // Guards against a successor that takes memory which its predecessor has not returned yet.
+/// What the lock files, by which the processes of a hot restart find each other, contain besides the lock.
+#[derive(Clone, Copy, Debug)]
+enum LockContent {
+    /// The id of the process, as the process wrote it.
+    ProcessId,
+    /// Nothing, as after a process of a release that writes no id.
+    Nothing,
+    /// The id of another program, as after a process that has ended and whose id was used again.
+    IdOfAnotherProgram,
+}
+
+impl LockContent {
+    fn replace_in(self, platform: &Platform, name: &str) {
+        let content = match self {
+            LockContent::ProcessId => return,
+            LockContent::Nothing => String::new(),
+            LockContent::IdOfAnotherProgram => std::process::id().to_string(),
+        };
+        std::fs::write(platform.folder.join(name), content).expect("a lock file");
+    }
+}
+
+/// Restarts the process under as many clients as the platform allows.
+fn assert_limit_holds_in_a_hot_restart(content: LockContent) {
     let _alone = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let discovery = Discovery::start();
     let config = limited_config(&discovery);
     let platform = Platform::new();
     let predecessor = platform.start(&config);
+    content.replace_in(&platform, "oakport.lock");
     let (stop, counts) = (Arc::<AtomicBool>::default(), Arc::<Counts>::default());
     let address = platform.listener.local_addr().expect("its address");
     let clients = start_clients(SLOW, CLIENT_COUNT, address, &stop, &counts);
     let mut peak_kb = peak_memory_kb(&[predecessor.child.id()], Instant::now() + Duration::from_secs(3));
     let successor = platform.start(&config);
+    content.replace_in(&platform, "oakport-next.lock");
     let processes = [predecessor.child.id(), successor.child.id()];
     peak_kb = peak_kb.max(peak_memory_kb(&processes, Instant::now() + Duration::from_secs(2)));
     predecessor.terminate();
@@ -242,9 +265,27 @@
     peak_kb = peak_kb.max(peak_memory_kb(&processes[1..], Instant::now() + Duration::from_secs(2)));
     stop.store(true, Ordering::SeqCst);
     clients.into_iter().for_each(|client| client.join().expect("a client"));
-    println!("{counts:?}, {peak_kb} kB");
-    assert!(peak_kb <= MEMORY_MB * 1_024, "{peak_kb} kB");
-    assert!(counts.served.load(Ordering::SeqCst) >= CLIENT_COUNT, "{counts:?}");
+    println!("{content:?}: {counts:?}, {peak_kb} kB");
+    assert!(peak_kb <= MEMORY_MB * 1_024, "{content:?}: {peak_kb} kB");
+    assert!(counts.served.load(Ordering::SeqCst) >= CLIENT_COUNT, "{content:?}: {counts:?}");
+}
+
+#[test]
+fn two_processes_of_a_hot_restart_stay_within_the_memory_limit_together() {
+    // Guards against a successor that takes memory which its predecessor has not returned yet.
+    assert_limit_holds_in_a_hot_restart(LockContent::ProcessId);
+}
+
+#[test]
+fn a_hot_restart_beside_an_older_release_stays_within_the_memory_limit() {
+    // Guards against taking what a process uses whose id is missing.
+    assert_limit_holds_in_a_hot_restart(LockContent::Nothing);
+}
+
+#[test]
+fn a_hot_restart_with_an_outdated_process_id_stays_within_the_memory_limit() {
+    // Guards against taking the memory of another program for that of the other process.
+    assert_limit_holds_in_a_hot_restart(LockContent::IdOfAnotherProgram);
 }
 
 /// The largest fleet of endpoints (FLEET).
--- a/crates/proxy/src/hot_restart/lock.rs
+++ b/crates/proxy/src/hot_restart/lock.rs
@@ -75,8 +75,8 @@
     }
 }
 
-/// Writes the id of this process to a lock file that it holds. If that fails, the other process counts with half
-/// of the memory for this one.
+/// Writes the id of this process to a lock file that it holds. If that fails, each process takes half of the
+/// memory.
 fn write_process_id(file: &File) {
     let mut file = file;
     let _ = file.set_len(0).and_then(|()| write!(file, "{}", std::process::id()));
--- a/crates/proxy/src/process_memory.rs
+++ b/crates/proxy/src/process_memory.rs
@@ -38,6 +38,15 @@
     Some(resident.saturating_sub(of_files) * page_bytes as usize / BYTES_PER_KIB)
 }
 
+/// The resident memory of the other process of this proxy in KiB. `None` if no process of this program has this
+/// id.
+fn other_resident_kib(id: u32) -> Option<usize> {
+    let program = |process: &str| std::fs::read(format!("/proc/{process}/comm")).ok();
+    let id = id.to_string();
+    let is_same_program = program(&id).is_some() && program(&id) == program("self");
+    is_same_program.then(|| resident_kib(&id)).flatten()
+}
+
 /// Keeps the memory limit of this process up to date.
 pub struct MemoryBudget {
     memory: Rc<MemoryLimit>,
@@ -75,9 +84,11 @@
             return self.total_kib.saturating_sub(self.start_kib + SUCCESSOR_START_KIB);
         };
         return_free_memory();
-        let other_kib = other.id.and_then(|id| resident_kib(&id.to_string()));
-        // Both processes may grow until the next check, each by half of what is free.
-        let other_kib = other_kib.unwrap_or(self.total_kib / 2);
-        own_kib + self.total_kib.saturating_sub(own_kib + other_kib) / 2
+        match other.id.and_then(other_resident_kib) {
+            // Both processes may grow until the next check, each by half of what is free.
+            Some(other_kib) => own_kib + self.total_kib.saturating_sub(own_kib + other_kib) / 2,
+            // The other process is of a release that does not write its id, or its id is out of date.
+            None => self.total_kib / 2,
+        }
     }
 }
