--- a/crates/proxy/src/hot_restart/lock.rs
+++ b/crates/proxy/src/hot_restart/lock.rs
@@ -1,5 +1,5 @@
-//! Two lock files by which the processes of one proxy detect each other. The system releases a lock when its
-//! process ends, also after a crash or a kill.
+//! Two lock files by which the processes of one proxy detect each other, each with the id of the process that
+//! holds it. The system releases a lock when its process ends, also after a crash or a kill.
 
 use std::fs::{File, OpenOptions, TryLockError};
 use std::io::{self, Write};
--- a/crates/proxy/src/memory_accounts.rs
+++ b/crates/proxy/src/memory_accounts.rs
@@ -32,6 +32,7 @@
     connections_kib: Cell<usize>,
     /// Memory that bodies have reserved.
     reserved_kib: Cell<usize>,
+    /// Memory that bodies get, whatever everything else uses: without any, no request could proceed.
     min_body_kib: usize,
 }
 
@@ -79,11 +80,13 @@
         }
     }
 
+    /// Makes memory unavailable, now or as soon as bodies return it.
     fn take(&self, kib: usize) {
         let taken_kib = self.available_kib.forget_permits(kib);
         self.deficit_kib.set(self.deficit_kib.get() + kib - taken_kib);
     }
 
+    /// Makes memory available, as far as nothing is owed.
     fn give(&self, kib: usize) {
         let repaid_kib = kib.min(self.deficit_kib.get());
         self.deficit_kib.set(self.deficit_kib.get() - repaid_kib);
--- a/crates/proxy/src/process_memory.rs
+++ b/crates/proxy/src/process_memory.rs
@@ -59,6 +59,7 @@
 }
 
 impl MemoryBudget {
+    /// Sets the first limit. Must be called before the first connection is accepted.
     pub fn new(
         memory: Rc<MemoryLimit>,
         total_mb: usize,
@@ -70,7 +71,7 @@
         budget
     }
 
-    /// Compares the limit with the memory that this process and the other one use now.
+    /// Sets the limit by the memory that this process and the other one use now.
     pub fn check(&self) {
         let resident_kib = resident_kib("self").unwrap_or_default();
         self.memory.record_resident(resident_kib, self.start_kib);
