Let an answer whose head has arrived outlast the latency objective

Cause: the balancer limits an attempt to the latency objective, and the call table ended the attempt then although its answer had begun: only the first byte of a body, not the head, lifted the limit. Class: a time limit for silence applied to a peer that is not silent.

Change: the head of a 200 lifts the limit to the deadline of the call. A body that may be over 64 KiB, which is timed by its first bytes, is passed on at the former limit or 20 ms before the deadline, whichever is earlier, even if only its head has arrived; a body of which no byte arrives within 0.3 s of the deadline ends the answer, incomplete. Until the former limit a retry is still possible.

--- a/crates/proxy/src/call_table.rs
+++ b/crates/proxy/src/call_table.rs
@@ -7,11 +7,13 @@
 use oakport_core::{CallId, ClassId, EndpointId, Event, Micros, Outcome};
 use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
-use tokio::sync::oneshot;
+use tokio::sync::{oneshot, Notify};
 use tokio::task::AbortHandle;
 
 /// A deadline that never expires.
 const NEVER_US: Micros = Micros::MAX;
+/// An answer whose head has arrived is passed on at least this long before the deadline of its call.
+const PASS_ON_MARGIN_US: Micros = 20_000;
 
 /// Identifies an attempt; the attempts of a call are numbered from 0.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -51,10 +53,23 @@
     task: Option<AbortHandle>,
     /// The attempt has no outcome yet.
     in_flight: bool,
+    /// Notified when the answer, whose head has arrived, must be passed on although its body may have yet to begin.
+    answer_overdue: Option<Rc<Notify>>,
     /// The response is being streamed to the client.
     response_started: bool,
 }
 
+impl Attempt {
+    /// When the attempt times out at the latest, in a call with this deadline. An attempt whose answer has begun
+    /// is notified before.
+    fn latest_timeout(&self, deadline: Micros) -> Micros {
+        match self.answer_overdue {
+            Some(_) if deadline < NEVER_US => deadline.saturating_sub(PASS_ON_MARGIN_US),
+            _ => deadline,
+        }
+    }
+}
+
 struct Call {
     class: ClassId,
     request: Rc<Request>,
@@ -179,7 +194,7 @@
         for (number, attempt) in (0..).zip(&mut call.attempts) {
             if attempt.in_flight {
                 attempt.sent_at = now;
-                attempt.timeout_at = call.deadline;
+                attempt.timeout_at = attempt.latest_timeout(call.deadline);
                 let purpose = TimerPurpose::AttemptTimeout(AttemptId { call: id, number });
                 self.timers.insert((attempt.timeout_at, purpose));
             }
@@ -208,6 +223,7 @@
             execution: Execution::NotStarted,
             task: None,
             in_flight: true,
+            answer_overdue: None,
             response_started: false,
         });
         Some(OutgoingAttempt {
@@ -222,9 +238,7 @@
         let Some(attempt) = self.attempt_mut(id) else { return };
         attempt.task = Some(task);
         let timeout_at = attempt.timeout_at;
-        if timeout_at < NEVER_US {
-            self.timers.insert((timeout_at, TimerPurpose::AttemptTimeout(id)));
-        }
+        self.set_timeout(id, timeout_at);
     }
 
     /// When an attempt times out. `None` while its request is still arriving.
@@ -251,6 +265,32 @@
         may_start
     }
 
+    /// Records that the head of an attempt's answer has arrived: its endpoint is giving the answer, and the attempt no
+    /// longer times out before its call. The result is notified when the answer must be passed on.
+    pub fn record_answer_head(&mut self, id: AttemptId) -> Rc<Notify> {
+        let overdue = Rc::<Notify>::default();
+        let Some(call) = self.calls.get_mut(&id.call) else { return overdue };
+        let Some(attempt) = call.attempts.get_mut(id.number as usize) else { return overdue };
+        attempt.answer_overdue = Some(Rc::clone(&overdue));
+        let notify_at = attempt.timeout_at.min(attempt.latest_timeout(call.deadline));
+        self.set_timeout(id, notify_at);
+        overdue
+    }
+
+    /// The deadline of a call. `None` while its request is still arriving.
+    pub fn deadline_of(&self, id: CallId) -> Option<Micros> {
+        self.calls.get(&id).map(|call| call.deadline).filter(|&deadline| deadline < NEVER_US)
+    }
+
+    fn set_timeout(&mut self, id: AttemptId, timeout_at: Micros) {
+        let Some(attempt) = self.attempt_mut(id) else { return };
+        let previous = std::mem::replace(&mut attempt.timeout_at, timeout_at);
+        self.timers.remove(&(previous, TimerPurpose::AttemptTimeout(id)));
+        if timeout_at < NEVER_US {
+            self.timers.insert((timeout_at, TimerPurpose::AttemptTimeout(id)));
+        }
+    }
+
     /// Starts streaming a response to the client. `None` if the call has ended and the response is not used.
     pub fn start_response(&mut self, id: AttemptId, response: StreamingResponse) -> Option<Event> {
         let call = self.calls.get_mut(&id.call)?;
@@ -368,6 +408,9 @@
     /// Ends an attempt that has timed out. An attempt that still waits for its connection was not executed:
     /// `TimedOut` would fail a non-idempotent call that can safely be retried or rejected.
     fn time_out_attempt(&mut self, now: Micros, id: AttemptId) -> Option<Event> {
+        if self.extend_begun_answer(id) {
+            return None;
+        }
         let outcome = match self.attempt_mut(id).map(|attempt| attempt.execution) {
             Some(Execution::NotStarted) => Outcome::ConnectFailed,
             Some(Execution::MayHaveRun) | None => Outcome::TimedOut,
@@ -375,6 +418,20 @@
         self.end_attempt(now, id, outcome.into())
     }
 
+    /// Lets an answer whose head has arrived continue up to the deadline of its call. False if there is none, or if
+    /// the deadline has passed.
+    fn extend_begun_answer(&mut self, id: AttemptId) -> bool {
+        let Some(call) = self.calls.get_mut(&id.call) else { return false };
+        let deadline = call.deadline;
+        let Some(attempt) = call.attempts.get_mut(id.number as usize) else { return false };
+        let Some(overdue) = attempt.answer_overdue.as_ref().filter(|_| attempt.timeout_at < deadline) else {
+            return false;
+        };
+        overdue.notify_one();
+        self.set_timeout(id, deadline);
+        true
+    }
+
     /// Ends a call that the balancer has not ended by its deadline.
     fn exceed_deadline(&mut self, id: CallId) -> Option<Event> {
         if !self.is_open(id) {
--- a/crates/proxy/src/clock.rs
+++ b/crates/proxy/src/clock.rs
@@ -31,5 +31,13 @@
     }
 }
 
+/// Sleeps until a deadline, or forever without one.
+pub async fn sleep_until(deadline: Option<tokio::time::Instant>) {
+    match deadline {
+        Some(deadline) => tokio::time::sleep_until(deadline).await,
+        None => std::future::pending().await,
+    }
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -22,6 +22,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
+use tokio::time::Instant;
 use tracing::info;
 
 /// The least remaining time that an attempt states while its request is still arriving.
@@ -404,6 +405,18 @@
         self.dispatcher.state.borrow_mut().may_start(now, id, self.generation)
     }
 
+    fn record_answer_head(&self) -> Rc<Notify> {
+        let mut state = self.dispatcher.state.borrow_mut();
+        let overdue = state.calls.record_answer_head(self.outgoing.id);
+        self.dispatcher.wake_timers_if_earlier(state.calls.next_deadline());
+        overdue
+    }
+
+    fn deadline(&self) -> Option<Instant> {
+        let deadline = self.dispatcher.state.borrow().calls.deadline_of(self.outgoing.id.call);
+        deadline.map(|at| self.dispatcher.clock.instant(at))
+    }
+
     fn start_response(&self, response: StreamingResponse) -> bool {
         let event = self.dispatcher.state.borrow_mut().calls.start_response(self.outgoing.id, response);
         let Some(event) = event else { return false };
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -10,6 +10,7 @@
 use super::shutdown_writer::ShutdownWriter;
 use super::stream::ObservedStream;
 use crate::body::DetachedResponse;
+use crate::clock::sleep_until;
 use crate::hot_restart::{SuccessorAddress, SuccessorConnection};
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -196,11 +197,3 @@
         }
     }
 }
-
-/// Sleeps until a deadline, or forever without one.
-pub async fn sleep_until(deadline: Option<Instant>) {
-    match deadline {
-        Some(deadline) => tokio::time::sleep_until(deadline).await,
-        None => std::future::pending().await,
-    }
-}
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -2,12 +2,13 @@
 
 use super::connection::ClientConnection;
 use super::detached_response::deliver;
-use super::http_connection::{sleep_until, HttpConnection};
+use super::http_connection::HttpConnection;
 use super::idle::IdleConnections;
 use super::open_connections::{Activity, OpenConnections};
 use super::request::RequestHandler;
 use super::shutdown::{Shutdown, ShutdownSignal};
 use crate::body::MemoryReservation;
+use crate::clock::sleep_until;
 use crate::descriptors::{ConnectionDescriptors, Descriptor, Descriptors};
 use crate::hot_restart::{HandoverError, HandoverListener, PredecessorConnection, SuccessorAddress};
 use crate::memory_accounts::ConnectionMemory;
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -17,7 +17,8 @@
 use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::sync::{mpsc, Notify};
+use tokio::time::Instant;
 
 /// The upload of a streamed request that makes no progress counts as stalled after the time left to the client
 /// or, if longer, after this time.
@@ -53,6 +54,13 @@
     /// replaced by another process.
     fn may_start(&self) -> bool;
 
+    /// Records that the head of a 200 answer has arrived. From now on the attempt does not time out before its call.
+    /// The result is notified when the answer must be passed on, even if its body has yet to begin.
+    fn record_answer_head(&self) -> Rc<Notify>;
+
+    /// The deadline of the call. `None` while its request is still arriving.
+    fn deadline(&self) -> Option<Instant>;
+
     /// Starts streaming a response to the client. Returns false if the call has ended and the response is not
     /// used.
     fn start_response(&self, response: StreamingResponse) -> bool;
@@ -122,7 +130,7 @@
         let Some(message) = message else { return Outcome::NotSent.into() };
         let mut reservation = MemoryReservation::default();
         let stalled = upload_stalled(Rc::clone(&connection.write_progress), request, remaining_time);
-        match exchange(pool, &mut connection, stalled, message, &mut reservation).await {
+        match exchange(pool, &mut connection, stalled, message, &mut reservation, owner).await {
             ExchangeOutcome::Received(received) => {
                 return finish(pool, target, connection, received, reservation, owner).await;
             }
@@ -192,11 +200,14 @@
     stalled: impl Future<Output = ()>,
     message: hyper::Request<RequestStream>,
     reservation: &mut MemoryReservation,
+    owner: &impl AttemptOwner,
 ) -> ExchangeOutcome {
     let sent = connection.sender.send_request(message);
     let received = connection.drive(&pool.metrics, async {
         let (head, body) = sent.await.ok()?.into_parts();
-        let body = read_body(&head, body, reservation, &pool.memory).await?;
+        let is_served = classify(&head) == Outcome::Served;
+        let overdue = if is_served { owner.record_answer_head() } else { Rc::default() };
+        let body = read_body(&head, body, reservation, &pool.memory, &overdue).await?;
         Some(ReceivedResponse { head, body })
     });
     let received = tokio::select! {
@@ -241,6 +252,7 @@
     let detach_request = DetachRequest::default();
     let first_bytes = body.first_chunk.len() as u64;
     let mut forwarder = ResponseForwarder::new(sender, &pool.memory, detach_request.clone(), first_bytes);
+    forwarder.set_body_due(owner.deadline().map(|deadline| deadline + MAX_STALL_AFTER_TIMEOUT));
     let first_chunk = body.first_chunk;
     let response = StreamingResponse { first_chunk, chunks, length, content_type, detach_request };
     if !owner.start_response(response) {
--- a/crates/proxy/src/upstream/attempt/tests.rs
+++ b/crates/proxy/src/upstream/attempt/tests.rs
@@ -20,6 +20,14 @@
         self.may_start
     }
 
+    fn record_answer_head(&self) -> Rc<Notify> {
+        Rc::default()
+    }
+
+    fn deadline(&self) -> Option<Instant> {
+        None
+    }
+
     fn start_response(&self, _: StreamingResponse) -> bool {
         false
     }
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -1,6 +1,7 @@
 //! Reads and classifies an endpoint's response, until it is complete or streaming to the client begins.
 
 use crate::body::{MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES};
+use crate::clock::sleep_until;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
@@ -9,6 +10,7 @@
 use hyper::StatusCode;
 use oakport_core::Outcome;
 use std::time::Duration;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// A response of unknown length is streamed if it is not complete this long after its first bytes.
@@ -42,12 +44,14 @@
 
 /// Reads a body until it is complete, or too large or too slow to be buffered. `None` if the body was
 /// truncated, which includes a body that ended with its connection although the head did not announce that,
-/// or if an undelimited body exceeded the buffer.
+/// or if an undelimited body exceeded the buffer. Once `overdue` is notified, a body that may be too large is
+/// returned as it is, even if it has yet to begin.
 pub async fn read_body(
     head: &Parts,
     mut body: Incoming,
     reservation: &mut MemoryReservation,
     memory: &MemoryLimit,
+    overdue: &Notify,
 ) -> Option<ResponseBody> {
     let length = body.size_hint().exact();
     let is_delimited = is_delimited(head);
@@ -59,12 +63,14 @@
     loop {
         let may_stream_later = is_delimited && length.is_none();
         let stream_from = first_chunk_at.filter(|_| may_stream_later).map(|at| at + COMPLETE_RESPONSE_WAIT);
-        let frame = match stream_from {
-            Some(at) => tokio::time::timeout_at(at, body.frame()).await,
-            None => Ok(body.frame().await),
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => Some(frame),
+            () = sleep_until(stream_from) => None,
+            () = overdue.notified(), if may_stream_later || (is_delimited && is_large) => None,
         };
         match frame {
-            Ok(Some(frame)) => {
+            Some(Some(frame)) => {
                 if let Ok(chunk) = frame.ok()?.into_data() {
                     first_chunk_at = first_chunk_at.or(Some(Instant::now()));
                     let received_bytes = buffered.len() + chunk.len();
@@ -74,8 +80,8 @@
                     buffered.extend_from_slice(&chunk);
                 }
             }
-            Ok(None) => return is_delimited.then(|| ResponseBody::Complete(buffered.freeze())),
-            Err(_) => return Some(partial(buffered, body)),
+            Some(None) => return is_delimited.then(|| ResponseBody::Complete(buffered.freeze())),
+            None => return Some(partial(buffered, body)),
         }
         let exceeds_buffer = buffered.len() > MAX_BUFFERED_BODY_BYTES;
         if is_delimited && (is_large || exceeds_buffer) && !buffered.is_empty() {
