Run a non-idempotent request once, however often its id comes

Cause: nothing outlived the connection that a request came on: its call ended with the client, and the next arrival was a new call. Class: state that a guarantee needs is bound to a shorter life than the guarantee.

Change: request_ids.rs records the digest of an id before the first attempt of a request that is not idempotent, and checks it at arrival and again then. It is forgotten if no endpoint can have run the request (refused, connect failed, not sent). In a hot restart each process writes its table to a file in TMPDIR and reads the other's, its own record first: of two processes at least one sees the other. If the file fails, a log line says so and each process has its own. A repeated request is answered 409 (502 if found at the attempt) and logged with its id: a rejection would promise that nothing ran.

--- a/crates/cli/tests/discovery.rs
+++ b/crates/cli/tests/discovery.rs
@@ -311,7 +311,7 @@
     let proxy = Proxy::with(&text);
     agent.await_watch();
     let mut client = proxy.client();
-    client.send("unsafe", "30000m");
+    client.send_as("9b1f03aa", "unsafe", "30000m");
     // The connect cannot be observed from outside. The test also holds if it has not begun by now.
     thread::sleep(SHORT);
     agent.change(&entries("draining"));
@@ -364,9 +364,11 @@
         assert_eq!(proxy.call("safe", "2000m").status(), 200);
         agent.change(&own("draining"));
         agent.await_watch();
-        let before = host.arrivals_of("9b1f03aa").len();
-        assert_ne!(proxy.call("safe", "300m").status(), 200, "one entry of {endpoint_count} is draining");
-        assert_eq!(host.arrivals_of("9b1f03aa").len(), before);
+        let mut client = proxy.client();
+        client.send_as("9b1f03aa", "safe", "300m");
+        let status = client.answer().expect("an answer").status();
+        assert_ne!(status, 200, "one entry of {endpoint_count} is draining");
+        assert_eq!(host.arrivals_of("9b1f03aa").len(), 0);
         let status = std::fs::read_to_string(format!("{process}/status")).expect("a running process");
         let peak_kb: u64 = status
             .lines()
--- a/crates/cli/tests/memory_limit.rs
+++ b/crates/cli/tests/memory_limit.rs
@@ -64,27 +64,32 @@
 }
 
 impl Load {
-    fn message(&self) -> Vec<u8> {
-        let (header, content) = match self.framing {
-            "chunked" => (
-                "Transfer-Encoding: chunked\r\n".to_owned(),
-                chunked(&test_pattern(self.request_bytes), PIECE_BYTES),
-            ),
-            _ => (format!("Content-Length: {}\r\n", self.request_bytes), test_pattern(self.request_bytes)),
+    /// The content of a request, in its framing.
+    fn content(&self) -> Vec<u8> {
+        match self.framing {
+            "chunked" => chunked(&test_pattern(self.request_bytes), PIECE_BYTES),
+            _ => test_pattern(self.request_bytes),
+        }
+    }
+
+    /// The head of a request, with an id of its own.
+    fn head(&self) -> String {
+        let header = match self.framing {
+            "chunked" => "Transfer-Encoding: chunked\r\n".to_owned(),
+            _ => format!("Content-Length: {}\r\n", self.request_bytes),
         };
-        let target = format!("unsafe?size={}", self.response_bytes);
-        [request_head(&target, CLIENT_TIMEOUT, &header).into_bytes(), content].concat()
+        request_head(&format!("unsafe?size={}", self.response_bytes), CLIENT_TIMEOUT, &header)
     }
 
     /// Sends requests until `stop` is set. A connection that the process has closed between two requests is
     /// replaced.
-    fn run(self, address: SocketAddr, message: &[u8], stop: &AtomicBool, counts: &Counts) {
+    fn run(self, address: SocketAddr, content: &[u8], stop: &AtomicBool, counts: &Counts) {
         while !stop.load(Ordering::SeqCst) {
             let stream = std::net::TcpStream::connect(address).expect("a listening process");
             stream.set_read_timeout(Some(LONG)).expect("a time-out");
             let mut client = Client { stream: std::io::BufReader::new(stream) };
             while !stop.load(Ordering::SeqCst) {
-                let Some(message) = self.call(&mut client, message, counts) else { break };
+                let Some(message) = self.call(&mut client, content, counts) else { break };
                 thread::sleep(self.pause);
                 if message.header("connection") == Some("close") {
                     break;
@@ -94,7 +99,8 @@
     }
 
     /// Makes one call. `None` if its connection has ended.
-    fn call(&self, client: &mut Client, message: &[u8], counts: &Counts) -> Option<Message> {
+    fn call(&self, client: &mut Client, content: &[u8], counts: &Counts) -> Option<Message> {
+        let message = [self.head().as_bytes(), content].concat();
         let piece_bytes = if self.is_slow { PIECE_BYTES } else { message.len() };
         for piece in message.chunks(piece_bytes) {
             if !send_bytes(&mut client.stream, piece) {
@@ -144,12 +150,12 @@
     stop: &Arc<AtomicBool>,
     counts: &Arc<Counts>,
 ) -> Vec<thread::JoinHandle<()>> {
-    let message: Arc<[u8]> = load.message().into();
+    let content: Arc<[u8]> = load.content().into();
     let start = |number: usize| {
-        let (message, stop, counts) = (Arc::clone(&message), Arc::clone(stop), Arc::clone(counts));
+        let (content, stop, counts) = (Arc::clone(&content), Arc::clone(stop), Arc::clone(counts));
         thread::spawn(move || {
             thread::sleep(Duration::from_secs(1) * number as u32 / count as u32);
-            load.run(address, &message, &stop, &counts);
+            load.run(address, &content, &stop, &counts);
         })
     };
     (0..count).map(start).collect()
--- a/crates/cli/tests/peers/bodies.rs
+++ b/crates/cli/tests/peers/bodies.rs
@@ -1,6 +1,6 @@
 //! Stub endpoints and messages with large bodies, framed by `Content-Length` or by chunked encoding.
 
-use super::{entry, Discovery, Proxy};
+use super::{entry, fresh_id, Discovery, Proxy};
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -78,7 +78,8 @@
 }
 
 pub fn request_head(class: &str, time: &str, framing: &str) -> String {
-    format!("POST /{class} HTTP/1.1\r\nHost: x\r\nX-Request-ID: 5\r\nX-Timeout: {time}\r\n{framing}\r\n")
+    let id = fresh_id();
+    format!("POST /{class} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Timeout: {time}\r\n{framing}\r\n")
 }
 
 pub fn test_pattern(size: usize) -> Vec<u8> {
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -327,6 +327,12 @@
     config: std::path::PathBuf,
 }
 
+/// A request id that no other request has (PROTOCOL).
+pub fn fresh_id() -> String {
+    static NEXT: AtomicUsize = AtomicUsize::new(0x9b1f_03aa);
+    format!("{:016x}", NEXT.fetch_add(1, Ordering::SeqCst))
+}
+
 static RUNS: AtomicUsize = AtomicUsize::new(0);
 
 /// Starts the program with this configuration and at most `descriptors` file descriptors.
@@ -528,7 +534,7 @@
 
 impl Client {
     pub fn send(&mut self, class: &str, time: &str) {
-        self.send_as("9b1f03aa", class, time);
+        self.send_as(&fresh_id(), class, time);
     }
 
     /// Sends a request with this `X-Request-ID`.
--- a/crates/cli/tests/proxy.rs
+++ b/crates/cli/tests/proxy.rs
@@ -21,7 +21,8 @@
     let mut client = proxy.client();
     client.write("GET /_health HTTP/1.1\r\nHost: x\r\n\r\n");
     assert_eq!(client.answer().expect("an answer").status(), 200);
-    let answer = client.call("safe", "2000m");
+    client.send_as("9b1f03aa", "safe", "2000m");
+    let answer = client.answer().expect("an answer");
     assert_eq!((answer.status(), answer.body.as_slice()), (200, b"done".as_slice()));
     let (_, request) = host.request();
     assert!(request.head.starts_with("POST /safe?q=1 HTTP/1.1\r\n"), "{}", request.head);
--- a/crates/cli/tests/races.rs
+++ b/crates/cli/tests/races.rs
@@ -77,8 +77,9 @@
 }
 
 fn head(class: &str, time: &str, length: usize) -> String {
+    let id = fresh_id();
     format!(
-        "POST /{class} HTTP/1.1\r\nHost: x\r\nX-Request-ID: 9b1f03aa\r\nX-Timeout: {time}\r\n\
+        "POST /{class} HTTP/1.1\r\nHost: x\r\nX-Request-ID: {id}\r\nX-Timeout: {time}\r\n\
          Content-Length: {length}\r\n\r\n"
     )
 }
--- a/crates/proxy/src/call_table.rs
+++ b/crates/proxy/src/call_table.rs
@@ -3,6 +3,7 @@
 
 use crate::metrics::{Metrics, RequestOutcome};
 use crate::request::Request;
+use crate::request_ids::RequestIds;
 use crate::response::{AttemptResult, CompleteResponse, FinalResponse, StreamingResponse};
 use oakport_core::{CallId, ClassId, EndpointId, Event, Micros, Outcome};
 use std::collections::{BTreeSet, HashMap};
@@ -78,6 +79,10 @@
     /// `None` once the final answer has been sent or has begun to be streamed.
     answer: Option<oneshot::Sender<FinalResponse>>,
     attempts: Vec<Attempt>,
+    /// The id of the request has been recorded, as an attempt was about to begin.
+    is_recorded: bool,
+    /// An endpoint may have executed one of the attempts that have ended.
+    may_have_run: bool,
 }
 
 impl Call {
@@ -90,6 +95,16 @@
     }
 }
 
+/// Whether an attempt may write its first byte now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartPermission {
+    Granted,
+    /// The call has ended, the attempt is too late, or its endpoint accepts no calls.
+    Denied,
+    /// A request with the same id may have run already and must not run twice.
+    Repeated,
+}
+
 /// What a timer is for. Timers that expire at the same time fire in this order: attempts time out first, so
 /// that the balancer can end the call itself; then the balancer's own timer fires; and the call's deadline
 /// comes last.
@@ -126,6 +141,7 @@
 /// All calls that are open or have attempts in flight.
 pub struct CallTable {
     metrics: Rc<Metrics>,
+    request_ids: RequestIds,
     calls: HashMap<CallId, Call>,
     open_count: usize,
     next_call_number: u64,
@@ -133,9 +149,10 @@
 }
 
 impl CallTable {
-    pub fn new(metrics: Rc<Metrics>) -> Self {
+    pub fn new(metrics: Rc<Metrics>, request_ids: RequestIds) -> Self {
         CallTable {
             metrics,
+            request_ids,
             calls: HashMap::new(),
             open_count: 0,
             next_call_number: 0,
@@ -180,10 +197,24 @@
             self.timers.insert((deadline, TimerPurpose::CallDeadline(id)));
         }
         let request = Rc::new(request);
-        self.calls.insert(id, Call { class, request, deadline, answer: Some(sender), attempts: Vec::new() });
+        let call = Call {
+            class,
+            request,
+            deadline,
+            answer: Some(sender),
+            attempts: Vec::new(),
+            is_recorded: false,
+            may_have_run: false,
+        };
+        self.calls.insert(id, call);
         (id, receiver)
     }
 
+    /// Whether a request with the same id may have run already, and must not run twice.
+    pub fn may_have_run(&self, request: &Request) -> bool {
+        request.single_run.is_some_and(|digest| self.request_ids.contains(digest))
+    }
+
     /// Records that the last byte of a streamed request has arrived, which started the client timeout. `None`
     /// if the call is no longer open.
     pub fn complete_request(&mut self, now: Micros, id: CallId, arrived_at: Micros) -> Option<Event> {
@@ -254,15 +285,35 @@
         now: Micros,
         id: AttemptId,
         is_ready: impl FnOnce(EndpointId) -> bool,
-    ) -> bool {
+    ) -> StartPermission {
         if !self.is_open(id.call) {
-            return false;
+            return StartPermission::Denied;
         }
-        let Some(attempt) = self.attempt_mut(id).filter(|attempt| attempt.in_flight) else { return false };
+        let Some(attempt) = self.attempt_mut(id).filter(|attempt| attempt.in_flight) else {
+            return StartPermission::Denied;
+        };
         let in_time = now < attempt.timeout_at.min(attempt.send_before);
         let may_start = in_time && is_ready(attempt.endpoint);
-        attempt.execution = if may_start { Execution::MayHaveRun } else { Execution::NotStarted };
-        may_start
+        attempt.execution = Execution::NotStarted;
+        if !may_start {
+            return StartPermission::Denied;
+        }
+        if !self.try_record(id.call) {
+            return StartPermission::Repeated;
+        }
+        if let Some(attempt) = self.attempt_mut(id) {
+            attempt.execution = Execution::MayHaveRun;
+        }
+        StartPermission::Granted
+    }
+
+    /// Records the id of a call that must not run twice, before its first attempt begins. False if a request with
+    /// this id may have run already.
+    fn try_record(&mut self, id: CallId) -> bool {
+        let Some(call) = self.calls.get_mut(&id) else { return false };
+        let Some(digest) = call.request.single_run.filter(|_| !call.is_recorded) else { return true };
+        call.is_recorded = self.request_ids.try_record(digest);
+        call.is_recorded
     }
 
     /// Records that the head of an attempt's answer has arrived: its endpoint is giving the answer, and the attempt no
@@ -339,6 +390,7 @@
         let elapsed = now.saturating_sub(attempt.sent_at);
         let response_started = attempt.response_started;
         let AttemptResult { outcome, load, response } = result;
+        call.may_have_run |= attempt.execution == Execution::MayHaveRun && !has_certainly_not_run(outcome);
         if let Some(response) = response {
             self.deliver(id.call, response);
         }
@@ -385,8 +437,12 @@
 
     /// Removes a call once it has ended and none of its attempts is in flight.
     pub fn remove_if_finished(&mut self, id: CallId) {
-        if self.calls.get(&id).is_some_and(Call::is_finished) {
-            self.calls.remove(&id);
+        if !self.calls.get(&id).is_some_and(Call::is_finished) {
+            return;
+        }
+        let Some(call) = self.calls.remove(&id) else { return };
+        if let Some(digest) = call.request.single_run.filter(|_| call.is_recorded && !call.may_have_run) {
+            self.request_ids.forget(digest);
         }
     }
 
@@ -446,5 +502,10 @@
     }
 }
 
+/// Whether the outcome of an attempt shows that its endpoint has not executed it.
+fn has_certainly_not_run(outcome: Outcome) -> bool {
+    matches!(outcome, Outcome::NotSent | Outcome::ConnectFailed | Outcome::Rejected)
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/proxy/src/call_table/tests.rs
+++ b/crates/proxy/src/call_table/tests.rs
@@ -7,7 +7,7 @@
 /// time.
 #[test]
 fn a_call_that_the_balancer_does_not_end_fails_once_at_its_deadline() {
-    let mut calls = CallTable::new(Rc::default());
+    let mut calls = CallTable::new(Rc::default(), RequestIds::new(None));
     let (call, mut answer) = calls.add(1_000, ClassId(0), request(30_000));
     assert_eq!(calls.next_deadline(), Some(31_000));
     assert!(
@@ -24,7 +24,7 @@
 #[test]
 fn an_attempt_that_times_out_before_its_first_byte_has_not_been_executed() {
     for (starts, expected) in [(false, Outcome::ConnectFailed), (true, Outcome::TimedOut)] {
-        let mut calls = CallTable::new(Rc::default());
+        let mut calls = CallTable::new(Rc::default(), RequestIds::new(None));
         let (call, _answer) = calls.add(0, ClassId(0), request(9_000));
         let limits = AttemptLimits { timeout_at: Some(5_000), send_before: None };
         let outgoing = calls.add_attempt(0, call, EndpointId(3), limits).expect("an open call");
@@ -32,8 +32,10 @@
         assert!(outgoing.is_wanted);
         assert_eq!(calls.timeout_of(id), Some(5_000));
         calls.timers.insert((5_000, TimerPurpose::AttemptTimeout(id)));
-        assert!(!calls.may_start(0, id, |_| false), "a draining endpoint gets no attempts");
-        assert_eq!(calls.may_start(4_000, id, |endpoint| starts && endpoint == EndpointId(3)), starts);
+        let denied = calls.may_start(0, id, |_| false);
+        assert_eq!(denied, StartPermission::Denied, "a draining endpoint gets no attempts");
+        let permission = calls.may_start(4_000, id, |endpoint| starts && endpoint == EndpointId(3));
+        assert_eq!(permission == StartPermission::Granted, starts);
         let outcome = match calls.expire_next(5_000) {
             Some(ExpiredTimer::Notify(Event::AttemptEnded { outcome, call_closed: false, .. })) => outcome,
             other => panic!("{other:?}"),
--- a/crates/proxy/src/classes.rs
+++ b/crates/proxy/src/classes.rs
@@ -1,7 +1,7 @@
 //! Maps the names that clients use for classes and tenants to ids.
 
 use oakport_core::settings_wire::ParsedSettings;
-use oakport_core::{Class, ClassId, Settings, TenantId};
+use oakport_core::{Class, ClassId, Idempotency, Settings, TenantId};
 use std::time::Duration;
 
 /// All classes that the settings have ever contained, indexed by id. A removed class keeps its id.
@@ -46,6 +46,11 @@
         position(&self.names, name).filter(|&index| self.classes[index].active).map(ClassId)
     }
 
+    /// Whether a request of this class may run more than once.
+    pub fn is_idempotent(&self, class: ClassId) -> bool {
+        self.classes.get(class.0).is_some_and(|class| class.idempotency == Idempotency::Idempotent)
+    }
+
     /// The longest client timeout among the classes of the current settings.
     pub fn longest_deadline(&self) -> Duration {
         let deadlines = self.classes.iter().filter(|class| class.active).map(|class| class.client_timeout);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -4,11 +4,12 @@
 
 mod state;
 
-use crate::call_table::{AttemptId, AttemptLimits, ExpiredTimer, OutgoingAttempt};
+use crate::call_table::{AttemptId, AttemptLimits, ExpiredTimer, OutgoingAttempt, StartPermission};
 use crate::clock::Clock;
 use crate::endpoint_list::{EndpointEntry, EndpointList};
 use crate::metrics::{Metrics, MetricsReport, RequestOutcome};
 use crate::request::{CallAttributes, Request};
+use crate::request_ids::RequestIds;
 use crate::response::{AttemptResult, FinalResponse, StreamingResponse};
 use crate::upstream::attempt::{attempt, AttemptOwner, IncompleteResponse};
 use crate::upstream::pool::ConnectionPool;
@@ -23,7 +24,7 @@
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
 use tokio::time::Instant;
-use tracing::info;
+use tracing::{info, warn};
 
 /// The least remaining time that an attempt states while its request is still arriving.
 const MIN_STATED_TIME_US: Micros = 1_000;
@@ -35,6 +36,15 @@
     pub rules: Rules,
 }
 
+/// Why no call was started for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StartError {
+    /// The number of open calls has reached the limit in the settings.
+    AtCapacity,
+    /// A request with the same id may have run already and must not run twice.
+    Repeated,
+}
+
 /// A handle to the dispatcher, for the other parts of the proxy.
 #[derive(Clone)]
 pub struct Dispatcher {
@@ -59,9 +69,10 @@
         clock: Clock,
         pool: Rc<ConnectionPool>,
         metrics: Rc<Metrics>,
+        request_ids: RequestIds,
     ) -> Self {
         Dispatcher {
-            state: Rc::new(RefCell::new(DispatcherState::new(seed, parsed, metrics))),
+            state: Rc::new(RefCell::new(DispatcherState::new(seed, parsed, metrics, request_ids))),
             clock,
             pool,
             timers_asleep_until: Rc::default(),
@@ -112,6 +123,11 @@
         self.state.borrow().classes.class_id(name)
     }
 
+    /// Whether a request of this class may run more than once.
+    pub fn is_idempotent(&self, class: ClassId) -> bool {
+        self.state.borrow().classes.is_idempotent(class)
+    }
+
     /// The longest client timeout among the classes of the current settings.
     pub fn longest_deadline(&self) -> Duration {
         self.state.borrow().classes.longest_deadline()
@@ -142,25 +158,32 @@
         self.state.borrow().calls.open_count()
     }
 
-    /// Starts a call. Its final answer is sent to the returned receiver. `None` if the number of open calls
-    /// has reached the limit in the settings.
+    /// Starts a call. Its final answer is sent to the returned receiver.
+    ///
+    /// # Errors
+    /// The number of open calls has reached the limit in the settings, or the request must not run again.
     pub fn start_call(
         &self,
         attributes: CallAttributes,
         request: Request,
-    ) -> Option<(CallId, oneshot::Receiver<FinalResponse>)> {
+    ) -> Result<(CallId, oneshot::Receiver<FinalResponse>), StartError> {
         let mut state = self.state.borrow_mut();
         let CallAttributes { class, tenant, is_retry } = attributes;
         if state.calls.open_count() >= state.transport.max_open_requests {
             state.metrics.count_request(class, RequestOutcome::Rejected);
-            return None;
+            return Err(StartError::AtCapacity);
+        }
+        if state.calls.may_have_run(&request) {
+            warn!(request_id = request.id(), "request failed: its id may have run already");
+            state.metrics.count_request(class, RequestOutcome::Failed);
+            return Err(StartError::Repeated);
         }
         let remaining_time = request.client_timeout;
         let (call, answer) = state.calls.add(self.clock.now(), class, request);
         let tenant = tenant.and_then(|name| state.classes.tenant_id(&name));
         drop(state);
         self.notify_balancer(Event::Request { call, class, tenant, remaining_time, is_retry });
-        Some((call, answer))
+        Ok((call, answer))
     }
 
     /// Records that the last byte of a streamed request arrived `time_since_arrival` ago, which started the
@@ -177,11 +200,16 @@
     /// Records that the client of this call has disconnected, and cancels its attempts whatever the balancer
     /// decides.
     pub fn record_client_disconnect(&self, call: CallId) {
+        self.abandon(call, None);
+    }
+
+    /// Ends an open call with this answer, if its client is still there, and cancels its attempts.
+    fn abandon(&self, call: CallId, answer: Option<FinalResponse>) {
         let mut state = self.state.borrow_mut();
         if !state.calls.is_open(call) {
             return;
         }
-        state.calls.close(call, None);
+        state.calls.close(call, answer);
         drop(state);
         self.notify_balancer(Event::ClientDisconnected { call });
         self.cancel_attempts(call);
@@ -402,7 +430,13 @@
             self.dispatcher.record_client_disconnect(id.call);
         }
         let now = self.dispatcher.clock.now();
-        self.dispatcher.state.borrow_mut().may_start(now, id, self.generation)
+        let permission = self.dispatcher.state.borrow_mut().may_start(now, id, self.generation);
+        if permission == StartPermission::Repeated {
+            let request_id = self.outgoing.request.id();
+            warn!(request_id, "request failed: its id may have run already");
+            self.dispatcher.abandon(id.call, Some(FinalResponse::Failed));
+        }
+        permission == StartPermission::Granted
     }
 
     fn record_answer_head(&self) -> Rc<Notify> {
--- a/crates/proxy/src/dispatcher/state.rs
+++ b/crates/proxy/src/dispatcher/state.rs
@@ -1,9 +1,10 @@
 //! The state of the dispatcher: the balancer, the calls, the endpoints, and the current settings.
 
-use crate::call_table::{AttemptId, CallTable, OutgoingAttempt};
+use crate::call_table::{AttemptId, CallTable, OutgoingAttempt, StartPermission};
 use crate::classes::Classes;
 use crate::endpoints::Endpoints;
 use crate::metrics::{Gauges, Metrics, MetricsReport};
+use crate::request_ids::RequestIds;
 use crate::upstream::attempt::IncompleteResponse;
 use crate::upstream::pool::Target;
 use oakport_core::settings_wire::{ParsedSettings, TransportSettings};
@@ -32,12 +33,12 @@
 }
 
 impl DispatcherState {
-    pub fn new(seed: u64, parsed: ParsedSettings, metrics: Rc<Metrics>) -> Self {
+    pub fn new(seed: u64, parsed: ParsedSettings, metrics: Rc<Metrics>, request_ids: RequestIds) -> Self {
         let transport = parsed.transport;
         let (classes, settings) = Classes::new(parsed);
         DispatcherState {
             balancer: Balancer::new(seed, settings.clone()),
-            calls: CallTable::new(Rc::clone(&metrics)),
+            calls: CallTable::new(Rc::clone(&metrics), request_ids),
             metrics,
             classes,
             endpoints: Endpoints::default(),
@@ -76,7 +77,7 @@
     }
 
     /// Whether the first byte of an attempt may be written now, to an endpoint of this generation.
-    pub fn may_start(&mut self, now: Micros, attempt: AttemptId, generation: u64) -> bool {
+    pub fn may_start(&mut self, now: Micros, attempt: AttemptId, generation: u64) -> StartPermission {
         let endpoints = &self.endpoints;
         let is_ready = |endpoint| {
             endpoints
--- a/crates/proxy/src/dispatcher/tests.rs
+++ b/crates/proxy/src/dispatcher/tests.rs
@@ -13,7 +13,7 @@
         tenant_names: vec![],
         transport: transport_settings(),
     };
-    Dispatcher::new(7, parsed, clock, pool(clock, Rc::clone(&metrics)), metrics)
+    Dispatcher::new(7, parsed, clock, pool(clock, Rc::clone(&metrics)), metrics, RequestIds::new(None))
 }
 
 /// Calls beyond the limit in the settings are rejected before they reach the balancer.
@@ -24,7 +24,8 @@
     let open: Vec<_> = (0..9)
         .map(|_| dispatcher.start_call(attributes(), request(60_000_000)).expect("capacity for the call"))
         .collect();
-    assert!(dispatcher.start_call(attributes(), request(60_000_000)).is_none());
+    let rejected = dispatcher.start_call(attributes(), request(60_000_000));
+    assert_eq!(rejected.err(), Some(StartError::AtCapacity));
     dispatcher.record_client_disconnect(open[3].0);
-    assert!(dispatcher.start_call(attributes(), request(60_000_000)).is_some());
+    assert!(dispatcher.start_call(attributes(), request(60_000_000)).is_ok());
 }
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -68,6 +68,7 @@
             upload: self.upload.clone(),
             length: self.length,
             client_timeout: head.client_timeout_us.saturating_sub(time_since_arrival_us),
+            single_run: head.single_run,
             client,
         }
     }
@@ -121,9 +122,12 @@
         };
         let end_position = body.end_position;
         let started = self.dispatcher.start_call(head.call_attributes(), body.request(parts, &head, client));
-        let Some((call, response)) = started else {
-            discard_remaining(body.upload, &open);
-            return Err(RequestError::AtCapacity);
+        let (call, response) = match started {
+            Ok(started) => started,
+            Err(error) => {
+                discard_remaining(body.upload, &open);
+                return Err(error.into());
+            }
         };
         let _guard = CallGuard { dispatcher: &self.dispatcher, call };
         let Some(upload) = body.upload else { return Ok(final_response(response.await.ok())) };
--- a/crates/proxy/src/downstream/request_head.rs
+++ b/crates/proxy/src/downstream/request_head.rs
@@ -6,6 +6,7 @@
 use super::response::RequestError;
 use crate::dispatcher::Dispatcher;
 use crate::request::{CallAttributes, REQUEST_ID_HEADER};
+use crate::request_id_table::RequestDigest;
 use hyper::header::HeaderMap;
 use hyper::http::request::Parts;
 use hyper::Method;
@@ -26,6 +27,8 @@
     /// How long the client waits for the final response, from the request's last byte on.
     pub client_timeout_us: Micros,
     pub tenant: Option<String>,
+    /// The digest of the id of a request that must not run twice; `None` for an idempotent one.
+    pub single_run: Option<RequestDigest>,
     /// The client marked the request as a retry.
     pub is_retry: bool,
 }
@@ -40,15 +43,14 @@
         let timeout = parts.headers.get(TIMEOUT_HEADER);
         let timeout = timeout.and_then(|value| value.to_str().ok()).and_then(parse_timeout_us);
         let timeout_us = timeout.ok_or(RequestError::InvalidTimeout)?;
-        if !parts.headers.contains_key(REQUEST_ID_HEADER) {
-            return Err(RequestError::MissingRequestId);
-        }
+        let id = parts.headers.get(REQUEST_ID_HEADER).ok_or(RequestError::MissingRequestId)?;
         // No endpoint serves a class that is not in the settings: it would only answer with an error.
         let class = class_id(dispatcher, parts.uri.path()).ok_or(RequestError::UnknownClass)?;
         Ok(RequestHead {
             class,
             client_timeout_us: timeout_us.saturating_sub(RESPONSE_MARGIN_US).max(1),
             tenant: text_header(&parts.headers, TENANT_HEADER),
+            single_run: (!dispatcher.is_idempotent(class)).then(|| RequestDigest::of(id.as_bytes())),
             is_retry: parts.headers.get(RETRIED_HEADER).is_some_and(|value| value.as_bytes() == b"1"),
         })
     }
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -2,6 +2,7 @@
 
 use super::open_request::OpenRequest;
 use crate::body::{BodyError, ResponseStream};
+use crate::dispatcher::StartError;
 use crate::response::{FinalResponse, StreamingResponse};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
@@ -31,10 +32,22 @@
     /// Still incomplete when its response might not be ready before the process ends.
     #[error("refused")]
     ShuttingDown,
+    /// A request with this id may have run already.
+    #[error("a request with this X-Request-ID may have run already")]
+    Repeated,
     #[error(transparent)]
     Body(BodyError),
 }
 
+impl From<StartError> for RequestError {
+    fn from(error: StartError) -> Self {
+        match error {
+            StartError::AtCapacity => RequestError::AtCapacity,
+            StartError::Repeated => RequestError::Repeated,
+        }
+    }
+}
+
 impl RequestError {
     /// The response that reports the error to the client.
     pub fn into_response(self) -> Response<ResponseStream> {
@@ -44,6 +57,7 @@
             RequestError::AtCapacity | RequestError::ShuttingDown => {
                 return rejected(CAPACITY_RETRY_AFTER_US)
             }
+            RequestError::Repeated => return text_response(StatusCode::CONFLICT, self.to_string()),
             RequestError::Body(error) => return body_error(error),
         };
         closing_response(status, self.to_string())
--- a/crates/proxy/src/hot_restart/handover.rs
+++ b/crates/proxy/src/hot_restart/handover.rs
@@ -2,6 +2,7 @@
 
 use super::directory::shared_directory;
 use super::lock::{OtherProcess, ProcessLocks};
+use super::request_ids::SharedRequestIds;
 use crate::endpoint_list::EndpointList;
 use serde::{Deserialize, Serialize};
 use std::io;
@@ -38,6 +39,20 @@
         HandoverDirectory { locks: ProcessLocks::new(path.clone()), path }
     }
 
+    /// Opens the file by which the two processes know the ids of each other's requests. A failure is logged: each
+    /// process then knows only its own.
+    pub fn open_request_ids(&self) -> Option<SharedRequestIds> {
+        let opened = SharedRequestIds::open(&self.path);
+        if let Err(error) = &opened {
+            warn!(
+                directory = %self.path.display(),
+                reason = %error,
+                "request ids not shared with the other process"
+            );
+        }
+        opened.ok()
+    }
+
     /// See [`ProcessLocks::is_alone`].
     pub fn is_alone(&mut self) -> bool {
         self.locks.is_alone()
--- a/crates/proxy/src/hot_restart/mod.rs
+++ b/crates/proxy/src/hot_restart/mod.rs
@@ -5,6 +5,7 @@
 mod handover;
 mod listener;
 mod lock;
+mod request_ids;
 mod response_handover;
 mod successor_marker;
 #[cfg(test)]
@@ -12,6 +13,9 @@
 
 pub use handover::{newer_list, HandoverDirectory};
 pub use listener::{bind_when_free, inherited_listener, InheritedListenerError};
+pub use request_ids::SharedRequestIds;
+#[cfg(test)]
+pub use request_ids::REQUEST_IDS_FILE;
 pub use response_handover::{
     HandoverError, HandoverListener, PredecessorConnection, SuccessorAddress, SuccessorConnection,
 };
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -25,6 +25,8 @@
 mod process_memory;
 mod reload;
 mod request;
+mod request_id_table;
+mod request_ids;
 mod response;
 mod shutdown_progress;
 mod socket;
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -17,6 +17,7 @@
 use crate::metrics::Metrics;
 use crate::process_memory::{return_large_blocks, MemoryBudget};
 use crate::reload::Reloader;
+use crate::request_ids::RequestIds;
 use crate::shutdown_progress::ShutdownProgress;
 use crate::upstream::pool::ConnectionPool;
 use oakport_core::ListUpdateKind;
@@ -120,7 +121,9 @@
             Rc::clone(&metrics),
             Rc::clone(&memory),
         );
-        let dispatcher = start_dispatcher(&config, clock, &pool, &metrics);
+        let shared_ids = budget.handover.as_ref().and_then(|handover| handover.borrow().open_request_ids());
+        let request_ids = RequestIds::new(shared_ids);
+        let dispatcher = start_dispatcher(&config, clock, &pool, &metrics, request_ids);
         let name = config.name.clone().unwrap_or_else(|| config.listen.to_string());
         let membership = config.membership.clone();
         let membership = membership
@@ -259,9 +262,11 @@
     clock: Clock,
     pool: &Rc<ConnectionPool>,
     metrics: &Rc<Metrics>,
+    request_ids: RequestIds,
 ) -> Dispatcher {
     let settings = config.settings.clone();
-    let dispatcher = Dispatcher::new(config.seed, settings, clock, Rc::clone(pool), Rc::clone(metrics));
+    let dispatcher =
+        Dispatcher::new(config.seed, settings, clock, Rc::clone(pool), Rc::clone(metrics), request_ids);
     dispatcher.start();
     dispatcher
 }
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -2,6 +2,7 @@
 
 use crate::body::Upload;
 use crate::downstream::connection::ClientPresence;
+use crate::request_id_table::RequestDigest;
 use bytes::Bytes;
 use hyper::http::{HeaderMap, Method, Uri};
 use oakport_core::{ClassId, Micros};
@@ -26,6 +27,8 @@
     pub length: Option<u64>,
     /// How long the client waits for the response after the request is complete, in microseconds.
     pub client_timeout: Micros,
+    /// The digest of the id of a request that must not run twice; `None` for an idempotent one.
+    pub single_run: Option<RequestDigest>,
     /// Tracks whether the client is still connected.
     pub client: ClientPresence,
 }
--- a/crates/proxy/src/upstream/test_support.rs
+++ b/crates/proxy/src/upstream/test_support.rs
@@ -38,6 +38,7 @@
         upload: None,
         length: Some(0),
         client_timeout,
+        single_run: None,
         client: ClientPresence::default(),
     }
 }
