Count rejected requests by what was lacking

Cause: a rejection could not be told from another: memory, connections, open calls, endpoints and shutdown all count as busy.

--- a/crates/proxy/src/call_table.rs
+++ b/crates/proxy/src/call_table.rs
@@ -1,7 +1,7 @@
 //! Tracks calls, their attempts and their timers, from the arrival of a request until its final answer is
 //! sent and no attempt is in flight. Each call gets one final answer, each attempt one outcome.
 
-use crate::metrics::{Metrics, RequestOutcome};
+use crate::metrics::{Metrics, RejectionReason, RequestOutcome};
 use crate::request::Request;
 use crate::request_ids::RequestIds;
 use crate::response::{AttemptResult, CompleteResponse, FinalResponse, StreamingResponse};
@@ -365,7 +365,7 @@
             self.timers.remove(&(call.deadline, TimerPurpose::CallDeadline(id)));
             if let Some(answer) = answer {
                 let outcome = match answer {
-                    FinalResponse::Rejected { .. } => RequestOutcome::Rejected,
+                    FinalResponse::Rejected { .. } => RequestOutcome::Rejected(RejectionReason::Endpoints),
                     _ => RequestOutcome::Failed,
                 };
                 self.metrics.count_request(call.class, outcome);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -7,7 +7,7 @@
 use crate::call_table::{AttemptId, AttemptLimits, ExpiredTimer, OutgoingAttempt, StartPermission};
 use crate::clock::Clock;
 use crate::endpoint_list::{EndpointEntry, EndpointList};
-use crate::metrics::{Metrics, MetricsReport, RequestOutcome};
+use crate::metrics::{Metrics, MetricsReport, RejectionReason, RequestOutcome};
 use crate::request::{CallAttributes, Request};
 use crate::request_ids::RequestIds;
 use crate::response::{AttemptResult, FinalResponse, StreamingResponse};
@@ -144,8 +144,8 @@
     }
 
     /// Counts a request that was rejected before it became a call.
-    pub fn count_rejected(&self, class: ClassId) {
-        self.state.borrow().metrics.count_request(class, RequestOutcome::Rejected);
+    pub fn count_rejected(&self, class: ClassId, reason: RejectionReason) {
+        self.state.borrow().metrics.count_request(class, RequestOutcome::Rejected(reason));
     }
 
     /// The current metrics.
@@ -170,7 +170,7 @@
         let mut state = self.state.borrow_mut();
         let CallAttributes { class, tenant, is_retry } = attributes;
         if state.calls.open_count() >= state.transport.max_open_requests {
-            state.metrics.count_request(class, RequestOutcome::Rejected);
+            state.metrics.count_request(class, RequestOutcome::Rejected(RejectionReason::OpenCalls));
             return Err(StartError::AtCapacity);
         }
         if state.calls.may_have_run(&request) {
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -10,6 +10,7 @@
     RequestBodyReader, ResponseStream, Upload, STREAMED_BODY_BYTES,
 };
 use crate::dispatcher::Dispatcher;
+use crate::metrics::RejectionReason;
 use crate::request::{Request, REQUEST_ID_HEADER};
 use crate::response::FinalResponse;
 use bytes::Bytes;
@@ -79,7 +80,7 @@
     pub fn reject(&self, request: &hyper::Request<Incoming>) -> Response<ResponseStream> {
         if request.headers().contains_key(REQUEST_ID_HEADER) {
             if let Some(class) = class_id(&self.dispatcher, request.uri().path()) {
-                self.dispatcher.count_rejected(class);
+                self.dispatcher.count_rejected(class, RejectionReason::ClientConnections);
             }
         }
         rejected(CAPACITY_RETRY_AFTER_US)
@@ -154,7 +155,7 @@
     /// Counts a request that was not complete by the completion deadline of a graceful shutdown, and returns
     /// its rejection.
     fn reject_late(&self, head: &RequestHead) -> RequestError {
-        self.dispatcher.count_rejected(head.class);
+        self.dispatcher.count_rejected(head.class, RejectionReason::Shutdown);
         RequestError::ShuttingDown
     }
 
@@ -172,7 +173,7 @@
         let prefix = match reader.read_prefix(&mut reservation, &self.memory, memory_wait, &**open).await {
             Ok(prefix) => prefix,
             Err(BodyError::OutOfMemory) => {
-                self.dispatcher.count_rejected(head.class);
+                self.dispatcher.count_rejected(head.class, RejectionReason::Memory);
                 discard(Upload::new(reader, MemoryReservation::default(), length), open);
                 return Err(RequestError::AtCapacity);
             }
@@ -197,7 +198,7 @@
         let upload = Upload::new(reader, reservation, length);
         // Without the memory to stream the body, no part of it is forwarded.
         if reserved.is_err() {
-            self.dispatcher.count_rejected(head.class);
+            self.dispatcher.count_rejected(head.class, RejectionReason::Memory);
             discard(upload, open);
             return Err(RequestError::AtCapacity);
         }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -37,5 +37,7 @@
 pub use descriptor_budget::{client_capacity, ClientCapacity};
 pub use hot_restart::{inherited_listener, InheritedListenerError};
 pub use membership::{MemberReport, MembershipReport, ScopeReport};
-pub use metrics::{ConnectionCounts, MetricsReport, OpenConnectionCounts, OutcomeCounts, ShutdownReport};
+pub use metrics::{
+    ConnectionCounts, MetricsReport, OpenConnectionCounts, OutcomeCounts, RejectionReason, ShutdownReport,
+};
 pub use process::{Process, ServeError, StartError};
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -11,10 +11,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestOutcome {
     Served,
-    Rejected,
+    Rejected(RejectionReason),
     Failed,
 }
 
+/// What was lacking for a request that was rejected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RejectionReason {
+    /// A client connection within the number that is served.
+    ClientConnections,
+    /// Memory for the body of the request.
+    Memory,
+    /// An open call within the limit of the settings.
+    OpenCalls,
+    /// An endpoint that the balancer could use in time.
+    Endpoints,
+    /// Time before the end of the process.
+    Shutdown,
+}
+
 /// Number of requests of one class, by outcome.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize, Serialize)]
 pub struct OutcomeCounts {
@@ -70,6 +86,7 @@
 #[derive(Debug, Default)]
 pub struct Metrics {
     outcomes_by_class: RefCell<Vec<OutcomeCounts>>,
+    rejections: RefCell<BTreeMap<RejectionReason, u64>>,
     attempts: Cell<u64>,
     connections_opened: Cell<u64>,
     cooldown_waits: Cell<u64>,
@@ -98,6 +115,9 @@
     /// Requests that have been received completely, but not answered completely.
     #[serde(rename = "inflight")]
     pub in_flight_calls: usize,
+    /// Rejected requests, by what was lacking.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub rejections: BTreeMap<RejectionReason, u64>,
     /// Attempts whose last byte was written to an endpoint.
     #[serde(rename = "backend_calls")]
     pub attempts: u64,
@@ -134,7 +154,10 @@
         let counts = &mut outcomes_by_class[class.0];
         match outcome {
             RequestOutcome::Served => counts.served += 1,
-            RequestOutcome::Rejected => counts.rejected += 1,
+            RequestOutcome::Rejected(reason) => {
+                counts.rejected += 1;
+                *self.rejections.borrow_mut().entry(reason).or_default() += 1;
+            }
             RequestOutcome::Failed => counts.failed += 1,
         }
     }
@@ -174,6 +197,7 @@
         MetricsReport {
             outcomes: outcomes.collect(),
             in_flight_calls: gauges.in_flight_calls,
+            rejections: self.rejections.borrow().clone(),
             attempts: self.attempts.get(),
             connections: ConnectionCounts {
                 opened: self.connections_opened.get(),
