--- a/crates/cli/tests/slow_crowds.rs
+++ b/crates/cli/tests/slow_crowds.rs
@@ -120,7 +120,7 @@
             Conduct::StallInBody { framing, sent_bytes } => {
                 let (header, content) = match framing {
                     "chunked" => {
-                        ("Transfer-Encoding: chunked\r\n".to_owned(), chunk(&answer_body(sent_bytes)))
+                        ("Transfer-Encoding: chunked\r\n".to_owned(), chunk(answer_body(sent_bytes)))
                     }
                     _ => (format!("Content-Length: {BODY_BYTES}\r\n"), answer_body(sent_bytes).to_vec()),
                 };
@@ -183,6 +183,10 @@
             let sent_at = Instant::now();
             client.send("unsafe?size=300", &timeout);
             let answer = client.answer();
+            if answer.is_none() && stop.load(Ordering::SeqCst) {
+                // The play has ended, and the process with it.
+                return;
+            }
             counts.count(answer.as_ref().map(Message::status), sent_at.elapsed() < CLIENT_TIMEOUT);
             thread::sleep(BYSTANDER_PAUSE);
             let stays = answer.is_some_and(|answer| answer.header("connection") != Some("close"));
@@ -265,7 +269,8 @@
 
 fn assert_bystanders_are_served(conducts: &[(Conduct, usize)]) {
     let play = assert_limit_holds(conducts);
-    assert!(play.bystanders.served_ratio() >= MIN_SERVED_RATIO, "{conducts:?}: {play:?}");
+    let Play { bystanders, rejections, .. } = &play;
+    assert!(bystanders.served_ratio() >= MIN_SERVED_RATIO, "{conducts:?}: {bystanders:?}, {rejections}");
 }
 
 const CROWD_COUNT: usize = CLIENT_COUNT - BYSTANDER_COUNT;
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -3,8 +3,7 @@
 #[cfg(test)]
 mod tests;
 
-use crate::memory_accounts::{ConnectionMemory, MemoryAccounts};
-use crate::socket::READ_BUFFER_BYTES;
+use crate::memory_accounts::{ConnectionMemory, MemoryAccounts, STREAMED_BODY_KIB};
 use std::future::Future;
 use std::rc::Rc;
 
@@ -14,12 +13,16 @@
 pub const MAX_CONNECTION_BUFFER_BYTES: usize = 32 * 1024;
 /// A body of up to this size needs no reservation: it uses no more memory than is counted for its connection.
 const MAX_UNRESERVED_BODY_BYTES: usize = 4 * 1024;
-/// Memory in use for a streamed body at any moment, besides its beginning: what waits to be written, and a read
-/// with the chunk that follows it.
-pub const STREAMED_BODY_BYTES: usize = MAX_CONNECTION_BUFFER_BYTES + 2 * READ_BUFFER_BYTES;
+/// See [`STREAMED_BODY_KIB`].
+pub const STREAMED_BODY_BYTES: usize = STREAMED_BODY_KIB * BYTES_PER_KIB;
 /// Memory that optional reservations leave to connections that may still come, provided that a third of the
 /// memory remains for bodies: what was read ahead is returned only as its clients take it.
 const OTHER_MEMORY_KIB: usize = 20 * KIB_PER_MB;
+/// Size of the buffer in which a body of this size is collected: a growing buffer doubles.
+pub fn buffer_bytes(size_bytes: usize) -> usize {
+    size_bytes.next_power_of_two()
+}
+
 /// Optional reservations leave `1 / BODY_RESERVE_DIVISOR` of the memory free for uploads, buffered bodies and
 /// responses that begin.
 const BODY_RESERVE_DIVISOR: usize = 6;
@@ -84,14 +87,39 @@
         self.accounts.record_resident(resident_kib, min_base_kib);
     }
 
-    /// Counts the memory of a connection.
+    /// Counts the memory of a connection to an endpoint.
     pub fn connection(&self) -> ConnectionMemory {
-        ConnectionMemory::of_connection(&self.accounts)
+        ConnectionMemory::of_endpoint_connection(&self.accounts)
+    }
+
+    /// Counts the memory of a client that is served.
+    pub fn client(&self) -> ConnectionMemory {
+        ConnectionMemory::of_client(&self.accounts)
+    }
+
+    /// Counts the memory of a client whose request will be rejected.
+    pub fn rejected_client(&self) -> ConnectionMemory {
+        ConnectionMemory::of_rejected_client(&self.accounts)
+    }
+
+    /// See [`MemoryAccounts::has_room_for_client`].
+    pub fn has_room_for_client(&self) -> bool {
+        self.accounts.has_room_for_client()
+    }
+
+    /// See [`MemoryAccounts::has_room_for_rejected_client`].
+    pub fn has_room_for_rejected_client(&self) -> bool {
+        self.accounts.has_room_for_rejected_client()
     }
 
-    /// Counts the memory of a request, besides its body.
-    pub fn request(&self) -> ConnectionMemory {
-        ConnectionMemory::of_request(&self.accounts)
+    /// See [`MemoryAccounts::has_room_for_endpoint_connection`].
+    pub fn has_room_for_endpoint_connection(&self) -> bool {
+        self.accounts.has_room_for_endpoint_connection()
+    }
+
+    /// See [`MemoryAccounts::set_expected_client_count`].
+    pub fn set_expected_client_count(&self, count: usize) {
+        self.accounts.set_expected_client_count(count);
     }
 
     /// The memory that optional reservations leave to bodies; see [`BODY_RESERVE_DIVISOR`] and
@@ -104,6 +132,11 @@
         self.body_reserve_kib + unavailable_kib
     }
 
+    /// The part of the memory of bodies that the expected clients need who are yet to come.
+    fn expected_clients_kib(&self) -> usize {
+        self.accounts.body_memory_kib() - self.accounts.unexpected_body_memory_kib()
+    }
+
     /// See [`SPECULATION_RESERVE_DIVISOR`].
     fn speculation_reserve_kib(&self) -> usize {
         let optional_kib = self.accounts.body_memory_kib().saturating_sub(self.optional_reserve_kib());
@@ -155,11 +188,27 @@
     }
 
     /// Grows a reservation by `additional_bytes` that no body needs to make progress. False if that would
-    /// leave less than the body reserve; see [`BODY_RESERVE_DIVISOR`].
+    /// leave less than the body reserve (see [`BODY_RESERVE_DIVISOR`]), or less than the expected clients need.
     pub fn try_reserve_optional(&self, reservation: &mut MemoryReservation, additional_bytes: usize) -> bool {
+        let reserve_kib = self.optional_reserve_kib().max(self.expected_clients_kib());
+        self.try_reserve_beyond(reserve_kib, reservation, additional_bytes)
+    }
+
+    /// Like [`Self::try_reserve_optional`], for bytes that are lost unless they are read soon: does not leave memory
+    /// to clients that may never come.
+    pub fn try_reserve_urgent(&self, reservation: &mut MemoryReservation, additional_bytes: usize) -> bool {
         self.try_reserve_beyond(self.optional_reserve_kib(), reservation, additional_bytes)
     }
 
+    /// Grows a reservation to fit a body of this size if half of the memory of bodies remains available: a body that
+    /// can be streamed instead must not keep responses waiting.
+    pub fn try_reserve_half(&self, reservation: &mut MemoryReservation, size_bytes: usize) -> bool {
+        let kib = MemoryLimit::missing_kib(reservation, size_bytes);
+        let reserve_kib = self.accounts.body_memory_kib() / 2;
+        self.accounts.available_kib.available_permits() >= reserve_kib + kib as usize
+            && self.try_grow(reservation, kib)
+    }
+
     /// Like [`Self::try_reserve_optional`], for bytes that may never be needed: also leaves the speculation
     /// reserve; see [`SPECULATION_RESERVE_DIVISOR`].
     pub fn try_reserve_speculative(
@@ -168,6 +217,7 @@
         additional_bytes: usize,
     ) -> bool {
         let reserve_kib = self.optional_reserve_kib() + self.speculation_reserve_kib();
+        let reserve_kib = reserve_kib.max(self.expected_clients_kib());
         self.try_reserve_beyond(reserve_kib, reservation, additional_bytes)
     }
 
--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -1,6 +1,7 @@
 //! Bodies of requests and responses within a memory limit: buffered up to 64 KiB, larger ones streamed chunk
 //! by chunk with backpressure in both directions.
 
+mod counted_bytes;
 mod detached_body;
 mod memory_limit;
 mod read_ahead_buffer;
@@ -8,11 +9,12 @@
 mod response_stream;
 mod upload;
 
+pub use counted_bytes::CountedBytes;
 pub use detached_body::{BodySource, DetachRequest, DetachedBody, DetachedResponse};
 pub use memory_limit::{
-    MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES, MAX_CONNECTION_BUFFER_BYTES, STREAMED_BODY_BYTES,
+    buffer_bytes, MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES, STREAMED_BODY_BYTES,
 };
 pub use read_ahead_buffer::{ReadAheadBuffer, ReadAheadLimit};
 pub use request_stream::{RequestStream, WriteProgress};
 pub use response_stream::{AbortCondition, BodyChunk, ResponseStream};
-pub use upload::{reserve_while_arriving, BodyError, ByteArrivals, RequestBodyReader, Upload};
+pub use upload::{reserve_while_arriving, BodyError, ByteArrivals, RequestBodyReader, Upload, UploadPrefix};
--- a/crates/proxy/src/body/read_ahead_buffer.rs
+++ b/crates/proxy/src/body/read_ahead_buffer.rs
@@ -3,6 +3,7 @@
 #[cfg(test)]
 mod tests;
 
+use super::counted_bytes::CountedBytes;
 use super::memory_limit::{MemoryLimit, MemoryReservation, MAX_CONNECTION_BUFFER_BYTES};
 use bytes::{Bytes, BytesMut};
 use std::collections::VecDeque;
@@ -23,16 +24,18 @@
         /// Maximum number of bytes per response.
         max_bytes: usize,
     },
-    /// As many as the memory allows.
+    /// As many as the memory allows, without what the expected clients need.
     AvailableMemory,
-    /// For the very end of a response: as many as the memory allows, including half of the body reserve.
+    /// For a response whose endpoint is about to close: as many as the memory allows.
+    Urgent,
+    /// For the very end of such a response: as many as the memory allows, including half of the body reserve.
     Completing,
 }
 
 #[derive(Default)]
 struct Block {
     bytes: BytesMut,
-    _reservation: MemoryReservation,
+    reservation: MemoryReservation,
 }
 
 impl Block {
@@ -45,9 +48,14 @@
                 memory.try_reserve_speculative(&mut reservation, BLOCK_BYTES)
             }
             ReadAheadLimit::AvailableMemory => memory.try_reserve_optional(&mut reservation, BLOCK_BYTES),
+            ReadAheadLimit::Urgent => memory.try_reserve_urgent(&mut reservation, BLOCK_BYTES),
             ReadAheadLimit::Completing => memory.try_reserve_completing(&mut reservation, BLOCK_BYTES),
         };
-        is_reserved.then(|| Block { bytes: BytesMut::with_capacity(BLOCK_BYTES), _reservation: reservation })
+        is_reserved.then(|| Block { bytes: BytesMut::with_capacity(BLOCK_BYTES), reservation })
+    }
+
+    fn into_counted(self) -> CountedBytes {
+        CountedBytes::new(self.bytes.freeze(), self.reservation)
     }
 
     fn free_bytes(&self) -> usize {
@@ -106,7 +114,7 @@
         match limit {
             ReadAheadLimit::OneChunk => !self.is_empty(),
             ReadAheadLimit::Speculative { max_bytes } => self.blocks.len() * BLOCK_BYTES >= max_bytes,
-            ReadAheadLimit::AvailableMemory | ReadAheadLimit::Completing => false,
+            ReadAheadLimit::AvailableMemory | ReadAheadLimit::Urgent | ReadAheadLimit::Completing => false,
         }
     }
 
@@ -140,15 +148,15 @@
         self.blocks.push_back(next);
     }
 
-    /// Removes all chunks, in order.
-    pub fn drain(&mut self) -> Vec<Bytes> {
-        std::iter::from_fn(|| self.pop()).collect()
+    /// Removes all chunks, in order, and releases their reservations.
+    pub fn drain_bytes(&mut self) -> Vec<Bytes> {
+        std::iter::from_fn(|| self.pop()).map(CountedBytes::into_bytes).collect()
     }
 
-    /// Removes the next chunk for the client and releases its reservation.
-    pub fn pop(&mut self) -> Option<Bytes> {
-        let first_chunk = self.first_chunk.take();
-        let next = first_chunk.or_else(|| self.blocks.pop_front().map(|block| block.bytes.freeze()));
+    /// Removes the next chunk for the client, with its reservation.
+    pub fn pop(&mut self) -> Option<CountedBytes> {
+        let first_chunk = self.first_chunk.take().map(CountedBytes::from);
+        let next = first_chunk.or_else(|| self.blocks.pop_front().map(Block::into_counted));
         if self.is_empty() {
             self.next_block = None;
         }
--- a/crates/proxy/src/body/read_ahead_buffer/tests.rs
+++ b/crates/proxy/src/body/read_ahead_buffer/tests.rs
@@ -30,7 +30,7 @@
 }
 
 fn drain(buffer: &mut ReadAheadBuffer) -> Vec<u8> {
-    std::iter::from_fn(|| buffer.pop()).flatten().collect()
+    std::iter::from_fn(|| buffer.pop()).flat_map(CountedBytes::into_bytes).collect()
 }
 
 #[test]
@@ -65,7 +65,7 @@
     let mut buffer = ReadAheadBuffer::new(&memory);
     assert_eq!(fill(&mut buffer, ReadAheadLimit::OneChunk), 1);
     assert_eq!(memory.available_bytes(), total_bytes);
-    assert_eq!(buffer.pop(), Some(chunk(0)));
+    assert_eq!(buffer.pop().map(CountedBytes::into_bytes), Some(chunk(0)));
     assert!(buffer.is_empty() && buffer.try_reserve_chunk(ReadAheadLimit::OneChunk));
 }
 
--- a/crates/proxy/src/body/request_stream.rs
+++ b/crates/proxy/src/body/request_stream.rs
@@ -3,10 +3,10 @@
 use super::upload::{BodyError, Upload};
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
+use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::time::Instant;
 
@@ -19,6 +19,10 @@
     body_ended: Cell<bool>,
     /// When the socket stopped accepting bytes. `None` while it accepts them.
     stalled_since: Cell<Option<Instant>>,
+    /// A chunk of the body has yet to be written.
+    has_pending_chunk: Cell<bool>,
+    /// The task to wake once that chunk has been written.
+    emptied_waker: RefCell<Option<Waker>>,
 }
 
 impl WriteProgress {
@@ -36,6 +40,24 @@
         }
     }
 
+    /// Records that all pending bytes have been written.
+    pub fn record_emptied(&self) {
+        self.emptied.set(true);
+        self.has_pending_chunk.set(false);
+        if let Some(waker) = self.emptied_waker.take() {
+            waker.wake();
+        }
+    }
+
+    /// Ready once the chunk before has been written: so only one is in memory at a time.
+    fn poll_chunk_written(&self, cx: &mut Context<'_>) -> Poll<()> {
+        if self.has_pending_chunk.get() {
+            self.emptied_waker.replace(Some(cx.waker().clone()));
+            return Poll::Pending;
+        }
+        Poll::Ready(())
+    }
+
     /// How long the socket has accepted no bytes.
     pub fn stalled_for(&self) -> Duration {
         self.stalled_since.get().map(|since| since.elapsed()).unwrap_or_default()
@@ -58,8 +80,7 @@
 }
 
 impl RequestStream {
-    /// A body that consists of `first_chunk`, or begins with it. `streamed` is the remaining upload, with the
-    /// length of the complete body in bytes where that is known.
+    /// A body that consists of `first_chunk`, or that is `streamed`, with its length in bytes where that is known.
     pub fn new(
         first_chunk: Bytes,
         streamed: Option<(Rc<Upload>, Option<u64>)>,
@@ -92,7 +113,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+        std::task::ready!(self.progress.poll_chunk_written(cx));
         let chunk = std::task::ready!(self.poll_chunk(cx));
+        self.progress.has_pending_chunk.set(matches!(chunk, Some(Ok(_))));
         if let (Some(Ok(chunk)), Some(remaining_bytes)) = (&chunk, &mut self.remaining_bytes) {
             *remaining_bytes = remaining_bytes.saturating_sub(chunk.len() as u64);
         }
--- a/crates/proxy/src/body/response_stream.rs
+++ b/crates/proxy/src/body/response_stream.rs
@@ -1,8 +1,8 @@
 //! Streams a response's body to the client.
 
+use super::counted_bytes::CountedBytes;
 use super::detached_body::{DetachRequest, DetachedBody};
 use super::upload::BodyError;
-use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
 use std::future::Future;
 use std::pin::Pin;
@@ -13,7 +13,7 @@
 /// incomplete.
 #[derive(Debug)]
 pub enum BodyChunk {
-    Data(Bytes),
+    Data(CountedBytes),
     /// The remainder of the response, sent after a [`DetachRequest`]. It is not passed on as a part of the
     /// stream.
     Detached(DetachedBody),
@@ -26,7 +26,7 @@
 /// A response's body as it is sent to the client: complete, or its first chunk and a channel for the
 /// remaining ones.
 pub struct ResponseStream {
-    first_chunk: Bytes,
+    first_chunk: CountedBytes,
     chunks: Option<mpsc::Receiver<BodyChunk>>,
     /// Number of bytes still to be sent, where the length is known.
     remaining_bytes: Option<u64>,
@@ -39,7 +39,7 @@
 impl ResponseStream {
     /// A body that is still arriving, with its length in bytes where that is known.
     pub fn stream(
-        first_chunk: Bytes,
+        first_chunk: CountedBytes,
         chunks: mpsc::Receiver<BodyChunk>,
         length: Option<u64>,
         detach_request: DetachRequest,
@@ -77,12 +77,12 @@
         self.is_aborted
     }
 
-    /// Whether the response must be aborted.
-    fn poll_abort(&mut self, cx: &mut Context<'_>) -> bool {
-        let Some(condition) = &mut self.abort_condition else { return false };
-        let Poll::Ready(is_aborted) = condition.as_mut().poll(cx) else { return false };
+    /// Polls the condition of [`Self::abort_if`], which must proceed also while no chunk is taken.
+    pub fn poll_abort(&mut self, cx: &mut Context<'_>) {
+        let Some(condition) = &mut self.abort_condition else { return };
+        let Poll::Ready(is_aborted) = condition.as_mut().poll(cx) else { return };
         self.abort_condition = None;
-        is_aborted
+        self.is_aborted = is_aborted;
     }
 
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Result<BodyChunk, BodyError>> {
@@ -96,8 +96,8 @@
     }
 }
 
-impl From<Bytes> for ResponseStream {
-    fn from(complete: Bytes) -> Self {
+impl From<CountedBytes> for ResponseStream {
+    fn from(complete: CountedBytes) -> Self {
         let remaining_bytes = Some(complete.len() as u64);
         ResponseStream {
             first_chunk: complete,
@@ -112,15 +112,15 @@
 }
 
 impl Body for ResponseStream {
-    type Data = Bytes;
+    type Data = CountedBytes;
     type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        if self.poll_abort(cx) {
-            self.is_aborted = true;
+    ) -> Poll<Option<Result<Frame<CountedBytes>, BodyError>>> {
+        self.poll_abort(cx);
+        if self.is_aborted {
             return Poll::Ready(Some(Err(BodyError::Aborted)));
         }
         match std::task::ready!(self.poll_chunk(cx)) {
--- a/crates/proxy/src/body/upload.rs
+++ b/crates/proxy/src/body/upload.rs
@@ -1,9 +1,10 @@
 //! Reads a client's request body: buffered up to 64 KiB, beyond that chunk by chunk at the endpoint's pace.
 
-use super::memory_limit::{MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES};
+use super::memory_limit::{buffer_bytes, MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES};
 use bytes::{Bytes, BytesMut};
 use hyper::body::{Body, Frame, Incoming};
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::future::{poll_fn, Future};
 use std::pin::{pin, Pin};
 use std::rc::Rc;
@@ -41,6 +42,8 @@
 #[derive(Debug)]
 pub struct BodyPrefix {
     pub bytes: Bytes,
+    /// A chunk behind these bytes for which no memory was left in their buffer.
+    pub last_chunk: Option<Bytes>,
     /// The prefix is the complete body.
     pub is_complete: bool,
     /// Position on the connection at which a longer body ends, if its length is known.
@@ -49,7 +52,12 @@
 
 impl BodyPrefix {
     fn complete(bytes: Bytes) -> Self {
-        BodyPrefix { bytes, is_complete: true, end_position: None }
+        BodyPrefix { bytes, last_chunk: None, is_complete: true, end_position: None }
+    }
+
+    /// The beginning of a body that will be streamed.
+    fn partial(bytes: Bytes, end_position: Option<u64>) -> Self {
+        BodyPrefix { bytes, last_chunk: None, is_complete: false, end_position }
     }
 }
 
@@ -175,10 +183,10 @@
         poll_fn(|cx| self.poll_chunk(cx)).await
     }
 
-    /// Reads the body to its end or, if it exceeds the size that is buffered, its beginning.
+    /// Reads the body to its end or, if it exceeds the size that is buffered or the available memory, its beginning.
     ///
     /// # Errors
-    /// The body is incomplete or too large, or no memory became available in time.
+    /// The body is incomplete or too large.
     pub async fn read_prefix(
         &mut self,
         reservation: &mut MemoryReservation,
@@ -189,7 +197,7 @@
         match self.length() {
             Some(length) if length > MAX_BODY_BYTES => Err(BodyError::TooLarge),
             Some(length) => self.read_known_length(length, reservation, memory, memory_wait, arrivals).await,
-            None => self.read_unknown_length(reservation, memory, memory_wait, arrivals).await,
+            None => self.read_unknown_length(reservation, memory).await,
         }
     }
 
@@ -212,12 +220,14 @@
         if !self.body.is_end_stream() {
             self.wait_for_arrival(arrivals, start_position + buffered_length).await?;
         }
+        let end_position = Some(start_position + length);
         if length > buffered_length {
-            let end_position = Some(start_position + length);
-            return Ok(BodyPrefix { bytes: first_chunk, is_complete: false, end_position });
+            return Ok(BodyPrefix::partial(first_chunk, end_position));
         }
         let length = length as usize;
-        reserve_while_arriving(reservation, memory, length, memory_wait, arrivals).await?;
+        if reserve_while_arriving(reservation, memory, length, memory_wait, arrivals).await.is_err() {
+            return Ok(BodyPrefix::partial(first_chunk, end_position));
+        }
         let mut bytes = BytesMut::with_capacity(length);
         bytes.extend_from_slice(&first_chunk);
         drop(first_chunk);
@@ -227,28 +237,47 @@
         Ok(BodyPrefix::complete(bytes.freeze()))
     }
 
-    /// Reserves memory as the body arrives: most are much smaller than the size that is buffered.
+    /// Reserves memory as the body arrives: most are much smaller than the size that is buffered. Does not wait for
+    /// memory: bodies that each held a part and waited for more would wait for each other.
     async fn read_unknown_length(
         &mut self,
         reservation: &mut MemoryReservation,
         memory: &MemoryLimit,
-        memory_wait: Duration,
-        arrivals: &impl ByteArrivals,
     ) -> Result<BodyPrefix, BodyError> {
         let mut bytes = BytesMut::new();
         while let Some(chunk) = self.next_chunk().await {
             let chunk = chunk?;
             let received_size = bytes.len() + chunk.len();
-            reserve_while_arriving(reservation, memory, received_size, memory_wait, arrivals).await?;
-            bytes.extend_from_slice(&chunk);
-            if bytes.len() > MAX_BUFFERED_BODY_BYTES {
-                return Ok(BodyPrefix { bytes: bytes.freeze(), is_complete: false, end_position: None });
+            if received_size > MAX_BUFFERED_BODY_BYTES
+                || !grow(&mut bytes, received_size, reservation, memory)
+            {
+                let last_chunk = Some(chunk);
+                return Ok(BodyPrefix { last_chunk, ..BodyPrefix::partial(bytes.freeze(), None) });
             }
+            bytes.extend_from_slice(&chunk);
         }
         Ok(BodyPrefix::complete(bytes.freeze()))
     }
 }
 
+/// Grows a buffer to hold `size_bytes`. False if the memory does not suffice.
+fn grow(
+    buffer: &mut BytesMut,
+    size_bytes: usize,
+    reservation: &mut MemoryReservation,
+    memory: &MemoryLimit,
+) -> bool {
+    if buffer.capacity() >= size_bytes {
+        return true;
+    }
+    let capacity_bytes = buffer_bytes(size_bytes);
+    if !memory.try_reserve_half(reservation, capacity_bytes) {
+        return false;
+    }
+    buffer.reserve(capacity_bytes - buffer.len());
+    true
+}
+
 /// Reserves memory for a body. While bytes still arrive, the system buffers them, and the client does not wait.
 ///
 /// # Errors
@@ -278,9 +307,27 @@
     }
 }
 
-/// The remainder of a client's body that is too large to be buffered. It can be read only once.
+/// The beginning of a streamed body, with its memory.
+#[derive(Default)]
+pub struct UploadPrefix {
+    chunks: VecDeque<Bytes>,
+    _reservation: MemoryReservation,
+}
+
+impl UploadPrefix {
+    /// The prefix that was read, in the memory of `reservation`.
+    pub fn new(prefix: BodyPrefix, reservation: MemoryReservation) -> Self {
+        let chunks = [Some(prefix.bytes), prefix.last_chunk].into_iter().flatten();
+        let chunks = chunks.filter(|chunk| !chunk.is_empty()).collect();
+        UploadPrefix { chunks, _reservation: reservation }
+    }
+}
+
+/// A client's body that is too large to be buffered. It can be read only once.
 pub struct Upload {
     reader: RefCell<RequestBodyReader>,
+    /// What was read before the body was streamed. Its memory is returned once it has been written.
+    prefix: RefCell<UploadPrefix>,
     _reservation: MemoryReservation,
     /// Length of the complete body in bytes, where that is known.
     length: Option<u64>,
@@ -307,11 +354,17 @@
 }
 
 impl Upload {
-    /// The remainder after the prefix that `reader` has read, with the complete body's length where that is
-    /// known.
-    pub fn new(reader: RequestBodyReader, reservation: MemoryReservation, length: Option<u64>) -> Rc<Self> {
+    /// A body that begins with `prefix`, which `reader` has read, with its length where that is known.
+    /// `reservation` is the memory to stream it.
+    pub fn new(
+        reader: RequestBodyReader,
+        prefix: UploadPrefix,
+        reservation: MemoryReservation,
+        length: Option<u64>,
+    ) -> Rc<Self> {
         Rc::new(Upload {
             reader: RefCell::new(reader),
+            prefix: RefCell::new(prefix),
             _reservation: reservation,
             length,
             state: Cell::new(UploadState::Unread),
@@ -357,6 +410,11 @@
         if let UploadState::Ended(end) = self.state.get() {
             return Poll::Ready(end.err().map(Err));
         }
+        if let Some(chunk) = self.prefix.borrow_mut().chunks.pop_front() {
+            return Poll::Ready(Some(Ok(chunk)));
+        }
+        // A chunk is requested once the one before has been written.
+        self.prefix.take();
         let mut reader = self.reader.borrow_mut();
         let chunk = std::task::ready!(reader.poll_chunk(cx));
         let end = match chunk {
--- a/crates/proxy/src/descriptor_budget.rs
+++ b/crates/proxy/src/descriptor_budget.rs
@@ -22,6 +22,8 @@
 pub const RESERVED_CLIENT_DESCRIPTOR_COUNT: usize = 16;
 /// Descriptors that every process may use, however low its limit.
 const MIN_DESCRIPTORS: usize = 8;
+/// Clients hold `1 / EXPECTED_CLIENTS_DIVISOR` of the descriptors at most.
+const EXPECTED_CLIENTS_DIVISOR: usize = 3;
 /// Denominator of the shares that two processes use.
 const TENTHS: usize = 10;
 /// A process with a successor has almost no clients left and needs descriptors only for its last requests.
@@ -46,6 +48,11 @@
     ClientCapacity { max_connections: counted / 2, max_rejected: counted / 8 }
 }
 
+/// The number of clients that may come to a process with `max_sockets` descriptors: a third of these (TERMS).
+pub fn expected_client_count(max_sockets: usize) -> usize {
+    max_sockets / EXPECTED_CLIENTS_DIVISOR
+}
+
 /// The part of `max_sockets` descriptors that is available to clients and endpoints.
 fn counted_descriptors(max_sockets: usize) -> usize {
     max_sockets.saturating_sub(RESERVED_DESCRIPTOR_COUNT).max(MIN_DESCRIPTORS)
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -4,6 +4,7 @@
 use super::deadline::{body_slack, ConnectionTimes, Phase};
 use super::delivery::{PendingDelivery, DELIVERY_CHECK_INTERVAL};
 use super::detachment::Detachment;
+use super::head_memory::HeadMemory;
 use super::idle::{IdleConnections, IdleKey};
 use super::open_connections::{Activity, OpenConnection};
 use super::read_ahead::ReadAhead;
@@ -44,6 +45,7 @@
     /// The client has closed its side: it counts as disconnected, even if some of its bytes are still unread.
     client_closed: Cell<bool>,
     read_ahead: ReadAhead,
+    head_memory: HeadMemory,
     arrivals: Arrivals,
     detachment: Detachment,
     state_changed: Notify,
@@ -72,7 +74,8 @@
             flush_count: Cell::default(),
             flush_waker: Cell::default(),
             client_closed: Cell::default(),
-            read_ahead: ReadAhead::new(memory),
+            read_ahead: ReadAhead::new(Rc::clone(&memory)),
+            head_memory: HeadMemory::new(memory),
             arrivals: Arrivals::new(Instant::now()),
             detachment: Detachment::default(),
             state_changed: Notify::new(),
@@ -131,6 +134,19 @@
     pub(super) fn record_read(&self, count: usize) {
         self.arrivals.record_read(Instant::now(), count);
         self.leave_idle();
+        if let Phase::ReadingHead { .. } = self.phase.get() {
+            self.head_memory.record_read(count);
+        }
+    }
+
+    /// How many bytes the HTTP parser may read now; 0 if no memory is left for more of a head.
+    pub(super) fn readable_bytes(&self) -> usize {
+        match self.phase.get() {
+            Phase::Idle { .. } | Phase::Delivering(_) | Phase::ReadingHead { .. } => {
+                self.head_memory.readable_bytes()
+            }
+            Phase::RequestOpen | Phase::AwaitingResponse | Phase::WritingResponse => usize::MAX,
+        }
     }
 
     fn leave_idle(&self) {
@@ -143,6 +159,7 @@
     /// Records that a request's head is complete. Returns the request's number on this connection, from 1.
     pub(super) fn begin_request(&self) -> u64 {
         self.leave_idle();
+        self.head_memory.complete();
         self.request_count.set(self.request_count.get() + 1);
         self.response_begun.set(false);
         self.detachment.set_request(None);
--- a/crates/proxy/src/downstream/detached_response.rs
+++ b/crates/proxy/src/downstream/detached_response.rs
@@ -3,10 +3,8 @@
 
 use super::close::{close_gracefully, LINGER_TIMEOUT};
 use super::delivery::WRITE_STALL_TIMEOUT;
-use crate::body::{
-    BodySource, DetachedResponse, MemoryLimit, ReadAheadBuffer, ReadAheadLimit, MAX_CONNECTION_BUFFER_BYTES,
-};
-use crate::socket::Socket;
+use crate::body::{BodySource, CountedBytes, DetachedResponse, MemoryLimit, ReadAheadBuffer, ReadAheadLimit};
+use crate::socket::{Socket, READ_BUFFER_BYTES};
 use crate::upstream::MAX_STALL;
 use bytes::{Buf, Bytes, BytesMut};
 use std::collections::VecDeque;
@@ -49,7 +47,7 @@
     source: Option<BodySource>,
     buffer: ReadAheadBuffer,
     /// The chunk that is being written to the client.
-    next: Bytes,
+    next: CountedBytes,
 }
 
 /// Writes all of a response to its client, then closes both connections.
@@ -63,7 +61,7 @@
         unsent: response.rest.read.into(),
         source: response.rest.source,
         buffer: ReadAheadBuffer::new(memory),
-        next: Bytes::new(),
+        next: CountedBytes::default(),
     };
     let delivered = delivery.run().await;
     if !matches!(delivered, Err(DeliveryError::ClientDisconnected | DeliveryError::Client(_))) {
@@ -76,7 +74,8 @@
     async fn run(mut self) -> Result<(), DeliveryError> {
         loop {
             while self.next.is_empty() {
-                let Some(chunk) = self.unsent.pop_front().or_else(|| self.buffer.pop()) else { break };
+                let unsent = self.unsent.pop_front().map(CountedBytes::from);
+                let Some(chunk) = unsent.or_else(|| self.buffer.pop()) else { break };
                 self.next = chunk;
             }
             if self.next.is_empty() && self.source.is_none() {
@@ -93,13 +92,12 @@
     /// Reads as far as the memory allows, however slowly the client receives: the endpoint may close its
     /// connection once it has passed all bytes to its system.
     async fn next_step(&mut self) -> Result<Step, DeliveryError> {
-        let may_read =
-            self.source.is_some() && self.buffer.try_reserve_chunk(ReadAheadLimit::AvailableMemory);
+        let may_read = self.source.is_some() && self.buffer.try_reserve_chunk(ReadAheadLimit::Urgent);
         let source = self.source.as_ref().filter(|_| may_read);
         let memory_returned = self.buffer.memory_returned();
         tokio::select! {
             biased;
-            written = write(&self.client, &self.next), if !self.next.is_empty() => written.map(Step::Written),
+            written = write(&self.client, self.next.chunk()), if !self.next.is_empty() => written.map(Step::Written),
             read = read(source) => read.map(Step::Read),
             () = memory_returned, if self.source.is_some() && !may_read => Ok(Step::MemoryReturned),
             () = self.client.peer_closed() => Err(DeliveryError::ClientDisconnected),
@@ -124,7 +122,7 @@
 /// Reads some bytes, none of them beyond the end of the body. Pending without a source.
 async fn read(source: Option<&BodySource>) -> Result<Bytes, DeliveryError> {
     let Some(source) = source else { return pending().await };
-    let max_bytes = source.remaining_bytes.min(MAX_CONNECTION_BUFFER_BYTES as u64);
+    let max_bytes = source.remaining_bytes.min(READ_BUFFER_BYTES as u64);
     let mut bytes = BytesMut::zeroed(max_bytes as usize);
     let read = poll_fn(|cx| source.socket.poll_read(cx, &mut ReadBuf::new(&mut bytes)));
     let count = timeout(MAX_STALL, read).await.map_err(|_| DeliveryError::EndpointStalled)?;
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -30,6 +30,9 @@
 /// Pause before accepting is retried when the system has no descriptor left.
 const NO_DESCRIPTOR_PAUSE: Duration = Duration::from_millis(10);
 
+/// Interval between checks for memory for another connection.
+const NO_MEMORY_PAUSE: Duration = Duration::from_millis(5);
+
 /// The client side of the proxy.
 pub struct Downstream {
     pub handler: Rc<RequestHandler>,
@@ -153,6 +156,7 @@
     /// connections free their slots soon.
     async fn accept(&self, listener: &TcpListener) -> (io::Result<TcpStream>, Option<OwnedSemaphorePermit>) {
         let slot = Arc::clone(&self.slots).acquire_owned().await;
+        self.await_memory().await;
         let accepted = listener.accept().await;
         (accepted.map(|(stream, _)| stream), slot.ok())
     }
@@ -160,8 +164,9 @@
     async fn handle(&mut self, accepted: io::Result<TcpStream>, slot: Option<OwnedSemaphorePermit>) {
         match accepted {
             Ok(stream) => {
-                let at_capacity =
-                    self.is_at_capacity() && !self.downstream.idle_connections.evict_longest_idle();
+                let at_capacity = (self.is_at_capacity()
+                    && !self.downstream.idle_connections.evict_longest_idle())
+                    || !self.downstream.handler.memory.has_room_for_client();
                 self.log_capacity_change(at_capacity);
                 self.spawn_connection(stream, at_capacity, slot);
             }
@@ -169,6 +174,17 @@
         }
     }
 
+    /// Waits until there is memory for another connection, and closes idle ones meanwhile.
+    async fn await_memory(&self) {
+        let memory = &self.downstream.handler.memory;
+        if !memory.has_room_for_client() && !self.downstream.pool.evict_oldest() {
+            self.downstream.idle_connections.evict_longest_idle();
+        }
+        while !memory.has_room_for_rejected_client() {
+            tokio::time::sleep(NO_MEMORY_PAUSE).await;
+        }
+    }
+
     /// Whether only slots of connections to be rejected are left.
     fn is_at_capacity(&self) -> bool {
         self.slots.available_permits() < self.downstream.max_rejected_connections
@@ -224,16 +240,14 @@
 
     /// Acquires capacity to serve one more connection. `None` if none is left.
     fn try_acquire_permit(&self) -> Option<ConnectionPermit> {
-        if self.is_at_capacity() && !self.downstream.idle_connections.evict_longest_idle() {
+        let memory = &self.downstream.handler.memory;
+        let at_capacity = self.is_at_capacity() && !self.downstream.idle_connections.evict_longest_idle();
+        if at_capacity || !memory.has_room_for_client() {
             return None;
         }
         let slot = Arc::clone(&self.slots).try_acquire_owned().ok()?;
         let descriptor = self.downstream.try_acquire_descriptor()?;
-        Some(ConnectionPermit {
-            _slot: Some(slot),
-            _descriptor: descriptor,
-            _memory: self.downstream.handler.memory.connection(),
-        })
+        Some(ConnectionPermit { _slot: Some(slot), _descriptor: descriptor, _memory: memory.client() })
     }
 
     /// Spawns a task that serves a connection. Closes the connection immediately if no descriptor is left for
@@ -245,7 +259,8 @@
             None => (downstream.reserved_descriptors.try_acquire(), true),
         };
         let Some(descriptor) = descriptor else { return };
-        let memory = downstream.handler.memory.connection();
+        let memory = &downstream.handler.memory;
+        let memory = if at_capacity { memory.rejected_client() } else { memory.client() };
         let permit = ConnectionPermit { _slot: slot, _descriptor: descriptor, _memory: memory };
         let connection = HttpConnection {
             connection: ClientConnection::new(
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -7,6 +7,7 @@
 mod delivery;
 mod detached_response;
 mod detachment;
+mod head_memory;
 mod http_connection;
 mod idle;
 mod listener;
--- a/crates/proxy/src/downstream/read_ahead.rs
+++ b/crates/proxy/src/downstream/read_ahead.rs
@@ -1,6 +1,6 @@
 //! Buffers bytes that a client sends after a request whose response it still awaits.
 
-use crate::body::{MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES};
+use crate::body::{buffer_bytes, MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES};
 use bytes::BytesMut;
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
@@ -40,7 +40,7 @@
         let size = buffer.bytes.len() + bytes.len();
         if self.overflowed.get()
             || size > MAX_READ_AHEAD_BYTES
-            || !self.memory.try_reserve_unread(&mut buffer.reservation, size)
+            || !self.memory.try_reserve_unread(&mut buffer.reservation, buffer_bytes(size))
         {
             self.overflowed.set(true);
         } else {
@@ -53,10 +53,10 @@
         self.buffer.borrow().bytes.len()
     }
 
-    /// Moves buffered bytes to `target` and returns their number. `None` if none are buffered.
-    pub fn take(&self, target: &mut ReadBuf<'_>) -> Option<usize> {
+    /// Moves at most `max_bytes` buffered bytes to `target` and returns their number. `None` if none are buffered.
+    pub fn take(&self, target: &mut ReadBuf<'_>, max_bytes: usize) -> Option<usize> {
         let buffer = &mut *self.buffer.borrow_mut();
-        let count = buffer.bytes.len().min(target.remaining());
+        let count = buffer.bytes.len().min(target.remaining()).min(max_bytes);
         target.put_slice(&buffer.bytes.split_to(count));
         if count == 0 {
             return None;
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -6,12 +6,12 @@
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
 use super::shutdown::{completion_deadline, is_past_latest_completion, ShutdownSignal};
 use crate::body::{
-    reserve_while_arriving, AbortCondition, BodyError, ByteArrivals, MemoryLimit, MemoryReservation,
-    RequestBodyReader, ResponseStream, Upload, STREAMED_BODY_BYTES,
+    reserve_while_arriving, AbortCondition, ByteArrivals, MemoryLimit, MemoryReservation, RequestBodyReader,
+    ResponseStream, Upload, UploadPrefix, STREAMED_BODY_BYTES,
 };
 use crate::dispatcher::Dispatcher;
 use crate::metrics::RejectionReason;
-use crate::request::{Request, REQUEST_ID_HEADER};
+use crate::request::{unshared_head, Request, REQUEST_ID_HEADER};
 use crate::response::FinalResponse;
 use bytes::Bytes;
 use hyper::body::Incoming;
@@ -42,10 +42,10 @@
     pub shutdown: ShutdownSignal,
 }
 
-/// A request's body: complete, or its buffered prefix with the remaining upload.
+/// A request's body: complete, or an upload.
 struct ReceivedBody {
     buffered: Bytes,
-    /// The part that has not arrived yet.
+    /// A body that is streamed.
     upload: Option<Rc<Upload>>,
     /// Length of the complete body, where its head declares it.
     length: Option<u64>,
@@ -96,8 +96,9 @@
         if is_health_check(&parts) {
             return text_response(StatusCode::OK, "ok");
         }
-        let _memory = self.memory.request();
-        let response = self.forward(parts, body, context).await;
+        let head = unshared_head(&parts);
+        drop(parts);
+        let response = self.forward(head, body, context).await;
         response.unwrap_or_else(RequestError::into_response)
     }
 
@@ -172,19 +173,13 @@
         let memory_wait = Duration::from_micros(head.client_timeout_us / MEMORY_WAIT_DIVISOR);
         let prefix = match reader.read_prefix(&mut reservation, &self.memory, memory_wait, &**open).await {
             Ok(prefix) => prefix,
-            Err(BodyError::OutOfMemory) => {
-                self.dispatcher.count_rejected(head.class, RejectionReason::Memory);
-                discard(Upload::new(reader, MemoryReservation::default(), length), open);
-                return Err(RequestError::AtCapacity);
-            }
             Err(error) => return Err(RequestError::Body(error)),
         };
-        let buffered = prefix.bytes;
         if prefix.is_complete {
             open.complete();
             let time_since_arrival = open.time_since_arrival(open.read_bytes()).unwrap_or_default();
             return Ok(ReceivedBody {
-                buffered,
+                buffered: prefix.bytes,
                 upload: None,
                 length,
                 end_position: None,
@@ -192,10 +187,13 @@
                 _reservation: reservation,
             });
         }
-        let size_bytes = buffered.len() + STREAMED_BODY_BYTES;
+        let end_position = prefix.end_position;
+        let prefix = UploadPrefix::new(prefix, reservation);
+        let mut reservation = MemoryReservation::default();
         let reserved =
-            reserve_while_arriving(&mut reservation, &self.memory, size_bytes, memory_wait, &**open).await;
-        let upload = Upload::new(reader, reservation, length);
+            reserve_while_arriving(&mut reservation, &self.memory, STREAMED_BODY_BYTES, memory_wait, &**open);
+        let reserved = reserved.await;
+        let upload = Upload::new(reader, prefix, reservation, length);
         // Without the memory to stream the body, no part of it is forwarded.
         if reserved.is_err() {
             self.dispatcher.count_rejected(head.class, RejectionReason::Memory);
@@ -203,10 +201,10 @@
             return Err(RequestError::AtCapacity);
         }
         Ok(ReceivedBody {
-            buffered,
+            buffered: Bytes::new(),
             upload: Some(upload),
             length,
-            end_position: prefix.end_position,
+            end_position,
             time_since_arrival: Duration::ZERO,
             _reservation: MemoryReservation::default(),
         })
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -1,7 +1,7 @@
 //! The responses to clients.
 
 use super::open_request::OpenRequest;
-use crate::body::{BodyError, ResponseStream};
+use crate::body::{BodyError, CountedBytes, ResponseStream};
 use crate::dispatcher::StartError;
 use crate::response::{FinalResponse, StreamingResponse};
 use bytes::Bytes;
@@ -78,8 +78,8 @@
     match response {
         Some(FinalResponse::Served { body, content_type }) => successful(body.into(), content_type),
         Some(FinalResponse::Streaming(streaming)) => {
-            let StreamingResponse { first_chunk, chunks, length, content_type, detach_request } = streaming;
-            successful(ResponseStream::stream(first_chunk, chunks, length, detach_request), content_type)
+            let content_type = streaming.content_type.clone();
+            successful(streamed(streaming), content_type)
         }
         Some(FinalResponse::Rejected { retry_after }) => rejected(retry_after),
         Some(FinalResponse::Failed) => text_response(StatusCode::BAD_GATEWAY, "failed"),
@@ -89,6 +89,12 @@
     }
 }
 
+/// The body of a response that is streamed.
+fn streamed(streaming: StreamingResponse) -> ResponseStream {
+    let StreamingResponse { first_chunk, chunks, length, detach_request, .. } = streaming;
+    ResponseStream::stream(first_chunk, chunks, length, detach_request)
+}
+
 fn successful(body: ResponseStream, content_type: Option<HeaderValue>) -> Response<ResponseStream> {
     let mut response = Response::new(body);
     if let Some(content_type) = content_type {
@@ -99,7 +105,7 @@
 
 /// A plain text response.
 pub fn text_response(status: StatusCode, text: impl Into<Bytes>) -> Response<ResponseStream> {
-    let mut response = Response::new(ResponseStream::from(text.into()));
+    let mut response = Response::new(ResponseStream::from(CountedBytes::from(text.into())));
     *response.status_mut() = status;
     response
 }
@@ -126,6 +132,8 @@
     body: ResponseStream,
     open: Rc<OpenRequest>,
     failure: Option<Failure>,
+    /// The connection's [`OpenRequest::flush_count`] when the latest chunk was passed on.
+    chunk_passed_at: Option<u64>,
 }
 
 /// A failure of a body before its end. It is passed on once all preceding bytes have been written.
@@ -138,14 +146,24 @@
 impl TrackedBody {
     pub fn new(body: ResponseStream, open: Rc<OpenRequest>) -> Self {
         open.begin_response(body.detach_request());
-        TrackedBody { body, open, failure: None }
+        TrackedBody { body, open, failure: None, chunk_passed_at: None }
     }
 }
 
 impl TrackedBody {
+    /// Ready once the chunk before has been written to the system: so only one is in memory at a time.
+    fn poll_chunk_written(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        let flush_count = self.open.flush_count();
+        if self.chunk_passed_at.is_some_and(|passed_at| passed_at >= flush_count) {
+            self.open.wake_at_flush(cx.waker());
+            return Poll::Pending;
+        }
+        Poll::Ready(())
+    }
+
     /// Fails the body once all preceding bytes have been written to the system: when a body fails, the HTTP
     /// library discards the bytes that it has yet to write.
-    fn poll_failure(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    fn poll_failure(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<CountedBytes>, BodyError>>> {
         let flush_count = self.open.flush_count();
         match self.failure.take_if(|failure| failure.flush_count < flush_count) {
             Some(failure) => Poll::Ready(Some(Err(failure.error))),
@@ -158,17 +176,24 @@
 }
 
 impl Body for TrackedBody {
-    type Data = Bytes;
+    type Data = CountedBytes;
     type Error = BodyError;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
+    ) -> Poll<Option<Result<Frame<CountedBytes>, BodyError>>> {
         if self.failure.is_some() {
             return self.poll_failure(cx);
         }
+        self.body.poll_abort(cx);
+        if !self.body.is_aborted() {
+            std::task::ready!(self.poll_chunk_written(cx));
+        }
         let frame = Pin::new(&mut self.body).poll_frame(cx);
+        if matches!(frame, Poll::Ready(Some(Ok(_)))) {
+            self.chunk_passed_at = Some(self.open.flush_count());
+        }
         if let Some(rest) = self.body.take_detached() {
             self.open.detach(rest);
         }
--- a/crates/proxy/src/downstream/stream.rs
+++ b/crates/proxy/src/downstream/stream.rs
@@ -3,35 +3,62 @@
 use super::connection::ClientConnection;
 use super::shutdown_writer::ShutdownWriter;
 use std::cell::RefCell;
+use std::future::Future;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
+use std::time::Duration;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::time::{sleep, Sleep};
+
+/// Interval between checks for memory for a large head.
+const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A client's stream: returns the bytes that were read ahead first, and reports reads and writes to the
 /// connection.
 pub struct ObservedStream {
     connection: Rc<ClientConnection>,
     shutdown_writer: Rc<RefCell<ShutdownWriter>>,
+    /// Runs while no memory is left for more of a head.
+    memory_retry: Option<Pin<Box<Sleep>>>,
 }
 
 impl ObservedStream {
     pub fn new(connection: &Rc<ClientConnection>, shutdown_writer: Rc<RefCell<ShutdownWriter>>) -> Self {
-        ObservedStream { connection: Rc::clone(connection), shutdown_writer }
+        ObservedStream { connection: Rc::clone(connection), shutdown_writer, memory_retry: None }
+    }
+
+    /// Pending, but has the task poll again later: there may be memory for more of a head by then. The time limit of
+    /// the head applies meanwhile.
+    fn poll_memory_retry<T>(&mut self, cx: &mut Context<'_>) -> Poll<T> {
+        let timer = self.memory_retry.get_or_insert_with(|| Box::pin(sleep(MEMORY_RETRY_INTERVAL)));
+        if timer.as_mut().poll(cx).is_ready() {
+            self.memory_retry = None;
+            cx.waker().wake_by_ref();
+        }
+        Poll::Pending
     }
 }
 
 impl AsyncRead for ObservedStream {
-    fn poll_read(self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<()>> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
         if self.connection.detachment().is_begun() {
             return Poll::Pending;
         }
-        let read = match self.connection.buffered_read_ahead().take(buf) {
+        let max_bytes = self.connection.readable_bytes();
+        if max_bytes == 0 {
+            return self.poll_memory_retry(cx);
+        }
+        let read = match self.connection.buffered_read_ahead().take(buf, max_bytes) {
             Some(count) => Poll::Ready(Ok(count)),
             // The bytes that would follow have been discarded.
             None if self.connection.read_ahead_overflowed() => Poll::Pending,
-            None => self.connection.socket.poll_read(cx, buf),
+            None => self.connection.socket.poll_read_at_most(cx, buf, max_bytes),
         };
         read.map_ok(|count| {
             if count > 0 {
--- a/crates/proxy/src/memory_accounts.rs
+++ b/crates/proxy/src/memory_accounts.rs
@@ -4,12 +4,20 @@
 use std::rc::Rc;
 use tokio::sync::{Notify, Semaphore};
 
-/// Memory of one connection, in KiB: the buffers of the HTTP parser, which hold 8 KiB each, and the state of the
-/// connection.
+/// Memory of one connection, in KiB: the buffers of the HTTP parser, 16 KiB to read and 8 KiB to write, and the state
+/// of the connection.
 pub const CONNECTION_KIB: usize = 28;
-/// Memory of a request that is being read or served, in KiB, besides its body: its head, and a chunk
-/// that the parser has read and the body has not taken yet.
-const REQUEST_KIB: usize = 10;
+/// Memory of a request that is being read or served, in KiB, besides its body: its head, of up to 4 KiB, and its state.
+const REQUEST_KIB: usize = 6;
+/// Memory of a client, in KiB: its connection, a request, and the connection to the endpoint that serves it.
+pub const CLIENT_KIB: usize = CONNECTION_KIB + REQUEST_KIB + CONNECTION_KIB;
+/// Memory of a body that is streamed, in KiB, besides its beginning and what is counted for its connections: of the
+/// four chunks between two sockets, those that do not fit into the buffers of the connections.
+pub const STREAMED_BODY_KIB: usize = 12;
+/// Memory of a client whose request will be rejected, in KiB.
+const REJECTED_CLIENT_KIB: usize = CONNECTION_KIB + REQUEST_KIB;
+/// So many clients are accepted whatever everything else uses.
+const MIN_CLIENTS: usize = 16;
 /// Upper bound on the share of bodies in the memory of a process: the amount of freed memory that the allocator
 /// cannot reuse grows with this share.
 const MAX_BODY_MEMORY_PERCENT: usize = 60;
@@ -28,8 +36,14 @@
     limit_kib: Cell<usize>,
     /// Memory of everything but connections and bodies.
     base_kib: Cell<usize>,
-    /// Memory of connections and of the requests on them.
-    connections_kib: Cell<usize>,
+    /// Clients that are served.
+    client_count: Cell<usize>,
+    /// Clients whose requests are rejected.
+    rejected_client_count: Cell<usize>,
+    /// Connections to endpoints.
+    endpoint_connection_count: Cell<usize>,
+    /// Clients for which memory stays free of what is optional, whether or not they are there.
+    expected_client_count: Cell<usize>,
     /// Memory that bodies have reserved.
     reserved_kib: Cell<usize>,
     /// Memory that bodies get, whatever everything else uses: without any, no request could proceed.
@@ -45,7 +59,10 @@
             returned: Notify::new(),
             limit_kib: Cell::new(limit_kib),
             base_kib: Cell::new(0),
-            connections_kib: Cell::new(0),
+            client_count: Cell::new(0),
+            rejected_client_count: Cell::new(0),
+            endpoint_connection_count: Cell::new(0),
+            expected_client_count: Cell::new(0),
             reserved_kib: Cell::new(0),
             min_body_kib,
         };
@@ -60,12 +77,66 @@
 
     /// The memory that all bodies together may use.
     pub fn body_memory_kib(&self) -> usize {
+        let max_kib = percent_of(self.limit_kib.get(), MAX_BODY_MEMORY_PERCENT).min(Semaphore::MAX_PERMITS);
+        self.beyond_connections_kib().min(max_kib).max(self.min_body_kib)
+    }
+
+    /// The memory that connections and everything else leave.
+    fn beyond_connections_kib(&self) -> usize {
         let limit_kib = self.limit_kib.get();
         let overhead_kib = percent_of(limit_kib, ALLOCATOR_OVERHEAD_PERCENT);
-        let other_kib = self.base_kib.get() + self.connections_kib.get() + overhead_kib;
-        let remaining_kib = limit_kib.saturating_sub(other_kib);
-        let max_kib = percent_of(limit_kib, MAX_BODY_MEMORY_PERCENT).min(Semaphore::MAX_PERMITS);
-        remaining_kib.min(max_kib).max(self.min_body_kib)
+        limit_kib.saturating_sub(self.base_kib.get() + self.connections_kib() + overhead_kib)
+    }
+
+    /// The memory of all connections. A client's share includes one connection to an endpoint.
+    fn connections_kib(&self) -> usize {
+        let client_count = self.client_count.get();
+        let further_count = self.endpoint_connection_count.get().saturating_sub(client_count);
+        client_count * CLIENT_KIB
+            + self.rejected_client_count.get() * REJECTED_CLIENT_KIB
+            + further_count * CONNECTION_KIB
+    }
+
+    /// The memory that nothing uses.
+    fn free_kib(&self) -> usize {
+        self.beyond_connections_kib().saturating_sub(self.reserved_kib.get())
+    }
+
+    /// Whether another client can be served within the limit.
+    pub fn has_room_for_client(&self) -> bool {
+        self.client_count.get() < MIN_CLIENTS || self.free_kib() >= CLIENT_KIB
+    }
+
+    /// Whether another client can be accepted within the limit, if only to reject its request.
+    pub fn has_room_for_rejected_client(&self) -> bool {
+        self.has_room_for_client() || self.free_kib() >= REJECTED_CLIENT_KIB
+    }
+
+    /// Whether another connection to an endpoint can be opened within the limit.
+    pub fn has_room_for_endpoint_connection(&self) -> bool {
+        let is_included = self.endpoint_connection_count.get() < self.client_count.get();
+        is_included || self.endpoint_connection_count.get() < MIN_CLIENTS || self.free_kib() >= CONNECTION_KIB
+    }
+
+    /// Sets for how many clients memory stays free of what is optional.
+    pub fn set_expected_client_count(&self, count: usize) {
+        self.expected_client_count.set(count);
+    }
+
+    /// The part of the memory of bodies that the expected clients do not need who are yet to come.
+    pub fn unexpected_body_memory_kib(&self) -> usize {
+        let absent_count = self.expected_client_count.get().saturating_sub(self.client_count.get());
+        let remaining_kib =
+            self.beyond_connections_kib().saturating_sub(absent_count * (CLIENT_KIB + STREAMED_BODY_KIB));
+        self.body_memory_kib().min(remaining_kib)
+    }
+
+    fn count_of(&self, kind: ConnectionKind) -> &Cell<usize> {
+        match kind {
+            ConnectionKind::Client => &self.client_count,
+            ConnectionKind::RejectedClient => &self.rejected_client_count,
+            ConnectionKind::Endpoint => &self.endpoint_connection_count,
+        }
     }
 
     /// Changes what the memory of bodies depends on.
@@ -113,38 +184,54 @@
     /// Counts what the process uses beyond connections and bodies, and at least `min_base_kib`, for everything
     /// else.
     pub fn record_resident(&self, resident_kib: usize, min_base_kib: usize) {
-        let counted_kib = self.connections_kib.get() + self.reserved_kib.get();
+        let counted_kib = self.connections_kib() + self.reserved_kib.get();
         let base_kib = resident_kib.saturating_sub(counted_kib).max(min_base_kib);
         self.update(|| self.base_kib.set(base_kib));
     }
 }
 
-/// Counts the memory of a connection, or of a request on one, until it is dropped.
+/// What a connection is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionKind {
+    Client,
+    RejectedClient,
+    Endpoint,
+}
+
+/// Counts the memory of a connection until it is dropped.
 #[derive(Debug)]
 pub struct ConnectionMemory {
     accounts: Rc<MemoryAccounts>,
-    kib: usize,
+    kind: ConnectionKind,
 }
 
 impl ConnectionMemory {
-    pub fn of_connection(accounts: &Rc<MemoryAccounts>) -> Self {
-        ConnectionMemory::new(accounts, CONNECTION_KIB)
+    /// For a client that is served.
+    pub fn of_client(accounts: &Rc<MemoryAccounts>) -> Self {
+        ConnectionMemory::new(accounts, ConnectionKind::Client)
+    }
+
+    /// For a client whose request will be rejected.
+    pub fn of_rejected_client(accounts: &Rc<MemoryAccounts>) -> Self {
+        ConnectionMemory::new(accounts, ConnectionKind::RejectedClient)
     }
 
-    pub fn of_request(accounts: &Rc<MemoryAccounts>) -> Self {
-        ConnectionMemory::new(accounts, REQUEST_KIB)
+    /// For a connection to an endpoint.
+    pub fn of_endpoint_connection(accounts: &Rc<MemoryAccounts>) -> Self {
+        ConnectionMemory::new(accounts, ConnectionKind::Endpoint)
     }
 
-    fn new(accounts: &Rc<MemoryAccounts>, kib: usize) -> Self {
-        accounts.update(|| accounts.connections_kib.set(accounts.connections_kib.get() + kib));
-        ConnectionMemory { accounts: Rc::clone(accounts), kib }
+    fn new(accounts: &Rc<MemoryAccounts>, kind: ConnectionKind) -> Self {
+        let count = accounts.count_of(kind);
+        accounts.update(|| count.set(count.get() + 1));
+        ConnectionMemory { accounts: Rc::clone(accounts), kind }
     }
 }
 
 impl Drop for ConnectionMemory {
     fn drop(&mut self) {
-        let accounts = &self.accounts;
-        accounts.update(|| accounts.connections_kib.set(accounts.connections_kib.get() - self.kib));
+        let count = self.accounts.count_of(self.kind);
+        self.accounts.update(|| count.set(count.get() - 1));
     }
 }
 
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -5,7 +5,8 @@
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::descriptor_budget::{
-    client_capacity, DescriptorBudget, CHECK_INTERVAL, RESERVED_CLIENT_DESCRIPTOR_COUNT,
+    client_capacity, expected_client_count, DescriptorBudget, CHECK_INTERVAL,
+    RESERVED_CLIENT_DESCRIPTOR_COUNT,
 };
 use crate::descriptors::Descriptors;
 use crate::discovery::EndpointWatcher;
@@ -112,6 +113,7 @@
         let clock = Clock::start();
         let metrics = Rc::<Metrics>::default();
         let memory = MemoryLimit::new(config.limits.memory_mb);
+        memory.set_expected_client_count(expected_client_count(config.limits.sockets));
         let proxy_count = config.settings.settings.proxy_count;
         let pool = ConnectionPool::new(
             config.settings.transport,
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -4,7 +4,8 @@
 use crate::downstream::connection::ClientPresence;
 use crate::request_id_table::RequestDigest;
 use bytes::Bytes;
-use hyper::http::{HeaderMap, Method, Uri};
+use hyper::http::request::Parts;
+use hyper::http::{HeaderMap, HeaderValue, Method, Uri};
 use oakport_core::{ClassId, Micros};
 use std::rc::Rc;
 
@@ -19,9 +20,9 @@
     pub uri: Uri,
     /// The request headers, including hop-by-hop headers.
     pub headers: HeaderMap,
-    /// The body, or the beginning of one that is too large to be buffered.
+    /// The body; empty if it is streamed.
     pub body: Bytes,
-    /// The rest of a body that is too large to be buffered.
+    /// A body that is streamed.
     pub upload: Option<Rc<Upload>>,
     /// The length of the complete body in bytes, if the request head states it.
     pub length: Option<u64>,
@@ -41,6 +42,20 @@
     }
 }
 
+/// A copy of a header value that does not keep the buffer allocated that it was read into.
+pub fn unshared(value: &HeaderValue) -> HeaderValue {
+    HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
+}
+
+/// A copy of a request's head that does not keep the parser's buffer allocated while the request is served.
+pub fn unshared_head(parts: &Parts) -> Parts {
+    let (mut copy, ()) = hyper::Request::new(()).into_parts();
+    copy.method = parts.method.clone();
+    copy.uri = parts.uri.to_string().parse().unwrap_or_else(|_| parts.uri.clone());
+    copy.headers = parts.headers.iter().map(|(name, value)| (name.clone(), unshared(value))).collect();
+    copy
+}
+
 /// The attributes of a request that the balancer uses.
 #[derive(Debug)]
 pub struct CallAttributes {
--- a/crates/proxy/src/response.rs
+++ b/crates/proxy/src/response.rs
@@ -1,8 +1,7 @@
 //! The response of an endpoint to an attempt, and the final answer to the client, as passed from the upstream
 //! to the downstream side of the proxy.
 
-use crate::body::{BodyChunk, DetachRequest};
-use bytes::Bytes;
+use crate::body::{BodyChunk, CountedBytes, DetachRequest};
 use hyper::header::HeaderValue;
 use oakport_core::{LoadReport, Micros, Outcome};
 use tokio::sync::mpsc;
@@ -13,7 +12,7 @@
     /// A complete response of an endpoint.
     Served {
         /// The complete body.
-        body: Bytes,
+        body: CountedBytes,
         /// The endpoint's `Content-Type`.
         content_type: Option<HeaderValue>,
     },
@@ -34,7 +33,7 @@
 #[derive(Debug)]
 pub struct StreamingResponse {
     /// The buffered beginning of the body.
-    pub first_chunk: Bytes,
+    pub first_chunk: CountedBytes,
     /// The rest of the body, which ends with [`BodyChunk::End`].
     pub chunks: mpsc::Receiver<BodyChunk>,
     /// The length of the complete body in bytes, if the response head states it.
@@ -49,7 +48,7 @@
 #[derive(Debug)]
 pub struct CompleteResponse {
     /// The complete body.
-    pub body: Bytes,
+    pub body: CountedBytes,
     /// The endpoint's `Content-Type`.
     pub content_type: Option<HeaderValue>,
 }
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -42,9 +42,19 @@
 
     /// Reads at most [`MAX_READ_BYTES`] and returns their number; 0 at the end of the stream.
     pub fn poll_read(&self, cx: &mut Context<'_>, buf: &mut ReadBuf<'_>) -> Poll<io::Result<usize>> {
+        self.poll_read_at_most(cx, buf, MAX_READ_BYTES)
+    }
+
+    /// Like [`Self::poll_read`], but reads at most `max_bytes`, which must not be zero.
+    pub fn poll_read_at_most(
+        &self,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+        max_bytes: usize,
+    ) -> Poll<io::Result<usize>> {
         loop {
             ready!(self.0.poll_read_ready(cx))?;
-            match self.0.try_read_buf(&mut buf.limit(MAX_READ_BYTES)) {
+            match self.0.try_read_buf(&mut buf.limit(max_bytes.min(MAX_READ_BYTES))) {
                 Ok(count) => return Poll::Ready(Ok(count)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
                 Err(error) => return Poll::Ready(Err(error)),
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,10 +1,10 @@
 //! Executes one attempt: obtains a connection, sends the request, and reads or streams the response.
 
 use crate::body::{
-    DetachRequest, MemoryReservation, RequestStream, Upload, WriteProgress, STREAMED_BODY_BYTES,
+    CountedBytes, DetachRequest, MemoryReservation, RequestStream, Upload, WriteProgress, STREAMED_BODY_BYTES,
 };
 use crate::downstream::connection::ClientPresence;
-use crate::request::Request;
+use crate::request::{unshared, Request};
 use crate::response::{AttemptResult, CompleteResponse, StreamingResponse};
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::load_report;
@@ -102,6 +102,12 @@
     UnsolicitedData,
 }
 
+/// A body of which the beginning has been buffered, and the memory of the beginning.
+struct BufferedBeginning {
+    body: PartialBody,
+    memory: MemoryReservation,
+}
+
 /// Makes one attempt and returns its result.
 pub async fn attempt(
     pool: &Rc<ConnectionPool>,
@@ -128,6 +134,7 @@
         let remaining_time = owner.remaining_time();
         let message = upstream_request(request, remaining_time, &connection.write_progress);
         let Some(message) = message else { return Outcome::NotSent.into() };
+        connection.record_head(head_bytes(&message));
         let mut reservation = MemoryReservation::default();
         let stalled = upload_stalled(Rc::clone(&connection.write_progress), request, remaining_time);
         match exchange(pool, &mut connection, stalled, message, &mut reservation, owner).await {
@@ -154,23 +161,27 @@
     target: Target,
     connection: UpstreamConnection,
     received: ReceivedResponse,
-    mut reservation: MemoryReservation,
+    reservation: MemoryReservation,
     owner: &impl AttemptOwner,
 ) -> AttemptResult {
     let ReceivedResponse { head, body } = received;
     let outcome = classify(&head);
     let load = load_report::from_headers(&head.headers);
-    let content_type = head.headers.get(header::CONTENT_TYPE).cloned();
+    let content_type = head.headers.get(header::CONTENT_TYPE).map(unshared);
+    // The head keeps the buffer allocated that it was read into.
+    drop(head);
     match body {
         ResponseBody::Complete(body) => {
             pool.return_after_response(&target, connection).await;
             let is_served = outcome == Outcome::Served;
+            let body = CountedBytes::new(body, reservation);
             let response = is_served.then_some(CompleteResponse { body, content_type });
             AttemptResult { outcome, load, response }
         }
         ResponseBody::Partial(body) if outcome == Outcome::Served => {
-            let size_bytes = body.first_chunk.len() + STREAMED_BODY_BYTES;
-            pool.memory.reserve(&mut reservation, size_bytes).await;
+            let mut streaming_reservation = MemoryReservation::default();
+            pool.memory.reserve(&mut streaming_reservation, STREAMED_BODY_BYTES).await;
+            let body = BufferedBeginning { body, memory: reservation };
             match stream_response(pool, &target, connection, body, content_type, owner).await {
                 Some(outcome) => AttemptResult { outcome, load, response: None },
                 None => Outcome::Cancelled.into(),
@@ -243,17 +254,18 @@
     pool: &Rc<ConnectionPool>,
     target: &Target,
     mut connection: UpstreamConnection,
-    mut body: PartialBody,
+    beginning: BufferedBeginning,
     content_type: Option<HeaderValue>,
     owner: &impl AttemptOwner,
 ) -> Option<Outcome> {
+    let BufferedBeginning { mut body, memory } = beginning;
     let (sender, chunks) = mpsc::channel(1);
     let length = body.length();
     let detach_request = DetachRequest::default();
     let first_bytes = body.first_chunk.len() as u64;
     let mut forwarder = ResponseForwarder::new(sender, &pool.memory, detach_request.clone(), first_bytes);
     forwarder.set_body_due(owner.deadline().map(|deadline| deadline + MAX_STALL_AFTER_TIMEOUT));
-    let first_chunk = body.first_chunk;
+    let first_chunk = CountedBytes::new(body.first_chunk, memory);
     let response = StreamingResponse { first_chunk, chunks, length, content_type, detach_request };
     if !owner.start_response(response) {
         return None;
@@ -325,6 +337,12 @@
     Some(message)
 }
 
+/// The approximate size of a head in bytes: each field has four more bytes than its name and value.
+fn head_bytes<T>(message: &hyper::Request<T>) -> usize {
+    let fields = message.headers().iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
+    message.uri().path_and_query().map_or(0, |target| target.as_str().len()) + fields.sum::<usize>()
+}
+
 fn is_forwarded(name: &HeaderName) -> bool {
     !HEADERS_NOT_FORWARDED.contains(&name.as_str())
 }
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -1,10 +1,10 @@
 //! One connection to an endpoint. It is polled by the attempt that uses it, without a separate task: dropping
 //! the attempt closes the connection, and nothing is ever sent twice.
 
-use crate::body::{BodySource, RequestStream, WriteProgress, MAX_CONNECTION_BUFFER_BYTES};
+use crate::body::{BodySource, RequestStream, WriteProgress};
 use crate::descriptors::ConnectionDescriptors;
 use crate::metrics::Metrics;
-use crate::socket::Socket;
+use crate::socket::{Socket, READ_BUFFER_BYTES};
 use bytes::Bytes;
 use hyper::client::conn::http1::{self, Connection, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -82,7 +82,11 @@
         if let Poll::Ready(Ok(count)) = written {
             // hyper passes all pending bytes at once: it queues fewer chunks than it writes in one call.
             let pending_bytes: usize = bufs.iter().map(|buf| buf.len()).sum();
-            self.write_progress.emptied.set(count == pending_bytes);
+            if count == pending_bytes {
+                self.write_progress.record_emptied();
+            } else {
+                self.write_progress.emptied.set(false);
+            }
         }
         self.write_progress.record_write(written.is_ready());
         written
@@ -105,13 +109,16 @@
 
 pub struct UpstreamConnection {
     pub sender: SendRequest<RequestStream>,
-    connection: Connection<TokioIo<WatchedStream>, RequestStream>,
+    /// Boxed, as the tasks of attempts hold a connection in several places.
+    connection: Box<Connection<TokioIo<WatchedStream>, RequestStream>>,
     socket: Socket,
     /// The connection has ended and must not be polled again.
     has_ended: bool,
     exchange: Rc<Exchange>,
     /// A request has been sent, and answered, on this connection.
     has_carried_request: bool,
+    /// The head of a request has enlarged the parser's buffer, which keeps its size.
+    has_enlarged_buffer: bool,
     /// How much of the request has been written.
     pub write_progress: Rc<WriteProgress>,
     /// When the reuse cooldown ends. After that, no further data of the last response is expected.
@@ -138,15 +145,16 @@
             exchange: Rc::clone(&exchange),
         };
         let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_CONNECTION_BUFFER_BYTES);
+        builder.max_buf_size(READ_BUFFER_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(watched)).await.ok()?;
         let mut opened = UpstreamConnection {
             sender,
-            connection,
+            connection: Box::new(connection),
             socket,
             has_ended: false,
             exchange,
             has_carried_request: false,
+            has_enlarged_buffer: false,
             write_progress,
             reusable_at,
             generation,
@@ -173,6 +181,16 @@
         self.has_carried_request = true;
     }
 
+    /// Records the size of a head that is about to be written.
+    pub fn record_head(&mut self, head_bytes: usize) {
+        self.has_enlarged_buffer |= head_bytes > READ_BUFFER_BYTES;
+    }
+
+    /// Whether the connection may be pooled: with an enlarged buffer it takes more memory than is counted for it.
+    pub fn may_be_pooled(&self) -> bool {
+        !self.has_enlarged_buffer
+    }
+
     /// Whether a request has been sent, and answered, on this connection. Before that, no response can arrive
     /// late.
     pub fn has_carried_request(&self) -> bool {
@@ -222,7 +240,7 @@
 
     /// Polls the connection and records whether it has ended. It must not have ended before.
     fn poll_connection(&mut self, cx: &mut Context<'_>) {
-        let polled = Pin::new(&mut self.connection).poll(cx);
+        let polled = Pin::new(&mut *self.connection).poll(cx);
         self.has_ended = polled.is_ready();
         if matches!(&polled, Poll::Ready(Err(error)) if is_unsolicited_data(error)) {
             self.exchange.has_unsolicited_data.set(true);
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -41,7 +41,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
 pub enum ConnectError {
     /// A limit of the process or the system, which says nothing about the endpoint.
-    #[error("no file descriptor left for the connection")]
+    #[error("no file descriptor or memory left for the connection")]
     NoDescriptor,
     /// The endpoint refused or closed the connection, or did not accept it in time.
     #[error("connect to the endpoint failed or timed out")]
@@ -265,7 +265,11 @@
         });
     }
 
+    /// `None` if no descriptor or no memory is left for another connection.
     fn acquire_descriptors(&self, connections: &EndpointConnections) -> Option<ConnectionDescriptors> {
+        if !self.memory.has_room_for_endpoint_connection() {
+            return None;
+        }
         let process = self.descriptors.try_acquire()?;
         let endpoint = connections.open.try_acquire()?;
         Some(ConnectionDescriptors::new(process, endpoint, self.memory.connection()))
@@ -333,7 +337,7 @@
     /// cooldown.
     pub async fn return_unused(&self, target: &Target, mut connection: UpstreamConnection) {
         let now = self.clock.now();
-        let is_alive = connection.is_alive().await;
+        let is_alive = connection.may_be_pooled() && connection.is_alive().await;
         if connection.has_unsolicited_data() {
             self.record_unsolicited_data(target);
             return;
--- a/crates/proxy/src/upstream/response.rs
+++ b/crates/proxy/src/upstream/response.rs
@@ -1,6 +1,6 @@
 //! Reads and classifies an endpoint's response, until it is complete or streaming to the client begins.
 
-use crate::body::{MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES};
+use crate::body::{buffer_bytes, MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES};
 use crate::clock::sleep_until;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -74,9 +74,12 @@
                 if let Ok(chunk) = frame.ok()?.into_data() {
                     first_chunk_at = first_chunk_at.or(Some(Instant::now()));
                     let received_bytes = buffered.len() + chunk.len();
-                    memory.reserve(reservation, received_bytes.max(buffered_length)).await;
-                    // Without its length, a body grows in steps that the reservation does not include.
-                    buffered.reserve(received_bytes.max(buffered_length) - buffered.len());
+                    if buffered.capacity() < received_bytes {
+                        let size_bytes =
+                            if buffered_length > 0 { buffered_length } else { buffer_bytes(received_bytes) };
+                        memory.reserve(reservation, size_bytes).await;
+                        buffered.reserve(size_bytes.max(received_bytes) - buffered.len());
+                    }
                     buffered.extend_from_slice(&chunk);
                 }
             }
--- a/crates/proxy/src/upstream/response_forwarder.rs
+++ b/crates/proxy/src/upstream/response_forwarder.rs
@@ -92,6 +92,8 @@
     reading_since: Option<Instant>,
     /// Whether to wait for memory to read ahead.
     awaits_memory: bool,
+    /// Whether to wait until the client has taken the chunk in the channel.
+    awaits_channel: bool,
 }
 
 /// How receiving a response ended.
@@ -173,7 +175,7 @@
 
     /// Why reading pauses at this limit.
     fn read_pause_reason(&self, limit: ReadAheadLimit) -> ReadPauseReason {
-        if self.buffer.has_reached(limit) {
+        if self.buffer.is_empty() || self.buffer.has_reached(limit) {
             ReadPauseReason::Client
         } else {
             ReadPauseReason::Memory
@@ -205,13 +207,17 @@
         let write_progress = Rc::clone(&connection.write_progress);
         loop {
             let limit = self.limit(body);
-            let may_read = self.buffer.try_reserve_chunk(limit);
+            // Without read-ahead, a chunk is read only once the one before has left the channel.
+            let is_channel_empty = self.client.capacity() == self.client.max_capacity();
+            let may_read = (limit != ReadAheadLimit::OneChunk || is_channel_empty)
+                && self.buffer.try_reserve_chunk(limit);
             let pause_reason = (!may_read).then(|| self.read_pause_reason(limit));
             reading_since = may_read.then(|| reading_since.unwrap_or_else(Instant::now));
             // The connection is polled also while reading pauses, because part of the request may still have
             // to be written.
             let awaits_memory = pause_reason == Some(ReadPauseReason::Memory);
-            let waits = WaitConditions { reading_since, awaits_memory };
+            let awaits_channel = !may_read && self.buffer.is_empty();
+            let waits = WaitConditions { reading_since, awaits_memory, awaits_channel };
             let next_event = self.next_event(body, &write_progress, waits, outdated.as_mut());
             let event = connection.drive_alongside(metrics, next_event).await;
             if let Some(reason) = pause_reason {
@@ -235,8 +241,10 @@
     /// How far the body may be read ahead of the client now.
     fn limit(&self, body: &Incoming) -> ReadAheadLimit {
         match body.size_hint().exact() {
-            Some(remaining_bytes) if remaining_bytes <= LAST_BYTES => ReadAheadLimit::Completing,
-            _ if self.is_outdated => ReadAheadLimit::AvailableMemory,
+            Some(remaining_bytes) if self.is_outdated && remaining_bytes <= LAST_BYTES => {
+                ReadAheadLimit::Completing
+            }
+            _ if self.is_outdated => ReadAheadLimit::Urgent,
             Some(remaining_bytes) if remaining_bytes <= TAIL_BYTES => ReadAheadLimit::AvailableMemory,
             Some(_) => ReadAheadLimit::OneChunk,
             // Any chunk may be the last.
@@ -252,7 +260,7 @@
         waits: WaitConditions,
         outdated: Pin<&mut impl Future<Output = ()>>,
     ) -> StreamEvent {
-        let WaitConditions { reading_since, awaits_memory } = waits;
+        let WaitConditions { reading_since, awaits_memory, awaits_channel } = waits;
         let memory_returned = self.buffer.memory_returned();
         let has_chunk = !self.buffer.is_empty();
         // After the last byte, a disconnect of the client no longer matters.
@@ -260,12 +268,12 @@
         let stalled_at = self.stalls_at(reading_since.unwrap_or_else(Instant::now));
         tokio::select! {
             biased;
-            permit = self.client.reserve(), if has_chunk => {
-                let (Ok(permit), Some(chunk)) = (permit, self.buffer.pop()) else {
-                    return StreamEvent::ClientDisconnected;
-                };
-                self.forwarded_bytes += chunk.len() as u64;
-                permit.send(BodyChunk::Data(chunk));
+            permit = self.client.reserve(), if has_chunk || awaits_channel => {
+                let Ok(permit) = permit else { return StreamEvent::ClientDisconnected };
+                if let Some(chunk) = self.buffer.pop() {
+                    self.forwarded_bytes += chunk.len() as u64;
+                    permit.send(BodyChunk::Data(chunk));
+                }
                 StreamEvent::Forwarded
             }
             frame = tokio::time::timeout_at(stalled_at, body.frame()), if reading_since.is_some() => {
@@ -296,7 +304,7 @@
         connection: UpstreamConnection,
         mut body: Incoming,
     ) -> Result<bool, hyper::Error> {
-        let mut read = self.buffer.drain();
+        let mut read = self.buffer.drain_bytes();
         // Takes the frames that are already parsed, without reading more from the connection.
         while let Some(frame) = next_frame_now(&mut body).await.transpose()? {
             read.extend(frame.into_data().ok());
@@ -320,7 +328,7 @@
                 biased;
                 permit = self.client.reserve() => permit,
                 () = self.detach_request.received() => {
-                    let rest = DetachedBody { read: self.buffer.drain(), source: None };
+                    let rest = DetachedBody { read: self.buffer.drain_bytes(), source: None };
                     return self.client.send(BodyChunk::Detached(rest)).await.is_ok();
                 }
             };
