Leave an endpoint's capacity to others while a request arrives slowly

Cause: an upload is forwarded from its first 64 KiB on, and its attempt counted as in flight at its endpoint, up to the time limit of its client, although an endpoint begins a request only with its last byte. At its end the time that the client had taken counted as latency of the endpoint, which lowered its budget. Class: a resource is charged to those who hold a place, not to those who use it.

Change: a request that is incomplete 50 ms after its call began gives up its place in the in-flight budget and the concurrency limit, and takes it again when it is complete (core: delayed_request). Its time is no latency.

--- a/crates/core/examples/recorded/script.rs
+++ b/crates/core/examples/recorded/script.rs
@@ -25,6 +25,7 @@
             let load = load(report);
             format!("ended {} attempt {attempt} {ended} after {elapsed} closed {closed} {load}", call.0)
         }
+        Event::RequestDelayed { call } => format!("delayed {}", call.0),
         Event::RequestComplete { call, remaining_time } => {
             format!("complete {} left {remaining_time}", call.0)
         }
--- a/crates/core/src/balance/attempt_feedback.rs
+++ b/crates/core/src/balance/attempt_feedback.rs
@@ -73,9 +73,11 @@
     /// Updates the balancer's state with the outcome of an attempt, or with the start of its response.
     pub(crate) fn on_attempt_feedback(&mut self, ended: AttemptWithClass, outcome: Outcome) {
         let Some(feedback) = self.classify(ended, outcome) else { return };
-        let endpoint = &mut self.endpoints[feedback.slot];
-        endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
-        self.update_concurrency_limit(&feedback);
+        if feedback.attempt.occupies_capacity {
+            let endpoint = &mut self.endpoints[feedback.slot];
+            endpoint.in_flight = endpoint.in_flight.saturating_sub(1);
+            self.update_concurrency_limit(&feedback);
+        }
         if feedback.health == HealthSignal::Unknown {
             self.apply_unknown_health(&feedback);
             self.refresh_status(feedback.slot);
@@ -83,10 +85,13 @@
         }
         self.update_class_health(&feedback);
         self.update_failure_rate(&feedback);
-        self.update_machine_group(&feedback);
-        self.update_latency_ratio(&feedback);
-        self.update_class_latency(&feedback);
-        self.update_load_per_latency(&feedback);
+        // The time of a delayed request is its client's.
+        if feedback.attempt.occupies_capacity {
+            self.update_machine_group(&feedback);
+            self.update_latency_ratio(&feedback);
+            self.update_class_latency(&feedback);
+            self.update_load_per_latency(&feedback);
+        }
         self.decrease_budget(&feedback);
         let was_admitted = self.endpoints[feedback.slot].budget.steps > 0;
         self.remove_step_on_broken_connection(&feedback);
@@ -143,8 +148,10 @@
     /// Applies an attempt with an unknown health signal: its latency ratio is a lower bound.
     fn apply_unknown_health(&mut self, feedback: &Feedback) {
         let endpoint = &mut self.endpoints[feedback.slot];
-        let increase = (feedback.latency_ratio - endpoint.latency_ratio).max(0.0);
-        endpoint.latency_ratio += increase * FEEDBACK_WEIGHT;
+        if feedback.attempt.occupies_capacity {
+            let increase = (feedback.latency_ratio - endpoint.latency_ratio).max(0.0);
+            endpoint.latency_ratio += increase * FEEDBACK_WEIGHT;
+        }
         endpoint.end_trial(&feedback.attempt);
     }
 
@@ -355,7 +362,7 @@
 }
 
 impl Endpoint {
-    fn end_trial(&mut self, attempt: &Attempt) {
+    pub(super) fn end_trial(&mut self, attempt: &Attempt) {
         if attempt.is_trial {
             self.budget.trial_in_flight = false;
         }
--- a/crates/core/src/balance/call_lifecycle.rs
+++ b/crates/core/src/balance/call_lifecycle.rs
@@ -82,6 +82,7 @@
             // A streamed request can't be sent twice: no hedged attempt.
             self.calls.timers.set(id, None);
         }
+        self.resume_delayed_request(id);
     }
 
     /// Estimates the time that the client has already spent on earlier requests of a call, in microseconds.
--- a/crates/core/src/balance/endpoint_selection.rs
+++ b/crates/core/src/balance/endpoint_selection.rs
@@ -206,7 +206,9 @@
         let hedge_at = self.hedge_at(call, typical_us);
         self.actions.push(Action::Send { call: id, endpoint: attempt.endpoint, timeout_at, send_before });
         self.calls.timers.set(id, hedge_at);
-        self.concurrency_limit.acquire(self.now);
+        if attempt.occupies_capacity {
+            self.concurrency_limit.acquire(self.now);
+        }
         self.refresh_status(slot);
     }
 
@@ -225,7 +227,10 @@
         let is_recent = endpoint.polled_at + poll_lifetime > self.now;
         let polled_load =
             if was_polled && is_recent { endpoint.polled_load(self.now, &self.settings.rules) } else { 0.0 };
-        endpoint.in_flight += 1;
+        let is_trial = is_trial && !call.is_delayed;
+        if !call.is_delayed {
+            endpoint.in_flight += 1;
+        }
         endpoint.polled_in_flight += 1.0;
         if is_trial {
             endpoint.budget.trial_in_flight = true;
@@ -238,6 +243,7 @@
             is_trial,
             polled_load,
             response_started: false,
+            occupies_capacity: !call.is_delayed,
             execution: Execution::InFlight,
         })
     }
--- a/crates/core/src/balance/mod.rs
+++ b/crates/core/src/balance/mod.rs
@@ -10,6 +10,7 @@
 mod balancer;
 mod call_lifecycle;
 mod concurrency_limit;
+mod delayed_request;
 mod endpoint_selection;
 mod endpoint_status;
 mod endpoint_updates;
--- a/crates/core/src/call_table.rs
+++ b/crates/core/src/call_table.rs
@@ -36,6 +36,8 @@
     pub(crate) polled_load: f64,
     /// Whether the response has started to stream, so that the endpoint counts as having served the attempt.
     pub(crate) response_started: bool,
+    /// Whether the attempt counts as in flight at its endpoint; not while its request is delayed.
+    pub(crate) occupies_capacity: bool,
     pub(crate) execution: Execution,
 }
 
@@ -73,6 +75,8 @@
     pub(crate) queued: bool,
     /// Whether a response to the call has started to stream.
     pub(crate) streaming: bool,
+    /// Whether the client is sending the request slowly.
+    pub(crate) is_delayed: bool,
     pub(crate) ended: bool,
 }
 
--- a/crates/core/src/call_table/tests.rs
+++ b/crates/core/src/call_table/tests.rs
@@ -37,6 +37,7 @@
         is_trial: false,
         polled_load: 0.0,
         response_started: false,
+        occupies_capacity: true,
         execution: Execution::InFlight,
     };
     let call = CallId(7);
--- a/crates/core/src/event.rs
+++ b/crates/core/src/event.rs
@@ -133,6 +133,12 @@
         /// The endpoint's load report.
         load: LoadReport,
     },
+    /// A streamed request is still incomplete some time after its call has begun: until it is complete, no endpoint
+    /// works on it.
+    RequestDelayed {
+        /// The call.
+        call: CallId,
+    },
     /// The last byte of a streamed request has arrived: latency and deadline of the call count from now.
     RequestComplete {
         /// The call.
--- a/crates/core/src/event_loop.rs
+++ b/crates/core/src/event_loop.rs
@@ -58,6 +58,7 @@
             Event::RequestComplete { call, remaining_time } => {
                 self.on_request_complete(call, remaining_time);
             }
+            Event::RequestDelayed { call } => self.on_request_delayed(call),
             Event::ResponseStarted { call, attempt } => self.start_response(call, attempt),
             Event::LoadPolled { endpoint, outcome, load, .. } => {
                 self.on_load_polled(endpoint, outcome, load);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -186,6 +186,11 @@
         Ok((call, answer))
     }
 
+    /// Records that a streamed request is still incomplete some time after its call has begun.
+    pub fn record_delayed_request(&self, call: CallId) {
+        self.notify_balancer(Event::RequestDelayed { call });
+    }
+
     /// Records that the last byte of a streamed request arrived `time_since_arrival` ago, which started the
     /// client timeout.
     pub fn complete_request(&self, call: CallId, time_since_arrival: Duration) {
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -28,6 +28,9 @@
 /// that wait.
 const MEMORY_WAIT_DIVISOR: Micros = 8;
 
+/// A streamed request that is incomplete this long after its call has begun does not occupy its endpoint.
+const DELAYED_REQUEST_TIME: Duration = Duration::from_millis(50);
+
 /// Answers the requests of all client connections.
 pub struct RequestHandler {
     pub dispatcher: Dispatcher,
@@ -224,12 +227,22 @@
         completion_deadline: impl Future<Output = ()>,
     ) -> Result<Option<FinalResponse>, RequestError> {
         let mut response = pin!(response);
-        tokio::select! {
-            biased;
-            response = response.as_mut() => return Ok(response.ok()),
-            end = upload.ended() => end.map_err(RequestError::Body)?,
-            () = arrival(open, end_position) => {}
-            () = completion_deadline => return Err(RequestError::ShuttingDown),
+        let mut arrival = pin!(arrival(open, end_position));
+        let mut completion_deadline = pin!(completion_deadline);
+        let mut delayed = pin!(tokio::time::sleep(DELAYED_REQUEST_TIME));
+        let mut is_delayed = false;
+        loop {
+            tokio::select! {
+                biased;
+                response = response.as_mut() => return Ok(response.ok()),
+                end = upload.ended() => break end.map_err(RequestError::Body)?,
+                () = arrival.as_mut() => break,
+                () = completion_deadline.as_mut() => return Err(RequestError::ShuttingDown),
+                () = delayed.as_mut(), if !is_delayed => {
+                    is_delayed = true;
+                    self.dispatcher.record_delayed_request(call);
+                }
+            }
         }
         let time_since_arrival = open.time_since_arrival(end_position.unwrap_or(open.read_bytes()));
         let time_since_arrival = time_since_arrival.unwrap_or_default().max(upload.delay_before_claim());
