--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -416,11 +416,17 @@
     }
 
     /// Starts the program with an additional environment variable.
-    pub fn with_env(text: &str, (name, value): (&str, &str)) -> Proxy {
+    pub fn with_env(text: &str, variable: (&str, &str)) -> Proxy {
+        Proxy::with_variables(text, &[variable])
+    }
+
+    /// Starts the program with additional environment variables.
+    pub fn with_variables(text: &str, variables: &[(&str, &str)]) -> Proxy {
         let file = format!("oakport-{}-{}.json", std::process::id(), RUNS.fetch_add(1, Ordering::SeqCst));
         let path = std::env::temp_dir().join(file);
         std::fs::write(&path, text).expect("a temporary file");
-        Proxy::listening(launch(&path, "exec \"$0\" serve", |c| c.env(name, value)), path)
+        let child = launch(&path, "exec \"$0\" serve", |command| command.envs(variables.iter().copied()));
+        Proxy::listening(child, path)
     }
 
     /// Waits for the log line with the listen address.
