Keep slow start when the wall clock is stepped

Seen by callers: after a step of the wall clock by an hour back, an endpoint that had just started got 190 of 200 calls at once: it counted as an hour old. After a step forward it would count as cold for an hour.

Cause: start times are Unix times and were compared with the clock of the process, which takes the system's time once at its start. Class: a time of one clock compared with another's.

--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -235,7 +235,7 @@
     /// Applies an update of the endpoint list, and closes connections to endpoints that have changed or were
     /// removed.
     pub fn update_endpoints(&self, kind: ListUpdateKind, list: &[EndpointEntry]) {
-        let update = self.state.borrow_mut().endpoints.update(kind, list);
+        let update = self.state.borrow_mut().update_endpoints(kind, list, self.clock.now());
         for outdated in update.outdated {
             self.pool.close_outdated(outdated.endpoint, outdated.generation);
         }
@@ -246,6 +246,11 @@
         self.notify_balancer(Event::EndpointList { kind, endpoints: update.entries });
     }
 
+    /// Observes the system's time, which may be stepped, for the start times of endpoints.
+    pub fn observe_system_time(&self) {
+        self.state.borrow_mut().start_times.observe_system_time(self.clock.now());
+    }
+
     /// The current endpoint list, with `index` as its version.
     pub fn endpoint_list(&self, index: u64) -> EndpointList {
         self.state.borrow().endpoints.list(index)
--- a/crates/proxy/src/dispatcher/state.rs
+++ b/crates/proxy/src/dispatcher/state.rs
@@ -2,13 +2,17 @@
 
 use crate::call_table::{AttemptId, CallTable, OutgoingAttempt, StartPermission};
 use crate::classes::Classes;
-use crate::endpoints::Endpoints;
+use crate::endpoint_list::EndpointEntry;
+use crate::endpoints::{EndpointUpdate, Endpoints};
 use crate::metrics::{Gauges, Metrics, MetricsReport};
 use crate::request_ids::RequestIds;
+use crate::start_times::StartTimes;
 use crate::upstream::attempt::IncompleteResponse;
 use crate::upstream::pool::Target;
 use oakport_core::settings_wire::{ParsedSettings, TransportSettings};
-use oakport_core::{Action, Balancer, DecisionEvent, EndpointId, EndpointState, Event, Micros, Settings};
+use oakport_core::{
+    Action, Balancer, DecisionEvent, EndpointId, EndpointState, Event, ListUpdateKind, Micros, Settings,
+};
 use std::collections::VecDeque;
 use std::rc::Rc;
 use tracing::{info, warn};
@@ -18,6 +22,7 @@
     pub metrics: Rc<Metrics>,
     pub classes: Classes,
     pub endpoints: Endpoints,
+    pub start_times: StartTimes,
     pub calls: CallTable,
     /// The current settings, with the number of client proxies that they contain.
     pub settings: Settings,
@@ -42,6 +47,7 @@
             metrics,
             classes,
             endpoints: Endpoints::default(),
+            start_times: StartTimes::default(),
             settings,
             transport,
             live_proxy_count: None,
@@ -67,6 +73,18 @@
         self.metrics.report(self.classes.names(), gauges)
     }
 
+    /// Applies an update of the endpoint list.
+    pub fn update_endpoints(
+        &mut self,
+        kind: ListUpdateKind,
+        list: &[EndpointEntry],
+        now: Micros,
+    ) -> EndpointUpdate {
+        self.start_times.observe_system_time(now);
+        let start_times = &self.start_times;
+        self.endpoints.update(kind, list, |since| start_times.started_at(since, now))
+    }
+
     /// The target of an attempt. `None` if its endpoint accepts no calls or the attempt is no longer needed.
     pub fn target(&self, endpoint: EndpointId, attempt: &OutgoingAttempt) -> Option<Target> {
         let known = self.endpoints.get(endpoint)?;
--- a/crates/proxy/src/endpoints.rs
+++ b/crates/proxy/src/endpoints.rs
@@ -13,7 +13,7 @@
     entry: EndpointEntry,
     /// `None` if no valid address is known.
     pub address: Option<SocketAddr>,
-    /// When the endpoint's process started, in Unix microseconds.
+    /// When the endpoint's process started, by the clock of this process; 0 if long ago.
     started_at: Micros,
     /// Whether the endpoint accepts calls.
     pub state: EndpointState,
@@ -70,15 +70,21 @@
     }
 
     /// Applies an update of the list. A complete list also removes the endpoints that it does not contain.
-    pub fn update(&mut self, kind: ListUpdateKind, list: &[EndpointEntry]) -> EndpointUpdate {
+    /// `started_at` converts the start time of a process, in Unix microseconds, to the clock of this process.
+    pub fn update(
+        &mut self,
+        kind: ListUpdateKind,
+        list: &[EndpointEntry],
+        started_at: impl Fn(Micros) -> Micros,
+    ) -> EndpointUpdate {
         let mut update = EndpointUpdate::default();
         if matches!(kind, ListUpdateKind::Snapshot | ListUpdateKind::Cached) {
             update.outdated = self.remove_unlisted(list);
         }
         for entry in list {
-            let id = self.id_of(entry);
+            let id = self.id_of(entry, &started_at);
             let Some(endpoint) = self.endpoints.get_mut(id.0 as usize) else { continue };
-            if endpoint.update(entry) {
+            if endpoint.update(entry, &started_at) {
                 update.outdated.push(OutdatedConnections { endpoint: id, generation: endpoint.generation });
             }
             update.entries.push(endpoint.info(id));
@@ -101,22 +107,22 @@
     }
 
     /// The identifier of an entry's endpoint. Adds the endpoint if its name is new.
-    fn id_of(&mut self, entry: &EndpointEntry) -> EndpointId {
+    fn id_of(&mut self, entry: &EndpointEntry, started_at: impl Fn(Micros) -> Micros) -> EndpointId {
         let next = EndpointId(self.endpoints.len() as u32);
         let id = *self.ids.entry(entry.name.clone()).or_insert(next);
         if id == next {
-            self.endpoints.push(Endpoint::new(entry));
+            self.endpoints.push(Endpoint::new(entry, started_at));
         }
         id
     }
 }
 
 impl Endpoint {
-    fn new(entry: &EndpointEntry) -> Self {
+    fn new(entry: &EndpointEntry, started_at: impl Fn(Micros) -> Micros) -> Self {
         Endpoint {
             entry: entry.clone(),
             address: None,
-            started_at: started_at(entry),
+            started_at: started_at(unix_start_us(entry)),
             state: listed_state(entry),
             generation: 0,
         }
@@ -124,9 +130,9 @@
 
     /// Applies an entry. Returns whether the open connections are outdated: the endpoint accepts no calls,
     /// its start time has changed, which means a new process under the same name, or its address has changed.
-    fn update(&mut self, entry: &EndpointEntry) -> bool {
+    fn update(&mut self, entry: &EndpointEntry, started_at: impl Fn(Micros) -> Micros) -> bool {
         let mut state = listed_state(entry);
-        let started_at = started_at(entry);
+        let is_restarted = entry.since_ms != self.entry.since_ms;
         // An endpoint that is not ready keeps its last address, to finish its calls.
         let last_address = self.address.filter(|_| state != EndpointState::Ready);
         let address = entry.address.parse().ok().or(last_address);
@@ -134,14 +140,15 @@
             // No call can be sent without an address.
             state = EndpointState::Draining;
         }
-        let is_outdated =
-            state != EndpointState::Ready || address != self.address || started_at != self.started_at;
+        let is_outdated = state != EndpointState::Ready || address != self.address || is_restarted;
         if is_outdated {
             self.generation += 1;
         }
         self.state = state;
         self.address = address;
-        self.started_at = started_at;
+        if is_restarted {
+            self.started_at = started_at(unix_start_us(entry));
+        }
         self.entry = entry.clone();
         is_outdated
     }
@@ -169,7 +176,8 @@
     }
 }
 
-fn started_at(entry: &EndpointEntry) -> Micros {
+/// When the process of an entry started, in Unix microseconds.
+fn unix_start_us(entry: &EndpointEntry) -> Micros {
     entry.since_ms.saturating_mul(MICROS_PER_MILLI)
 }
 
--- a/crates/proxy/src/endpoints/tests.rs
+++ b/crates/proxy/src/endpoints/tests.rs
@@ -11,6 +11,7 @@
             format!(r#"[{{"name":"s","address":"{address}","status":"{status}","since_ms":{since_ms}}}]"#);
         serde_json::from_str::<Vec<EndpointEntry>>(&text).expect("a list")
     };
+    let unix = |since| since;
     let one = "127.0.0.1:9";
     let two = "127.0.0.1:10";
     let mut endpoints = Endpoints::default();
@@ -24,13 +25,13 @@
         ("up", "nowhere", 6, EndpointState::Draining, 1),
         ("removed", two, 6, EndpointState::Removed, 1),
     ] {
-        let update = endpoints.update(ListUpdateKind::Delta, &reported(status, address, since));
+        let update = endpoints.update(ListUpdateKind::Delta, &reported(status, address, since), unix);
         let found = (update.entries[0].state, update.outdated.len());
         assert_eq!(found, (state, outdated_count), "{status} {address} {since}");
         assert_eq!(update.entries[0].started_at, since * 1_000, "start times are in Unix microseconds");
     }
-    endpoints.update(ListUpdateKind::Snapshot, &reported("up", one, 7));
-    let update = endpoints.update(ListUpdateKind::Snapshot, &[]);
+    endpoints.update(ListUpdateKind::Snapshot, &reported("up", one, 7), unix);
+    let update = endpoints.update(ListUpdateKind::Snapshot, &[], unix);
     let found = (update.entries.len(), update.outdated.len(), endpoints.listed().count());
     assert_eq!(found, (0, 1, 0), "an endpoint that is not in a snapshot is removed");
 }
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -30,6 +30,7 @@
 mod response;
 mod shutdown_progress;
 mod socket;
+mod start_times;
 mod system_limits;
 mod upstream;
 
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -171,6 +171,7 @@
         let downstream = self.downstream(&idle_connections, open_connections, handover_listener);
         let downstream = Rc::new(downstream);
         let Process { shares_listener, budget, memory_budget, pool, membership, .. } = self;
+        let dispatcher = self.dispatcher.clone();
         let reloader = Reloader {
             hangup: self.hangup,
             config: Arc::new(self.config),
@@ -204,7 +205,7 @@
             }
             ended = &mut timers => Err(ServeError::TimersEnded(ended)),
             ended = &mut discovery => Err(ServeError::DiscoveryEnded(ended)),
-            () = check_periodically(&budget, &memory_budget, &pool, &idle_connections) => Ok(()),
+            () = check_periodically(&budget, &memory_budget, &pool, &idle_connections, &dispatcher) => Ok(()),
             () = shutdown.log_open_connections() => Ok(()),
             () = reloader.run() => Err(ServeError::SignalsEnded),
         }
@@ -291,11 +292,13 @@
     memory_budget: &MemoryBudget,
     pool: &ConnectionPool,
     idle_connections: &IdleConnections,
+    dispatcher: &Dispatcher,
 ) {
     loop {
         tokio::time::sleep(CHECK_INTERVAL).await;
         pool.close_expired();
         budget.check(pool, idle_connections);
         memory_budget.check();
+        dispatcher.observe_system_time();
     }
 }
