Survive system calls that fail for a moment

Seen by callers: where socket or bind lacked buffers or descriptors at the start, the process ended; an interrupted read or write ended its connection; a connect that the own system could not make counted as a fault of the endpoint, which was ejected for it.

Cause: of the failures that Linux documents only want of descriptors was told from a fault of the peer. Class: a local failure taken for a remote one.

Change: is_short_of_resources names them once. Reads and writes go on after EINTR; connects are retried four times, 3 ms apart; listening is retried while other causes would be; accept goes on at once after EINTR.

--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -216,9 +216,11 @@
     /// Closes an idle upstream connection, or pauses if there is none: running out of descriptors must not
     /// end the program.
     async fn handle_accept_error(&self, error: &io::Error) {
-        let is_aborted =
-            matches!(error.kind(), io::ErrorKind::ConnectionAborted | io::ErrorKind::ConnectionReset);
-        if !is_aborted && !self.downstream.pool.evict_oldest() {
+        let concerns_one_connection = matches!(
+            error.kind(),
+            io::ErrorKind::ConnectionAborted | io::ErrorKind::ConnectionReset | io::ErrorKind::Interrupted
+        );
+        if !concerns_one_connection && !self.downstream.pool.evict_oldest() {
             tokio::time::sleep(NO_DESCRIPTOR_PAUSE).await;
         }
     }
--- a/crates/proxy/src/hot_restart/listener.rs
+++ b/crates/proxy/src/hot_restart/listener.rs
@@ -1,6 +1,7 @@
 //! The listener of a process: inherited from the platform, or bound once the predecessor has released the
 //! address.
 
+use crate::socket::is_short_of_resources;
 use std::ffi::OsString;
 use std::io;
 use std::net::SocketAddr;
@@ -76,7 +77,7 @@
     Some(unsafe { std::net::TcpListener::from_raw_fd(descriptor) })
 }
 
-/// Binds the listener. Retries while another process is using the address.
+/// Binds the listener. Retries while another process is using the address, or the system lacks the means for a socket.
 ///
 /// # Errors
 /// The address cannot be bound, or is still in use after [`BIND_TIMEOUT`].
@@ -85,6 +86,9 @@
     let mut is_logged = false;
     loop {
         match bind(address) {
+            Err(error) if is_short_of_resources(&error) && began.elapsed() < BIND_TIMEOUT => {
+                tokio::time::sleep(BIND_RETRY_INTERVAL).await;
+            }
             Err(error) if error.kind() == io::ErrorKind::AddrInUse && began.elapsed() < BIND_TIMEOUT => {
                 if !is_logged {
                     info!(%address, "listen address in use by another process, waiting for its release");
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -1,6 +1,7 @@
 //! A TCP stream that several components share: one reads and writes messages, others detect its close.
 
 use bytes::BufMut;
+use nix::errno::Errno;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
@@ -56,7 +57,7 @@
             ready!(self.0.poll_read_ready(cx))?;
             match self.0.try_read_buf(&mut buf.limit(max_bytes.min(MAX_READ_BYTES))) {
                 Ok(count) => return Poll::Ready(Ok(count)),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_temporary(&error) => {}
                 Err(error) => return Poll::Ready(Err(error)),
             }
         }
@@ -67,7 +68,7 @@
         loop {
             ready!(self.0.poll_write_ready(cx))?;
             match self.0.try_write(buf) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_temporary(&error) => {}
                 written => return Poll::Ready(written),
             }
         }
@@ -78,7 +79,7 @@
         loop {
             ready!(self.0.poll_write_ready(cx))?;
             match self.0.try_write_vectored(bufs) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
+                Err(error) if is_temporary(&error) => {}
                 written => return Poll::Ready(written),
             }
         }
@@ -147,7 +148,7 @@
         let mut buffer = [0; READ_BUFFER_BYTES];
         match self.0.try_read(&mut buffer) {
             Ok(count) => Some(consume(&buffer[..count])),
-            Err(error) if error.kind() == io::ErrorKind::WouldBlock => None,
+            Err(error) if is_temporary(&error) => None,
             Err(_) => Some(consume(&[])),
         }
     }
@@ -243,6 +244,23 @@
     }
 }
 
+/// Whether the process or the system lacks descriptors, buffers or memory for a socket, or was interrupted: it may lack
+/// them for a moment only.
+pub fn is_short_of_resources(error: &io::Error) -> bool {
+    let causes = [Errno::EMFILE, Errno::ENFILE, Errno::ENOBUFS, Errno::ENOMEM, Errno::EAGAIN, Errno::EINTR];
+    error.raw_os_error().is_some_and(|code| causes.contains(&Errno::from_raw(code)))
+}
+
+/// Whether an operation can be retried once the system reports the socket as ready.
+fn is_temporary(error: &io::Error) -> bool {
+    matches!(error.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted)
+}
+
 fn has_event(stream: &TcpStream, events: PollFlags) -> bool {
-    poll(&mut [PollFd::new(stream.as_fd(), events)], PollTimeout::ZERO).is_ok_and(|count| count > 0)
+    loop {
+        match poll(&mut [PollFd::new(stream.as_fd(), events)], PollTimeout::ZERO) {
+            Err(Errno::EINTR) => {}
+            polled => return polled.is_ok_and(|count| count > 0),
+        }
+    }
 }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -5,7 +5,7 @@
 use crate::descriptors::ConnectionDescriptors;
 use crate::descriptors::Descriptors;
 use crate::metrics::Metrics;
-use crate::socket::Socket;
+use crate::socket::{is_short_of_resources, Socket};
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::endpoint_connections::EndpointConnections;
 use crate::upstream::limits::ConnectionLimits;
@@ -19,6 +19,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
@@ -28,6 +29,10 @@
 /// the wait.
 const MIN_REMAINING_TIME_TO_WAIT_RATIO: Micros = 4;
 
+/// A connect is retried after so many failures of this system.
+const MAX_LOCAL_FAILURES: usize = 4;
+const LOCAL_FAILURE_PAUSE: Duration = Duration::from_millis(3);
+
 /// The destination of an attempt.
 #[derive(Clone, Copy, Debug)]
 pub struct Target {
@@ -297,7 +302,7 @@
     ) -> Result<UpstreamConnection, ConnectError> {
         let started_at = self.clock.now();
         let limits = self.limits.get();
-        let connect = TcpStream::connect(target.address);
+        let connect = connect_despite_local_failures(target.address);
         let result = tokio::time::timeout(limits.connect_timeout, connect).await;
         let now = self.clock.now();
         if let Some(connections) = self.endpoints.borrow_mut().get_mut(&target.endpoint) {
@@ -308,7 +313,7 @@
         }
         let stream = match result {
             Ok(Ok(stream)) => stream,
-            Ok(Err(error)) if is_out_of_descriptors(&error) => {
+            Ok(Err(error)) if is_local_failure(&error) => {
                 self.evict_oldest();
                 return Err(ConnectError::NoDescriptor);
             }
@@ -360,8 +365,25 @@
     wait <= REUSE_COOLDOWN_US || wait <= remaining_time / MIN_REMAINING_TIME_TO_WAIT_RATIO
 }
 
-/// Whether the process or the system has no file descriptor left.
-fn is_out_of_descriptors(error: &io::Error) -> bool {
-    let exhausted = [Errno::EMFILE as i32, Errno::ENFILE as i32];
-    error.raw_os_error().is_some_and(|code| exhausted.contains(&code))
+/// Connects to an endpoint. A failure of this system may last for a moment only, and says nothing about the endpoint.
+async fn connect_despite_local_failures(address: SocketAddr) -> io::Result<TcpStream> {
+    for _ in 0..MAX_LOCAL_FAILURES {
+        match TcpStream::connect(address).await {
+            Err(error) if is_local_failure(&error) || is_unreachable(&error) => {
+                tokio::time::sleep(LOCAL_FAILURE_PAUSE).await;
+            }
+            connected => return connected,
+        }
+    }
+    TcpStream::connect(address).await
+}
+
+/// Whether this system could not make a connection, whatever the endpoint.
+fn is_local_failure(error: &io::Error) -> bool {
+    is_short_of_resources(error) || error.raw_os_error() == Some(Errno::EADDRNOTAVAIL as i32)
+}
+
+/// Whether no route leads to the endpoint, which may be the system's fault or the network's.
+fn is_unreachable(error: &io::Error) -> bool {
+    error.raw_os_error() == Some(Errno::ENETUNREACH as i32)
 }
