Answer a request in time that its endpoint reads slowly

A socket counts as writable only once a third of its buffer is free, so an endpoint that reads steadily looked stalled for a second and more. And the client's last byte may wait in the client's own send buffer, behind a full receive buffer, where it cannot be seen; the timeout counted from its arrival. Class: the state of a peer inferred from one side's buffers.

Change: an upload makes progress as its unacknowledged bytes become fewer. Where the length is known, at most a send buffer (tcp_wmem) is missing and bytes have waited to be read all the while, the last byte may have been written: the final answer is given by the client's timeout and 0.3 s after that began, if the end has not arrived by then.

Without a declared length the end cannot be bounded: open.

--- a/crates/cli/tests/slow_crowds.rs
+++ b/crates/cli/tests/slow_crowds.rs
@@ -302,6 +302,31 @@
     }
 }
 
+/// Memory in MB and descriptors of the deployments that the platform may choose (TERMS).
+const DEPLOYMENTS: [(usize, usize); 4] = [(32, 256), (48, 512), (64, 1_024), (192, 1_024)];
+
+#[test]
+fn crowds_stay_within_the_memory_limit_in_every_deployment() {
+    // Guards against bounds that fit one deployment only.
+    for (memory_mb, max_sockets) in DEPLOYMENTS {
+        let count = max_sockets / 3 - BYSTANDER_COUNT;
+        for conducts in [
+            &[(Conduct::ReadSlowly { framing: "length" }, count)][..],
+            &[(Conduct::StallInBody { framing: "chunked", sent_bytes: 60_000 }, count)],
+            &[
+                (Conduct::ReadSlowly { framing: "chunked" }, count / 2),
+                (Conduct::StallInBody { framing: "length", sent_bytes: 200_000 }, count / 2),
+            ],
+        ] {
+            let Play { peak_kb, crowd, bystanders, rejections } = play(memory_mb, max_sockets, conducts);
+            let context = format!("{memory_mb} MB, {max_sockets} descriptors, {conducts:?}: {rejections}");
+            assert!(peak_kb <= memory_mb * 1_024, "{context} {peak_kb} kB");
+            assert!(bystanders.served_ratio() >= MIN_SERVED_RATIO, "{context} {bystanders:?}");
+            assert_eq!(crowd.rejected.load(Ordering::SeqCst), 0, "{context} {crowd:?}");
+        }
+    }
+}
+
 #[test]
 fn a_crowd_of_all_kinds_stays_within_the_memory_limit() {
     // Guards against parts of the memory that hold their bounds only one at a time.
--- a/crates/proxy/src/body/request_stream.rs
+++ b/crates/proxy/src/body/request_stream.rs
@@ -58,7 +58,15 @@
         Poll::Ready(())
     }
 
-    /// How long the socket has accepted no bytes.
+    /// Records that the endpoint has received bytes, although the socket may still accept none: it does so only once a
+    /// third of its buffer is free.
+    pub fn record_receipt(&self) {
+        if self.stalled_since.get().is_some() {
+            self.stalled_since.set(Some(Instant::now()));
+        }
+    }
+
+    /// How long the socket has accepted no bytes, and the endpoint has received none.
     pub fn stalled_for(&self) -> Duration {
         self.stalled_since.get().map(|since| since.elapsed()).unwrap_or_default()
     }
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -45,6 +45,15 @@
     pub shutdown: ShutdownSignal,
 }
 
+/// The end of a request whose body is streamed.
+#[derive(Clone, Copy, Debug)]
+struct ExpectedEnd {
+    /// Position on the connection, where the head declares the length of the body.
+    position: Option<u64>,
+    /// How long the client waits for its response from then on.
+    client_timeout: Duration,
+}
+
 /// A request's body: complete, or an upload.
 struct ReceivedBody {
     buffered: Bytes,
@@ -136,8 +145,10 @@
         };
         let _guard = CallGuard { dispatcher: &self.dispatcher, call };
         let Some(upload) = body.upload else { return Ok(final_response(response.await.ok())) };
+        let client_timeout = Duration::from_micros(head.client_timeout_us);
+        let expected_end = ExpectedEnd { position: end_position, client_timeout };
         let response = self
-            .await_streamed(call, &upload, end_position, response, &open, completion_deadline.as_mut())
+            .await_streamed(call, &upload, expected_end, response, &open, completion_deadline.as_mut())
             .await;
         if matches!(response, Err(RequestError::ShuttingDown)) {
             discard(upload, &open);
@@ -221,13 +232,14 @@
         &self,
         call: CallId,
         upload: &Upload,
-        end_position: Option<u64>,
+        expected_end: ExpectedEnd,
         response: oneshot::Receiver<FinalResponse>,
         open: &OpenRequest,
         completion_deadline: impl Future<Output = ()>,
     ) -> Result<Option<FinalResponse>, RequestError> {
         let mut response = pin!(response);
-        let mut arrival = pin!(arrival(open, end_position));
+        let end_position = expected_end.position;
+        let mut arrival = pin!(arrival(open, expected_end));
         let mut completion_deadline = pin!(completion_deadline);
         let mut delayed = pin!(tokio::time::sleep(DELAYED_REQUEST_TIME));
         let mut is_delayed = false;
@@ -246,6 +258,7 @@
         }
         let time_since_arrival = open.time_since_arrival(end_position.unwrap_or(open.read_bytes()));
         let time_since_arrival = time_since_arrival.unwrap_or_default().max(upload.delay_before_claim());
+        let time_since_arrival = time_since_arrival.max(open.time_since_possible_end());
         self.dispatcher.complete_request(call, time_since_arrival);
         tokio::select! {
             biased;
@@ -257,11 +270,11 @@
     }
 }
 
-/// Resolves once the bytes up to `end_position` have arrived; never where it is not known, but then still
-/// observes when bytes arrive.
-async fn arrival(open: &OpenRequest, end_position: Option<u64>) {
-    match end_position {
-        Some(position) => open.arrival_of(position).await,
+/// Resolves once the request has ended at `end_position`; see [`OpenRequest::end_at`]. Never where the end is not known,
+/// but then still observes when bytes arrive.
+async fn arrival(open: &OpenRequest, expected_end: ExpectedEnd) {
+    match expected_end.position {
+        Some(position) => open.end_at(position, expected_end.client_timeout).await,
         None => match open.observe_arrivals().await {},
     }
 }
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -6,6 +6,7 @@
 use crate::downstream::connection::ClientPresence;
 use crate::request::{unshared, Request};
 use crate::response::{AttemptResult, CompleteResponse, StreamingResponse};
+use crate::socket::Socket;
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::load_report;
 use crate::upstream::pool::{ConnectError, ConnectionPool, Target};
@@ -136,7 +137,8 @@
         let Some(message) = message else { return Outcome::NotSent.into() };
         connection.record_head(head_bytes(&message));
         let mut reservation = MemoryReservation::default();
-        let stalled = upload_stalled(Rc::clone(&connection.write_progress), request, remaining_time);
+        let progress = Rc::clone(&connection.write_progress);
+        let stalled = upload_stalled(progress, connection.socket().clone(), request, remaining_time);
         match exchange(pool, &mut connection, stalled, message, &mut reservation, owner).await {
             ExchangeOutcome::Received(received) => {
                 return finish(pool, target, connection, received, reservation, owner).await;
@@ -303,15 +305,25 @@
 }
 
 /// Waits until the upload of a streamed request has stalled; see [`MIN_UPLOAD_STALL`]. Never resolves for a request that is not streamed.
-async fn upload_stalled(write_progress: Rc<WriteProgress>, request: &Request, remaining_time: Micros) {
+async fn upload_stalled(
+    write_progress: Rc<WriteProgress>,
+    socket: Socket,
+    request: &Request,
+    remaining_time: Micros,
+) {
     if request.upload.is_none() {
         return std::future::pending().await;
     }
     let remaining_time = Duration::from_micros(remaining_time);
     let max_stall =
         remaining_time.clamp(MIN_UPLOAD_STALL, MAX_STALL).min(remaining_time + MAX_STALL_AFTER_TIMEOUT);
+    let mut unacknowledged_bytes = socket.unacknowledged_bytes();
     while write_progress.stalled_for() < max_stall {
         tokio::time::sleep(STALL_CHECK_INTERVAL).await;
+        let previous_bytes = std::mem::replace(&mut unacknowledged_bytes, socket.unacknowledged_bytes());
+        if unacknowledged_bytes < previous_bytes {
+            write_progress.record_receipt();
+        }
     }
 }
 
