Test: take the largest of the readings of a process's peak memory

Cause: the system's VmHWM may be read some pages lower than before, as its counters are approximate, and the last reading was taken for the peak. With the memory of the process now steady, it fell below the first.

Change: the largest reading counts, which is never less than the last one was; the bound is as it was.

--- a/crates/cli/tests/response_handover.rs
+++ b/crates/cli/tests/response_handover.rs
@@ -170,7 +170,7 @@
     while let Some(kb) =
         peak_memory_kb(&shutdown.proxy).filter(|_| terminated.elapsed() < DEADLINE + KILL_MARGIN)
     {
-        peak_kb = kb;
+        peak_kb = peak_kb.max(kb);
         thread::sleep(Duration::from_millis(1));
     }
     let growth_kb = peak_kb - before_kb;
