--- a/crates/proxy/src/hot_restart/request_ids.rs
+++ b/crates/proxy/src/hot_restart/request_ids.rs
@@ -13,6 +13,9 @@
 const HEADER_BYTES: usize = 4_096;
 const TABLE_COUNT: u8 = 2;
 
+/// Size of the file in KiB. It counts as memory of the processes.
+pub const REQUEST_IDS_FILE_KIB: usize = (HEADER_BYTES + TABLE_COUNT as usize * TABLE_BYTES) / 1_024;
+
 /// The two tables of digests in the shared file.
 #[derive(Debug)]
 pub struct SharedRequestIds {
--- a/crates/proxy/src/process_memory.rs
+++ b/crates/proxy/src/process_memory.rs
@@ -1,7 +1,7 @@
 //! The memory that this process may use and does use, alone or alongside another process of the same proxy.
 
 use crate::body::MemoryLimit;
-use crate::hot_restart::HandoverDirectory;
+use crate::hot_restart::{HandoverDirectory, REQUEST_IDS_FILE_KIB};
 use std::cell::RefCell;
 use std::rc::Rc;
 
@@ -50,7 +50,7 @@
 /// Keeps the memory limit of this process up to date.
 pub struct MemoryBudget {
     memory: Rc<MemoryLimit>,
-    /// The memory of all processes of this proxy.
+    /// The memory of all processes of this proxy, without the file that they share.
     total_kib: usize,
     /// The directory shared with the other process; `None` if there can be no other.
     handover: Option<Rc<RefCell<HandoverDirectory>>>,
@@ -66,7 +66,9 @@
         handover: Option<Rc<RefCell<HandoverDirectory>>>,
     ) -> Self {
         let start_kib = resident_kib("self").unwrap_or_default();
-        let budget = MemoryBudget { memory, total_kib: total_mb * KIB_PER_MB, handover, start_kib };
+        let file_kib = handover.as_ref().map_or(0, |_| REQUEST_IDS_FILE_KIB);
+        let budget =
+            MemoryBudget { memory, total_kib: total_mb * KIB_PER_MB - file_kib, handover, start_kib };
         budget.check();
         budget
     }
