Count a connection to an endpoint as it is opened, and share by what is counted

Cause: a connection to an endpoint counted for every client, although some 60 are open, so that two processes had no room; and they shared by what each had resident, which is less than what each had counted.

Change: a client counts 34 KiB; a connection to an endpoint counts 28 KiB before it is opened, waits for memory where there is none, and 64 have memory of their own. Read-ahead leaves memory for the connection and the stream of every client that may come. Each process writes how much it may use into its lock file, and reads the other's, forty times a second while there are two; a release that does not write it is measured as before.

--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -87,6 +87,11 @@
         self.accounts.record_resident(resident_kib, min_base_kib);
     }
 
+    /// See [`MemoryAccounts::used_kib`].
+    pub fn used_kib(&self) -> usize {
+        self.accounts.used_kib()
+    }
+
     /// Counts the memory of a connection to an endpoint.
     pub fn connection(&self) -> ConnectionMemory {
         ConnectionMemory::of_endpoint_connection(&self.accounts)
@@ -228,11 +233,8 @@
         reservation: &mut MemoryReservation,
         additional_bytes: usize,
     ) -> bool {
-        self.try_reserve_beyond(
-            self.optional_reserve_kib() - self.body_reserve_kib / 2,
-            reservation,
-            additional_bytes,
-        )
+        let reserve_kib = self.optional_reserve_kib() - self.body_reserve_kib / 2;
+        self.try_reserve_beyond(reserve_kib, reservation, additional_bytes)
     }
 
     /// Grows a reservation by `additional_bytes` if at least `reserve_kib` remain available afterwards.
--- a/crates/proxy/src/body/read_ahead_buffer.rs
+++ b/crates/proxy/src/body/read_ahead_buffer.rs
@@ -28,7 +28,7 @@
     AvailableMemory,
     /// For a response whose endpoint is about to close: as many as the memory allows.
     Urgent,
-    /// For the very end of such a response: as many as the memory allows, including half of the body reserve.
+    /// For the very end of a response: also half of the body reserve.
     Completing,
 }
 
--- a/crates/proxy/src/hot_restart/handover.rs
+++ b/crates/proxy/src/hot_restart/handover.rs
@@ -63,6 +63,11 @@
         self.locks.other_process()
     }
 
+    /// See [`ProcessLocks::write_memory_limit`].
+    pub fn write_memory_limit(&self, limit_kib: usize) {
+        self.locks.write_memory_limit(limit_kib);
+    }
+
     /// See [`ProcessLocks::has_successor`].
     pub fn has_successor(&self) -> bool {
         self.locks.has_successor()
--- a/crates/proxy/src/hot_restart/lock.rs
+++ b/crates/proxy/src/hot_restart/lock.rs
@@ -2,7 +2,8 @@
 //! holds it. The system releases a lock when its process ends, also after a crash or a kill.
 
 use std::fs::{File, OpenOptions, TryLockError};
-use std::io::{self, Write};
+use std::io;
+use std::os::unix::fs::FileExt;
 use std::path::PathBuf;
 
 /// Held by the process that serves.
@@ -15,6 +16,8 @@
 pub struct OtherProcess {
     /// `None` if the process has not written it.
     pub id: Option<u32>,
+    /// The memory that the process may use until it writes this again. `None` if it has not written it.
+    pub memory_limit_kib: Option<usize>,
 }
 
 /// The locks of this process in a directory that it shares with its predecessor and its successor.
@@ -60,8 +63,20 @@
             true if self.has_successor() => SUCCESSOR_LOCK_FILE,
             true => return None,
         };
-        let id = std::fs::read_to_string(self.directory.join(file)).ok();
-        Some(OtherProcess { id: id.and_then(|id| id.trim().parse().ok()) })
+        let text = std::fs::read_to_string(self.directory.join(file)).unwrap_or_default();
+        let mut words = text.split_whitespace();
+        let id = words.next().and_then(|id| id.parse().ok());
+        let memory_limit_kib = words.next().and_then(|limit| limit.parse().ok());
+        Some(OtherProcess { id, memory_limit_kib })
+    }
+
+    /// Writes how much memory this process may use, for the other one. If that fails, the other process measures it.
+    pub fn write_memory_limit(&self, limit_kib: usize) {
+        if let Some(file) = self.serving.as_ref().or(self.successor.as_ref()) {
+            // One write in place: a reader finds the old text or the new one.
+            let text = lock_text(Some(limit_kib));
+            let _ = file.write_all_at(text.as_bytes(), 0);
+        }
     }
 
     /// Whether a successor is running.
@@ -78,6 +93,11 @@
 /// Writes the id of this process to a lock file that it holds. If that fails, each process takes half of the
 /// memory.
 fn write_process_id(file: &File) {
-    let mut file = file;
-    let _ = file.set_len(0).and_then(|()| write!(file, "{}", std::process::id()));
+    let _ = file.set_len(0).and_then(|()| file.write_all_at(lock_text(None).as_bytes(), 0));
+}
+
+/// The content of a lock file, always of the same length.
+fn lock_text(memory_limit_kib: Option<usize>) -> String {
+    let limit = memory_limit_kib.map(|limit_kib| limit_kib.to_string()).unwrap_or_default();
+    format!("{:<10} {limit:<10}", std::process::id())
 }
--- a/crates/proxy/src/hot_restart/mod.rs
+++ b/crates/proxy/src/hot_restart/mod.rs
@@ -13,6 +13,7 @@
 
 pub use handover::{newer_list, HandoverDirectory};
 pub use listener::{bind_when_free, inherited_listener, InheritedListenerError};
+pub use lock::OtherProcess;
 #[cfg(test)]
 pub use request_ids::REQUEST_IDS_FILE;
 pub use request_ids::{SharedRequestIds, REQUEST_IDS_FILE_KIB};
--- a/crates/proxy/src/memory_accounts.rs
+++ b/crates/proxy/src/memory_accounts.rs
@@ -9,20 +9,23 @@
 pub const CONNECTION_KIB: usize = 28;
 /// Memory of a request that is being read or served, in KiB, besides its body: its head, of up to 4 KiB, and its state.
 const REQUEST_KIB: usize = 6;
-/// Memory of a client, in KiB: its connection, a request, and the connection to the endpoint that serves it.
-pub const CLIENT_KIB: usize = CONNECTION_KIB + REQUEST_KIB + CONNECTION_KIB;
+/// Memory of a client, in KiB: its connection and a request.
+pub const CLIENT_KIB: usize = CONNECTION_KIB + REQUEST_KIB;
 /// Memory of a body that is streamed, in KiB, besides its beginning and what is counted for its connections: of the
-/// four chunks between two sockets, those that do not fit into the buffers of the connections.
+/// four chunks of 8 KiB between two sockets, what does not fit into the buffers of the connections.
 pub const STREAMED_BODY_KIB: usize = 12;
-/// Memory of a client whose request will be rejected, in KiB.
-const REJECTED_CLIENT_KIB: usize = CONNECTION_KIB + REQUEST_KIB;
+/// Memory of the first chunk of a body that is about to be streamed, in KiB.
+const FIRST_CHUNK_KIB: usize = 8;
 /// So many clients are accepted whatever everything else uses.
 const MIN_CLIENTS: usize = 16;
+/// Memory is always left to so many connections to endpoints: bodies that hold memory wait for one of them.
+const MIN_ENDPOINT_CONNECTIONS: usize = 64;
 /// Upper bound on the share of bodies in the memory of a process: the amount of freed memory that the allocator
 /// cannot reuse grows with this share.
 const MAX_BODY_MEMORY_PERCENT: usize = 60;
 /// The share of the memory that the allocator takes for the gaps between blocks.
 const ALLOCATOR_OVERHEAD_PERCENT: usize = 6;
+const PERCENT: usize = 100;
 
 /// The memory of a process, in units of 1 KiB.
 #[derive(Debug)]
@@ -88,13 +91,12 @@
         limit_kib.saturating_sub(self.base_kib.get() + self.connections_kib() + overhead_kib)
     }
 
-    /// The memory of all connections. A client's share includes one connection to an endpoint.
+    /// The memory of all connections, and of those to endpoints that may always be opened while clients are there.
     fn connections_kib(&self) -> usize {
         let client_count = self.client_count.get();
-        let further_count = self.endpoint_connection_count.get().saturating_sub(client_count);
-        client_count * CLIENT_KIB
-            + self.rejected_client_count.get() * REJECTED_CLIENT_KIB
-            + further_count * CONNECTION_KIB
+        let min_endpoint_connections = client_count.min(MIN_ENDPOINT_CONNECTIONS);
+        let endpoint_connections = self.endpoint_connection_count.get().max(min_endpoint_connections);
+        (client_count + self.rejected_client_count.get()) * CLIENT_KIB + endpoint_connections * CONNECTION_KIB
     }
 
     /// The memory that nothing uses.
@@ -102,20 +104,26 @@
         self.beyond_connections_kib().saturating_sub(self.reserved_kib.get())
     }
 
-    /// Whether another client can be served within the limit.
+    /// The memory that is in use or has been granted, with the allocator's overhead.
+    pub fn used_kib(&self) -> usize {
+        let counted_kib = self.base_kib.get() + self.connections_kib() + self.reserved_kib.get();
+        counted_kib * PERCENT / (PERCENT - ALLOCATOR_OVERHEAD_PERCENT)
+    }
+
+    /// Whether another client can be served within the limit, with a connection to an endpoint.
     pub fn has_room_for_client(&self) -> bool {
-        self.client_count.get() < MIN_CLIENTS || self.free_kib() >= CLIENT_KIB
+        self.client_count.get() < MIN_CLIENTS || self.free_kib() >= CLIENT_KIB + CONNECTION_KIB
     }
 
     /// Whether another client can be accepted within the limit, if only to reject its request.
     pub fn has_room_for_rejected_client(&self) -> bool {
-        self.has_room_for_client() || self.free_kib() >= REJECTED_CLIENT_KIB
+        self.has_room_for_client() || self.free_kib() >= CLIENT_KIB
     }
 
     /// Whether another connection to an endpoint can be opened within the limit.
     pub fn has_room_for_endpoint_connection(&self) -> bool {
-        let is_included = self.endpoint_connection_count.get() < self.client_count.get();
-        is_included || self.endpoint_connection_count.get() < MIN_CLIENTS || self.free_kib() >= CONNECTION_KIB
+        let included_count = self.client_count.get().min(MIN_ENDPOINT_CONNECTIONS);
+        self.endpoint_connection_count.get() < included_count || self.free_kib() >= CONNECTION_KIB
     }
 
     /// Sets for how many clients memory stays free of what is optional.
@@ -123,12 +131,15 @@
         self.expected_client_count.set(count);
     }
 
-    /// The part of the memory of bodies that the expected clients do not need who are yet to come.
+    /// The part of the memory of bodies that the expected clients do not need, who may yet come and may yet need a
+    /// connection to an endpoint and a streamed body each.
     pub fn unexpected_body_memory_kib(&self) -> usize {
-        let absent_count = self.expected_client_count.get().saturating_sub(self.client_count.get());
-        let remaining_kib =
-            self.beyond_connections_kib().saturating_sub(absent_count * (CLIENT_KIB + STREAMED_BODY_KIB));
-        self.body_memory_kib().min(remaining_kib)
+        let expected_count = self.expected_client_count.get();
+        let absent_clients = expected_count.saturating_sub(self.client_count.get());
+        let absent_connections = expected_count.saturating_sub(self.endpoint_connection_count.get());
+        let exchange_kib = CONNECTION_KIB + STREAMED_BODY_KIB + FIRST_CHUNK_KIB;
+        let expected_kib = absent_clients * CLIENT_KIB + absent_connections * exchange_kib;
+        self.body_memory_kib().min(self.beyond_connections_kib().saturating_sub(expected_kib))
     }
 
     fn count_of(&self, kind: ConnectionKind) -> &Cell<usize> {
@@ -236,5 +247,5 @@
 }
 
 fn percent_of(kib: usize, percent: usize) -> usize {
-    kib * percent / 100
+    kib * percent / PERCENT
 }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -205,7 +205,8 @@
             }
             ended = &mut timers => Err(ServeError::TimersEnded(ended)),
             ended = &mut discovery => Err(ServeError::DiscoveryEnded(ended)),
-            () = check_periodically(&budget, &memory_budget, &pool, &idle_connections, &dispatcher) => Ok(()),
+            () = check_periodically(&budget, &pool, &idle_connections, &dispatcher) => Ok(()),
+            () = check_memory(&memory_budget) => Ok(()),
             () = shutdown.log_open_connections() => Ok(()),
             () = reloader.run() => Err(ServeError::SignalsEnded),
         }
@@ -285,11 +286,16 @@
     listener.map_err(|source| StartError::Listen { address, source })
 }
 
-/// Periodically closes expired upstream connections, and checks the memory in use and whether another process has
-/// started or ended.
+/// Periodically checks the memory in use.
+async fn check_memory(memory_budget: &MemoryBudget) {
+    loop {
+        tokio::time::sleep(memory_budget.check()).await;
+    }
+}
+
+/// Periodically closes expired upstream connections, and checks whether another process has started or ended.
 async fn check_periodically(
     budget: &DescriptorBudget,
-    memory_budget: &MemoryBudget,
     pool: &ConnectionPool,
     idle_connections: &IdleConnections,
     dispatcher: &Dispatcher,
@@ -298,7 +304,6 @@
         tokio::time::sleep(CHECK_INTERVAL).await;
         pool.close_expired();
         budget.check(pool, idle_connections);
-        memory_budget.check();
         dispatcher.observe_system_time();
     }
 }
--- a/crates/proxy/src/process_memory.rs
+++ b/crates/proxy/src/process_memory.rs
@@ -1,15 +1,20 @@
 //! The memory that this process may use and does use, alone or alongside another process of the same proxy.
 
 use crate::body::MemoryLimit;
-use crate::hot_restart::{HandoverDirectory, REQUEST_IDS_FILE_KIB};
-use std::cell::RefCell;
+use crate::hot_restart::{HandoverDirectory, OtherProcess, REQUEST_IDS_FILE_KIB};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use std::time::{Duration, Instant};
 
 /// Blocks of this size and more go back to the system when they are freed: bodies and the blocks of
 /// read-ahead.
 const MAPPED_BLOCK_BYTES: nix::libc::c_int = 32 * 1024;
 /// Memory for the first connections of a successor, until this process frees more.
 const SUCCESSOR_START_KIB: usize = 2 * 1024;
+/// How often the limit is checked.
+const CHECK_INTERVAL: Duration = Duration::from_millis(250);
+/// The same while another process runs: clients move from one to the other.
+const SHARED_CHECK_INTERVAL: Duration = Duration::from_millis(25);
 const KIB_PER_MB: usize = 1024;
 const BYTES_PER_KIB: usize = 1024;
 
@@ -56,6 +61,8 @@
     handover: Option<Rc<RefCell<HandoverDirectory>>>,
     /// Memory that this process used when it started: its successor needs as much.
     start_kib: usize,
+    /// When free memory was last returned to the system.
+    freed_at: Cell<Option<Instant>>,
 }
 
 impl MemoryBudget {
@@ -67,31 +74,62 @@
     ) -> Self {
         let start_kib = resident_kib("self").unwrap_or_default();
         let file_kib = handover.as_ref().map_or(0, |_| REQUEST_IDS_FILE_KIB);
-        let budget =
-            MemoryBudget { memory, total_kib: total_mb * KIB_PER_MB - file_kib, handover, start_kib };
+        let budget = MemoryBudget {
+            memory,
+            total_kib: total_mb * KIB_PER_MB - file_kib,
+            handover,
+            start_kib,
+            freed_at: Cell::default(),
+        };
         budget.check();
         budget
     }
 
-    /// Sets the limit by the memory that this process and the other one use now.
-    pub fn check(&self) {
+    /// Sets the limit by the memory that this process and the other one use now. Returns when to do so again.
+    pub fn check(&self) -> Duration {
         let resident_kib = resident_kib("self").unwrap_or_default();
         self.memory.record_resident(resident_kib, self.start_kib);
-        self.memory.set_limit(self.limit_kib(resident_kib));
+        let Some(handover) = &self.handover else {
+            self.memory.set_limit(self.total_kib);
+            return CHECK_INTERVAL;
+        };
+        let other = handover.borrow_mut().other_process();
+        let limit_kib = self.limit_kib(other, resident_kib);
+        self.memory.set_limit(limit_kib);
+        handover.borrow().write_memory_limit(limit_kib);
+        if other.is_some() {
+            SHARED_CHECK_INTERVAL
+        } else {
+            CHECK_INTERVAL
+        }
     }
 
-    /// The memory that this process may use.
-    fn limit_kib(&self, own_kib: usize) -> usize {
-        let Some(handover) = &self.handover else { return self.total_kib };
-        let Some(other) = handover.borrow_mut().other_process() else {
+    /// The memory that this process may use until the next check, where there may be another process.
+    fn limit_kib(&self, other: Option<OtherProcess>, resident_kib: usize) -> usize {
+        let Some(other) = other else {
             return self.total_kib.saturating_sub(self.start_kib + SUCCESSOR_START_KIB);
         };
-        return_free_memory();
-        match other.id.and_then(other_resident_kib) {
-            // Both processes may grow until the next check, each by half of what is free.
-            Some(other_kib) => own_kib + self.total_kib.saturating_sub(own_kib + other_kib) / 2,
-            // The other process is of a release that does not write its id, or its id is out of date.
-            None => self.total_kib / 2,
+        self.return_free_memory_at_times();
+        // Both processes may grow until the next check, each by half of what neither may use.
+        let with_half_of_rest = |own_kib: usize, other_kib: usize| {
+            own_kib + self.total_kib.saturating_sub(own_kib + other_kib) / 2
+        };
+        match (other.memory_limit_kib, other.id.and_then(other_resident_kib)) {
+            (Some(other_limit_kib), Some(_)) => {
+                with_half_of_rest(self.memory.used_kib(), other_limit_kib).min(self.total_kib)
+            }
+            // The other process is of a release that does not write its limit.
+            (None, Some(other_kib)) => with_half_of_rest(resident_kib, other_kib),
+            // Nor its id, or the id is out of date.
+            (_, None) => self.total_kib / 2,
+        }
+    }
+
+    /// Returns free memory to the system, no more often than [`CHECK_INTERVAL`], as that takes time.
+    fn return_free_memory_at_times(&self) {
+        if self.freed_at.get().is_none_or(|freed_at| freed_at.elapsed() >= CHECK_INTERVAL) {
+            return_free_memory();
+            self.freed_at.set(Some(Instant::now()));
         }
     }
 }
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -32,6 +32,8 @@
 /// A connect is retried after so many failures of this system.
 const MAX_LOCAL_FAILURES: usize = 4;
 const LOCAL_FAILURE_PAUSE: Duration = Duration::from_millis(3);
+/// Interval between checks for memory for another connection.
+const MEMORY_CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 /// The destination of an attempt.
 #[derive(Clone, Copy, Debug)]
@@ -286,6 +288,7 @@
     /// # Errors
     /// If no descriptor is left, or the connect fails or times out.
     pub async fn connect(&self, target: &Target) -> Result<UpstreamConnection, ConnectError> {
+        self.await_memory().await;
         let acquire =
             || self.acquire_descriptors(self.endpoints.borrow_mut().entry(target.endpoint).or_default());
         let mut descriptors = acquire();
@@ -295,6 +298,16 @@
         self.open(target, descriptors.ok_or(ConnectError::NoDescriptor)?).await
     }
 
+    /// Waits until there is memory for another connection, and closes idle ones meanwhile. Bodies return theirs as their
+    /// calls end; the call that waits here ends at its own time limit.
+    async fn await_memory(&self) {
+        while !self.memory.has_room_for_endpoint_connection() {
+            if !self.evict_oldest() {
+                let _ = tokio::time::timeout(MEMORY_CHECK_INTERVAL, self.memory.returned()).await;
+            }
+        }
+    }
+
     async fn open(
         &self,
         target: &Target,
--- a/crates/proxy/src/upstream/response_forwarder.rs
+++ b/crates/proxy/src/upstream/response_forwarder.rs
@@ -241,9 +241,7 @@
     /// How far the body may be read ahead of the client now.
     fn limit(&self, body: &Incoming) -> ReadAheadLimit {
         match body.size_hint().exact() {
-            Some(remaining_bytes) if self.is_outdated && remaining_bytes <= LAST_BYTES => {
-                ReadAheadLimit::Completing
-            }
+            Some(remaining_bytes) if remaining_bytes <= LAST_BYTES => ReadAheadLimit::Completing,
             _ if self.is_outdated => ReadAheadLimit::Urgent,
             Some(remaining_bytes) if remaining_bytes <= TAIL_BYTES => ReadAheadLimit::AvailableMemory,
             Some(_) => ReadAheadLimit::OneChunk,
