Check the memory for a client after it has come, and leave some beside the expected

Seen: slow readers at 32 MB and 1,024 descriptors beside a soak: 309 of 330 answers begun, 21 rejected, 159 of 167 calls beside them served; the limit held (28.3 MB).

Cause: read-ahead took all that the expected clients do not need, and nothing was left for bodies that are buffered beside theirs. And the memory was checked before the wait for the next client, so that it could be gone when one came.

Change: half of the body reserve stays beside what the expected clients need; the check follows the accept.

--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -137,9 +137,11 @@
         self.body_reserve_kib + unavailable_kib
     }
 
-    /// The part of the memory of bodies that the expected clients need who are yet to come.
+    /// The part of the memory of bodies that the expected clients need who are yet to come, with half of the body
+    /// reserve for the bodies that are buffered beside theirs.
     fn expected_clients_kib(&self) -> usize {
-        self.accounts.body_memory_kib() - self.accounts.unexpected_body_memory_kib()
+        let expected_kib = self.accounts.body_memory_kib() - self.accounts.unexpected_body_memory_kib();
+        expected_kib + self.body_reserve_kib / 2
     }
 
     /// See [`SPECULATION_RESERVE_DIVISOR`].
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -156,7 +156,6 @@
     /// connections free their slots soon.
     async fn accept(&self, listener: &TcpListener) -> (io::Result<TcpStream>, Option<OwnedSemaphorePermit>) {
         let slot = Arc::clone(&self.slots).acquire_owned().await;
-        self.await_memory().await;
         let accepted = listener.accept().await;
         (accepted.map(|(stream, _)| stream), slot.ok())
     }
@@ -164,6 +163,7 @@
     async fn handle(&mut self, accepted: io::Result<TcpStream>, slot: Option<OwnedSemaphorePermit>) {
         match accepted {
             Ok(stream) => {
+                self.await_memory().await;
                 let at_capacity = (self.is_at_capacity()
                     && !self.downstream.idle_connections.evict_longest_idle())
                     || !self.downstream.handler.memory.has_room_for_client();
@@ -174,7 +174,7 @@
         }
     }
 
-    /// Waits until there is memory for another connection, and closes idle ones meanwhile.
+    /// Waits until there is memory for the connection that was accepted, and closes idle ones meanwhile.
     async fn await_memory(&self) {
         let memory = &self.downstream.handler.memory;
         if !memory.has_room_for_client() && !self.downstream.pool.evict_oldest() {
