Review case 8: an upgrade cuts the answers that the old process passes on

Cause: the new process declines to take answers over, as the memory that it keeps for clients who may come is all that it has while the old process runs.

--- a/review/lib-2/mod.rs
+++ b/review/lib-2/mod.rs
@@ -5,6 +5,8 @@
 use std::fs::File;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -400,8 +402,52 @@
 /// Starts a proxy and waits until it is ready.
 pub fn start_proxy(case: &Case, start: &Start<'_>) -> Proxy {
     let listen = free_address();
+    let proxy = spawn_proxy(case, start, listen, None, "");
+    let end = Instant::now() + Duration::from_secs(30);
+    while !is_ready(listen) {
+        if Instant::now() > end {
+            give_up("the proxy is not ready");
+        }
+        thread::sleep(ms(50));
+    }
+    case.log("proxy ready");
+    proxy
+}
+
+extern "C" {
+    fn dup2(from: i32, to: i32) -> i32;
+}
+
+/// The descriptor by which a process inherits the platform's listening socket (DAYS, "Upgrades").
+const LISTENER_DESCRIPTOR: i32 = 7;
+
+/// Starts a process that takes clients from the platform's listening socket, and waits until it says that it does. Two
+/// such processes share their folder.
+pub fn start_process(case: &Case, start: &Start<'_>, listener: &TcpListener) -> Proxy {
+    let listen = listener.local_addr().unwrap();
+    let operator = free_address();
+    let proxy = spawn_proxy(case, start, listen, Some(listener.as_raw_fd()), &format!(r#""operator":"{operator}","#));
+    let end = Instant::now() + Duration::from_secs(30);
+    while !says_yes(operator) {
+        if Instant::now() > end {
+            give_up("the proxy is not ready");
+        }
+        thread::sleep(ms(50));
+    }
+    case.log(&format!("process {} says yes", proxy.child.id()));
+    proxy
+}
+
+fn says_yes(operator: SocketAddr) -> bool {
+    let Ok(mut stream) = TcpStream::connect(operator) else { return false };
+    let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
+    let mut answer = [0; 3];
+    stream.write_all(b"HEALTH\n").is_ok() && stream.read_exact(&mut answer).is_ok() && &answer == b"YES"
+}
+
+fn spawn_proxy(case: &Case, start: &Start<'_>, listen: SocketAddr, listener: Option<i32>, operator: &str) -> Proxy {
     let text = format!(
-        r#"{{"name":"n1","listen":"{listen}","discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{{"index":1,"snapshot":true,"endpoints":[{}]}},"settings":{}}}"#,
+        r#"{{"name":"n1","listen":"{listen}",{operator}"discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{{"index":1,"snapshot":true,"endpoints":[{}]}},"settings":{}}}"#,
         start.discovery,
         start.memory_mb,
         start.sockets,
@@ -412,8 +458,22 @@
     let shared = case.temporary.join("proxy");
     let _ = std::fs::create_dir_all(&shared);
     std::fs::write(&config, text).unwrap_or_else(|e| give_up(&e.to_string()));
-    let log = File::create(case.temporary.join("proxy.log")).unwrap_or_else(|e| give_up(&e.to_string()));
-    let child = Command::new("/bin/sh")
+    let log = File::options().create(true).append(true).open(case.temporary.join("proxy.log"));
+    let log = log.unwrap_or_else(|e| give_up(&e.to_string()));
+    let mut command = Command::new("/bin/sh");
+    if let Some(listener) = listener {
+        command.env("RELAY_ACCEPT_FD", LISTENER_DESCRIPTOR.to_string());
+        // SAFETY: the child only copies a descriptor, which may be done between fork and exec.
+        unsafe {
+            command.pre_exec(move || {
+                if dup2(listener, LISTENER_DESCRIPTOR) < 0 {
+                    return Err(io::Error::last_os_error());
+                }
+                Ok(())
+            });
+        }
+    }
+    let child = command
         .arg("-c")
         .arg(run_command(&case.root))
         .current_dir(&case.root)
@@ -433,14 +493,6 @@
     let mut ids = File::options().create(true).append(true).open(case.temporary.join("ids")).unwrap();
     let _ = writeln!(ids, "{}", proxy.child.id());
     case.log(&format!("proxy {} started at {listen}", proxy.child.id()));
-    let end = Instant::now() + Duration::from_secs(30);
-    while !is_ready(listen) {
-        if Instant::now() > end {
-            give_up("the proxy is not ready");
-        }
-        thread::sleep(ms(50));
-    }
-    case.log("proxy ready");
     proxy
 }
 
