--- a/review/8/case-2.rs
+++ b/review/8/case-2.rs
@@ -40,7 +40,10 @@
             let request = request("card-check", &id, TIMEOUT_MS, &figures, None);
             let sent_at = Instant::now();
             let is_written = client.stream.write_all(&request).is_ok();
-            case.log(&format!("client: sent {id}, a head of {} bytes, written whole: {is_written}", request.len()));
+            case.log(&format!(
+                "client: sent {id}, a head of {} bytes, written whole: {is_written}",
+                request.len()
+            ));
             let answer = client.message();
             let after = sent_at.elapsed();
             let text = match &answer {
@@ -52,7 +55,11 @@
             let is_answered = matches!(&answer, Ok(Some(answer)) if answer.is_whole) && after <= LATEST;
             if !is_answered {
                 let bytes = request.len();
-                breaks.push(format!("{id}, {bytes} bytes: {text} after {:.3} s, {} runs", after.as_secs_f64(), runs.count(&id)));
+                breaks.push(format!(
+                    "{id}, {bytes} bytes: {text} after {:.3} s, {} runs",
+                    after.as_secs_f64(),
+                    runs.count(&id)
+                ));
             }
         }
     }
--- a/review/lib-2/mod.rs
+++ b/review/lib-2/mod.rs
@@ -24,7 +24,8 @@
 /// Ends all programs that were started.
 fn end_programs() {
     for id in STARTED.lock().unwrap().drain(..) {
-        let _ = Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {id}")).stderr(Stdio::null()).status();
+        let _ =
+            Command::new("/bin/sh").arg("-c").arg(format!("kill -KILL {id}")).stderr(Stdio::null()).status();
     }
 }
 
@@ -41,7 +42,8 @@
     /// Reads `CASE_DIR`, `CASE_ROOT`, `CASE_TMP` and `TROUBLE`, which `run.sh` sets.
     pub fn begin() -> Arc<Case> {
         let path = |name: &str| PathBuf::from(std::env::var_os(name).unwrap_or_else(|| give_up(name)));
-        let record = File::create(path("CASE_DIR").join("record.txt")).unwrap_or_else(|e| give_up(&e.to_string()));
+        let record =
+            File::create(path("CASE_DIR").join("record.txt")).unwrap_or_else(|e| give_up(&e.to_string()));
         Arc::new(Case {
             trouble: std::env::var("TROUBLE").map_or(true, |t| t != "0"),
             root: path("CASE_ROOT"),
@@ -210,7 +212,9 @@
     fn chunks(&mut self, body: &mut Vec<u8>) -> io::Result<bool> {
         loop {
             let Some(line) = self.line()? else { return Ok(false) };
-            let Ok(size) = usize::from_str_radix(line.split(';').next().unwrap_or(""), 16) else { return Ok(false) };
+            let Ok(size) = usize::from_str_radix(line.split(';').next().unwrap_or(""), 16) else {
+                return Ok(false);
+            };
             if !self.take(size, body)? {
                 return Ok(false);
             }
@@ -268,7 +272,9 @@
         while let Ok(Some(call)) = reader.message() {
             let figure = |name: &str| {
                 let (_, query) = call.path().split_once('?')?;
-                query.split('&').find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
+                query
+                    .split('&')
+                    .find_map(|pair| pair.strip_prefix(name)?.strip_prefix('=')?.parse::<u64>().ok())
             };
             let known = figure("index").unwrap_or(0);
             let end = Instant::now() + ms(figure("wait").unwrap_or(0));
@@ -281,8 +287,10 @@
             let list = if is_news { state.1.as_str() } else { "" };
             let text = format!(r#"{{"index":{},"snapshot":{is_news},"endpoints":[{list}]}}"#, state.0);
             drop(state);
-            let answer =
-                format!("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}", text.len());
+            let answer = format!(
+                "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
+                text.len()
+            );
             if reader.stream.write_all(answer.as_bytes()).is_err() {
                 return;
             }
@@ -426,7 +434,8 @@
 pub fn start_process(case: &Case, start: &Start<'_>, listener: &TcpListener) -> Proxy {
     let listen = listener.local_addr().unwrap();
     let operator = free_address();
-    let proxy = spawn_proxy(case, start, listen, Some(listener.as_raw_fd()), &format!(r#""operator":"{operator}","#));
+    let proxy =
+        spawn_proxy(case, start, listen, Some(listener.as_raw_fd()), &format!(r#""operator":"{operator}","#));
     let end = Instant::now() + Duration::from_secs(30);
     while !says_yes(operator) {
         if Instant::now() > end {
@@ -445,7 +454,13 @@
     stream.write_all(b"HEALTH\n").is_ok() && stream.read_exact(&mut answer).is_ok() && &answer == b"YES"
 }
 
-fn spawn_proxy(case: &Case, start: &Start<'_>, listen: SocketAddr, listener: Option<i32>, operator: &str) -> Proxy {
+fn spawn_proxy(
+    case: &Case,
+    start: &Start<'_>,
+    listen: SocketAddr,
+    listener: Option<i32>,
+    operator: &str,
+) -> Proxy {
     let text = format!(
         r#"{{"name":"n1","listen":"{listen}",{operator}"discovery":"{}","seed":"8c1f30d27a5be964","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"known":{{"index":1,"snapshot":true,"endpoints":[{}]}},"settings":{}}}"#,
         start.discovery,
@@ -501,12 +516,14 @@
     let _ = stream.set_read_timeout(Some(Duration::from_secs(1)));
     let mut reader = Reader::new(stream);
     let call = b"GET /_health HTTP/1.1\r\nHost: service.internal\r\n\r\n";
-    reader.stream.write_all(call).is_ok() && matches!(reader.message(), Ok(Some(answer)) if answer.status() == 200)
+    reader.stream.write_all(call).is_ok()
+        && matches!(reader.message(), Ok(Some(answer)) if answer.status() == 200)
 }
 
 /// The value of `run` in the deploy file.
 fn run_command(root: &Path) -> String {
-    let text = std::fs::read_to_string(root.join("deploy/balancer.toml")).unwrap_or_else(|e| give_up(&e.to_string()));
+    let text = std::fs::read_to_string(root.join("deploy/balancer.toml"))
+        .unwrap_or_else(|e| give_up(&e.to_string()));
     let line = text.lines().find(|line| line.starts_with("run")).unwrap_or_else(|| give_up("no run command"));
     line.split('"').nth(1).unwrap_or_else(|| give_up("no run command")).to_owned()
 }
@@ -542,6 +559,7 @@
 
 /// A client connection.
 pub fn connect(address: SocketAddr) -> Reader {
-    let stream = TcpStream::connect(address).unwrap_or_else(|e| give_up(&format!("client cannot connect: {e}")));
+    let stream =
+        TcpStream::connect(address).unwrap_or_else(|e| give_up(&format!("client cannot connect: {e}")));
     Reader::new(stream)
 }
