Log which resource a request head or a handed-over response lacked

Change: a head that waits for memory, and each reason for which a successor takes no response over, are logged with the bytes required and available.

--- a/crates/proxy/src/downstream/head_memory.rs
+++ b/crates/proxy/src/downstream/head_memory.rs
@@ -4,6 +4,7 @@
 use crate::body::{MemoryLimit, MemoryReservation};
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
+use tracing::warn;
 
 /// A head of up to this size fits into what is counted for its client.
 const MAX_UNRESERVED_HEAD_BYTES: usize = 4 * 1024;
@@ -18,12 +19,19 @@
     read_bytes: Cell<usize>,
     /// Kept until the connection closes, as the parser's buffer keeps its size.
     reservation: RefCell<Option<MemoryReservation>>,
+    /// The wait of this head for memory has been logged.
+    has_logged_wait: Cell<bool>,
 }
 
 impl HeadMemory {
     /// For a connection on which nothing has been read.
     pub fn new(memory: Rc<MemoryLimit>) -> Self {
-        HeadMemory { memory, read_bytes: Cell::new(0), reservation: RefCell::default() }
+        HeadMemory {
+            memory,
+            read_bytes: Cell::new(0),
+            reservation: RefCell::default(),
+            has_logged_wait: Cell::new(false),
+        }
     }
 
     /// How many bytes of a head may be read now; 0 if no memory is left for more.
@@ -46,6 +54,10 @@
             *reservation =
                 self.memory.try_reserve_optional(&mut reserved, LARGE_HEAD_BYTES).then_some(reserved);
         }
+        if reservation.is_none() && !self.has_logged_wait.replace(true) {
+            let available_bytes = self.memory.available_bytes();
+            warn!(required_bytes = LARGE_HEAD_BYTES, available_bytes, "request head waits for memory");
+        }
         reservation.is_some()
     }
 
@@ -57,5 +69,6 @@
     /// Records that the head is complete.
     pub fn complete(&self) {
         self.read_bytes.set(0);
+        self.has_logged_wait.set(false);
     }
 }
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -129,9 +129,13 @@
         let offered = predecessor.read_offer().await?;
         let mut reservation = MemoryReservation::default();
         let memory = &self.handler.memory;
-        let descriptor = self.try_acquire_descriptor().ok_or(HandoverError::Rejected)?;
-        if !memory.try_reserve_optional(&mut reservation, offered.offer().unsent_bytes) {
-            return Err(HandoverError::Rejected);
+        let descriptor = self.try_acquire_descriptor().ok_or(HandoverError::NoConnection)?;
+        let required_bytes = offered.offer().unsent_bytes;
+        if !memory.try_reserve_optional(&mut reservation, required_bytes) {
+            return Err(HandoverError::NoMemory {
+                required_bytes,
+                available_bytes: memory.available_bytes(),
+            });
         }
         let response = offered.accept(ConnectionDescriptors::of_handed_over(descriptor)).await?;
         let unsent_bytes = response.unsent_bytes();
@@ -228,7 +232,10 @@
     /// Spawns a task that takes a response over from the predecessor and delivers it. Without capacity for
     /// it, the response stays with the predecessor.
     fn take_over(&self, predecessor: PredecessorConnection) {
-        let Some(permit) = self.try_acquire_permit() else { return };
+        let Some(permit) = self.try_acquire_permit() else {
+            warn!(reason = %HandoverError::NoConnection, "response not taken over from the predecessor");
+            return;
+        };
         let downstream = Rc::clone(&self.downstream);
         let open_connection = downstream.open_connections.open();
         open_connection.set_activity(Activity::WritingResponse);
--- a/crates/proxy/src/hot_restart/response_handover.rs
+++ b/crates/proxy/src/hot_restart/response_handover.rs
@@ -62,6 +62,15 @@
     TimedOut,
     #[error("successor has no capacity for the response")]
     Rejected,
+    #[error("no client connection or descriptor left for the response")]
+    NoConnection,
+    #[error("no memory left for the response: {required_bytes} bytes required, {available_bytes} available")]
+    NoMemory {
+        /// Bytes that the response needs at once.
+        required_bytes: usize,
+        /// Bytes that bodies have not reserved.
+        available_bytes: usize,
+    },
     #[error("handover offer is invalid")]
     InvalidOffer,
     #[error("predecessor did not commit the handover and kept the response")]
