Send a request again only if none of it was written, and deliver a response that has arrived

Cause: while a response waited for memory, the parser read on, met a second response and ended the connection. The attempt dropped the response with it, and took unsolicited data on a reused connection for proof that the request had not been written. Change: a request is sent again without the balancer only in the state in which writing it was refused; the body of a response is read whether or not its connection is still open.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -12,6 +12,7 @@
 use crate::upstream::pool::{ConnectError, ConnectionPool, Target};
 use crate::upstream::response::{classify, read_body, PartialBody, ResponseBody, MAX_STALL};
 use crate::upstream::response_forwarder::{Interruption, ReadPause, ReceiveOutcome, ResponseForwarder};
+use hyper::body::Incoming;
 use hyper::header::{self, HeaderName, HeaderValue};
 use hyper::http::response::Parts;
 use oakport_core::{Micros, Outcome};
@@ -20,6 +21,7 @@
 use std::time::Duration;
 use tokio::sync::{mpsc, Notify};
 use tokio::time::Instant;
+use tracing::warn;
 
 /// The upload of a streamed request that makes no progress counts as stalled after the time left to the client
 /// or, if longer, after this time.
@@ -99,8 +101,8 @@
     Received(ReceivedResponse),
     /// The connection ended, or the endpoint stalled.
     Failed,
-    /// The request was not written, because the reused connection had received unsolicited data.
-    UnsolicitedData,
+    /// No byte of the request was written, because the reused connection had received unsolicited data.
+    NotWritten,
 }
 
 /// A body of which the beginning has been buffered, and the memory of the beginning.
@@ -143,8 +145,11 @@
             ExchangeOutcome::Received(received) => {
                 return finish(pool, target, connection, received, reservation, owner).await;
             }
-            ExchangeOutcome::Failed => return fail(connection, request).await,
-            ExchangeOutcome::UnsolicitedData => pool.record_unsolicited_data(&target),
+            ExchangeOutcome::Failed => {
+                log_unsolicited_end(&connection, pool.memory.available_bytes());
+                return fail(connection, request).await;
+            }
+            ExchangeOutcome::NotWritten => pool.record_unsolicited_data(&target),
         }
         if request.upload.is_some() {
             return fail(connection, request).await;
@@ -152,6 +157,14 @@
     }
 }
 
+/// Logs that an exchange failed because the endpoint sent more than its response.
+fn log_unsolicited_end(connection: &UpstreamConnection, available_memory_bytes: usize) {
+    if connection.has_unsolicited_data() {
+        let is_request_written = connection.write_progress.is_complete();
+        warn!(is_request_written, available_memory_bytes, "unsolicited data ended an exchange");
+    }
+}
+
 /// Claims an upload for one attempt. False if an attempt has already claimed it.
 fn claim(upload: &Upload, client: &ClientPresence) -> bool {
     upload.try_claim(client.time_since_last_byte())
@@ -216,26 +229,36 @@
     owner: &impl AttemptOwner,
 ) -> ExchangeOutcome {
     let sent = connection.sender.send_request(message);
-    let received = connection.drive(&pool.metrics, async {
-        let (head, body) = sent.await.ok()?.into_parts();
-        let is_served = classify(&head) == Outcome::Served;
-        let overdue = if is_served { owner.record_answer_head() } else { Rc::default() };
-        let body = read_body(&head, body, reservation, &pool.memory, &overdue).await?;
-        Some(ReceivedResponse { head, body })
-    });
     let received = tokio::select! {
-        received = received => received.flatten(),
+        received = receive(pool, connection, sent, reservation, owner) => received,
         () = stalled => None,
     };
     match received {
         Some(received) => ExchangeOutcome::Received(received),
-        None if connection.has_carried_request() && connection.has_unsolicited_data() => {
-            ExchangeOutcome::UnsolicitedData
-        }
+        None if connection.has_refused_request() => ExchangeOutcome::NotWritten,
         None => ExchangeOutcome::Failed,
     }
 }
 
+/// Receives the response to a request that is being `sent`. `None` if the connection ends first or the response is
+/// invalid.
+async fn receive(
+    pool: &ConnectionPool,
+    connection: &mut UpstreamConnection,
+    sent: impl Future<Output = hyper::Result<hyper::Response<Incoming>>>,
+    reservation: &mut MemoryReservation,
+    owner: &impl AttemptOwner,
+) -> Option<ReceivedResponse> {
+    let response = connection.drive(&pool.metrics, sent).await?;
+    let (head, body) = response.ok()?.into_parts();
+    let is_served = classify(&head) == Outcome::Served;
+    let overdue = if is_served { owner.record_answer_head() } else { Rc::default() };
+    // The body knows its own end: what has arrived of it stays valid when the connection ends.
+    let body = read_body(&head, body, reservation, &pool.memory, &overdue);
+    let body = connection.drive_alongside(&pool.metrics, body).await?;
+    Some(ReceivedResponse { head, body })
+}
+
 /// The result of an attempt that got no response. The endpoint has certainly not executed the request only if
 /// its last byte was not written.
 async fn fail(connection: UpstreamConnection, request: &Request) -> AttemptResult {
--- a/crates/proxy/src/upstream/connection.rs
+++ b/crates/proxy/src/upstream/connection.rs
@@ -22,7 +22,7 @@
 /// State of the current exchange (a request and its response), shared by a connection and its stream.
 #[derive(Debug, Default)]
 struct Exchange {
-    /// The first byte of the request has been written, and the response is not yet complete.
+    /// Writing of the request has begun, and the response is not yet complete.
     is_in_progress: Cell<bool>,
     /// Data arrived while no exchange was in progress.
     has_unsolicited_data: Cell<bool>,
@@ -204,6 +204,12 @@
             || (!self.exchange.is_in_progress.get() && self.socket.has_unread_bytes())
     }
 
+    /// Whether no byte of the latest request was written, because unsolicited data had arrived on the reused
+    /// connection. Such a request may be sent again, whatever its class.
+    pub fn has_refused_request(&self) -> bool {
+        self.has_carried_request && !self.exchange.is_in_progress.get() && self.has_unsolicited_data()
+    }
+
     /// The socket, used to wait for data while the connection is idle.
     pub fn socket(&self) -> &Socket {
         &self.socket
