Read large request heads from all the memory that is left, and return it with the answer

Cause: heads were reserved like read-ahead, beyond what a third of the descriptors would need in clients yet to come: with these limits more than there is. Evidence: a log line where a head waits: 147,456 bytes required, 20,131,840 left, on an idle process. Change: a head waits in turn with bodies for all that is left; incomplete heads hold half of it at most; a connection goes on with a new parser once its large request has been answered, which returns the memory; a head counts by its size; one that has waited 0.25 s is rejected with Retry-After. The least memory of bodies suffices for the largest head, so that it holds for every pair of limits. The two copies of the memory reading of the tests are one.

--- a/crates/cli/tests/memory_limit.rs
+++ b/crates/cli/tests/memory_limit.rs
@@ -4,6 +4,7 @@
 mod peers;
 
 use peers::bodies::*;
+use peers::memory::peak_memory_kb;
 use peers::shutdown::write_response;
 use peers::*;
 use std::net::SocketAddr;
@@ -122,26 +123,6 @@
     }
 }
 
-/// Memory of a process in kB, without the pages of its program file.
-fn own_memory_kb(process: u32) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let value = |key| {
-        let line = status.lines().find_map(|line| line.strip_prefix(key))?;
-        line.split_whitespace().next()?.parse::<usize>().ok()
-    };
-    value("RssAnon:").unwrap_or(0) + value("RssShmem:").unwrap_or(0)
-}
-
-/// Observes the memory of these processes together until `end`, and returns the maximum.
-fn peak_memory_kb(processes: &[u32], end: Instant) -> usize {
-    let mut peak_kb = 0;
-    while Instant::now() < end {
-        peak_kb = peak_kb.max(processes.iter().map(|&process| own_memory_kb(process)).sum());
-        thread::sleep(Duration::from_millis(5));
-    }
-    peak_kb
-}
-
 /// Starts clients that begin one after the other within a second.
 fn start_clients(
     load: Load,
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod agent;
 pub mod bodies;
+pub mod memory;
 pub mod shutdown;
 
 use std::io::{BufRead, BufReader, Read, Write};
--- a/crates/cli/tests/slow_crowds.rs
+++ b/crates/cli/tests/slow_crowds.rs
@@ -3,6 +3,7 @@
 mod peers;
 
 use peers::bodies::*;
+use peers::memory::peak_memory_kb;
 use peers::shutdown::{query_value, write_response};
 use peers::*;
 use std::io::{BufReader, Read};
@@ -197,22 +198,6 @@
     }
 }
 
-/// Memory of a process in kB, without the pages of its program file.
-fn own_memory_kb(process: u32) -> usize {
-    let status = std::fs::read_to_string(format!("/proc/{process}/status")).unwrap_or_default();
-    let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:"));
-    line.and_then(|line| line.split_whitespace().next()?.parse().ok()).unwrap_or(0)
-}
-
-fn peak_memory_kb(process: u32, end: Instant) -> usize {
-    let mut peak_kb = 0;
-    while Instant::now() < end {
-        peak_kb = peak_kb.max(own_memory_kb(process));
-        thread::sleep(Duration::from_millis(5));
-    }
-    peak_kb
-}
-
 /// What a play has shown.
 #[derive(Debug)]
 struct Play {
@@ -251,7 +236,7 @@
         let (stop, bystanders) = (Arc::clone(&stop), Arc::clone(&bystanders));
         clients.push(thread::spawn(move || run_bystander(address, &stop, &bystanders)));
     }
-    let peak_kb = peak_memory_kb(proxy.child.id(), Instant::now() + PLAY);
+    let peak_kb = peak_memory_kb(&[proxy.child.id()], Instant::now() + PLAY);
     let rejections = metrics(admin)["rejections"].to_string();
     stop.store(true, Ordering::SeqCst);
     drop(proxy);
@@ -302,6 +287,14 @@
     }
 }
 
+#[test]
+fn clients_that_stop_within_large_heads_leave_room_for_others() {
+    // Guards against heads that hold the memory of others while nothing of them arrives.
+    for head_bytes in [7_000, 15_000, 31_000] {
+        assert_bystanders_are_served(&[(Conduct::StallInHead { head_bytes }, CROWD_COUNT)]);
+    }
+}
+
 /// Memory in MB and descriptors of the deployments that the platform may choose (TERMS).
 const DEPLOYMENTS: [(usize, usize); 4] = [(32, 256), (48, 512), (64, 1_024), (192, 1_024)];
 
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -4,6 +4,7 @@
 mod tests;
 
 use crate::memory_accounts::{ConnectionMemory, MemoryAccounts, STREAMED_BODY_KIB};
+use std::cell::Cell;
 use std::future::Future;
 use std::rc::Rc;
 
@@ -42,6 +43,8 @@
     accounts: Rc<MemoryAccounts>,
     /// See [`BODY_RESERVE_DIVISOR`].
     body_reserve_kib: usize,
+    /// Memory that incomplete heads hold or wait for.
+    pub(super) incomplete_heads_kib: Cell<usize>,
 }
 
 /// A body's reservation of memory, returned when dropped.
@@ -74,6 +77,7 @@
         Rc::new(MemoryLimit {
             accounts: MemoryAccounts::new(memory_kib, MIN_BODY_KIB),
             body_reserve_kib: memory_kib / BODY_RESERVE_DIVISOR,
+            incomplete_heads_kib: Cell::default(),
         })
     }
 
@@ -87,6 +91,11 @@
         self.accounts.record_resident(resident_kib, min_base_kib);
     }
 
+    /// See [`MemoryAccounts::body_memory_kib`].
+    pub(super) fn body_memory_kib(&self) -> usize {
+        self.accounts.body_memory_kib()
+    }
+
     /// See [`MemoryAccounts::used_kib`].
     pub fn used_kib(&self) -> usize {
         self.accounts.used_kib()
--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -3,6 +3,7 @@
 
 mod counted_bytes;
 mod detached_body;
+mod head_reservation;
 mod memory_limit;
 mod read_ahead_buffer;
 mod request_stream;
@@ -11,6 +12,7 @@
 
 pub use counted_bytes::CountedBytes;
 pub use detached_body::{BodySource, DetachRequest, DetachedBody, DetachedResponse};
+pub use head_reservation::{reserve_head, HeadReservation};
 pub use memory_limit::{
     buffer_bytes, MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES, STREAMED_BODY_BYTES,
 };
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -148,6 +148,11 @@
         self.state.borrow().metrics.count_request(class, RequestOutcome::Rejected(reason));
     }
 
+    /// Counts a request that was rejected before its class was known.
+    pub fn count_rejected_unread(&self, reason: RejectionReason) {
+        self.state.borrow().metrics.count_rejection(reason);
+    }
+
     /// The current metrics.
     pub fn report(&self) -> MetricsReport {
         self.state.borrow().report(self.clock.now())
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -32,6 +32,8 @@
     phase: Cell<Phase>,
     /// The response to the latest request has begun.
     response_begun: Cell<bool>,
+    /// The HTTP parser has read the latest request to its end.
+    is_request_read: Cell<bool>,
     open_connection: OpenConnection,
     /// When the client's socket stopped accepting bytes. `None` while it accepts them.
     write_stalled_since: Cell<Option<Instant>>,
@@ -68,6 +70,7 @@
             accepted_at: Instant::now(),
             phase: Cell::new(Phase::RequestOpen),
             response_begun: Cell::default(),
+            is_request_read: Cell::default(),
             open_connection,
             write_stalled_since: Cell::default(),
             filled_send_buffer: Cell::default(),
@@ -139,16 +142,34 @@
         }
     }
 
-    /// How many bytes the HTTP parser may read now; 0 if no memory is left for more of a head.
-    pub(super) fn readable_bytes(&self) -> usize {
+    /// How many bytes the HTTP parser may read now. Pending while no memory is left for more of a head.
+    pub(super) fn poll_readable_bytes(&self, cx: &mut Context<'_>) -> Poll<usize> {
         match self.phase.get() {
             Phase::Idle { .. } | Phase::Delivering(_) | Phase::ReadingHead { .. } => {
-                self.head_memory.readable_bytes()
+                let was_waiting = self.head_memory.wait_deadline().is_some();
+                let readable_bytes = self.head_memory.poll_readable_bytes(cx);
+                if readable_bytes.is_pending() && !was_waiting {
+                    self.state_changed.notify_one();
+                }
+                readable_bytes
             }
-            Phase::RequestOpen | Phase::AwaitingResponse | Phase::WritingResponse => usize::MAX,
+            Phase::RequestOpen | Phase::AwaitingResponse | Phase::WritingResponse => Poll::Ready(usize::MAX),
         }
     }
 
+    pub(super) fn head_memory(&self) -> &HeadMemory {
+        &self.head_memory
+    }
+
+    /// Whether the HTTP parser keeps a buffer that a large head has enlarged, although it has read the whole request and
+    /// the response has been written.
+    pub(super) fn has_idle_enlarged_parser(&self) -> bool {
+        self.is_idle()
+            && self.is_request_read.get()
+            && self.head_memory.is_enlarged()
+            && !self.detachment.is_begun()
+    }
+
     fn leave_idle(&self) {
         if let Phase::Idle { .. } | Phase::Delivering(_) = self.phase.get() {
             self.idle_connections.remove(self.idle_key.get());
@@ -162,6 +183,7 @@
         self.head_memory.complete();
         self.request_count.set(self.request_count.get() + 1);
         self.response_begun.set(false);
+        self.is_request_read.set(false);
         self.detachment.set_request(None);
         // The notification also triggers an immediate check whether the client has disconnected.
         self.enter(Phase::RequestOpen);
@@ -172,6 +194,7 @@
     pub(super) fn complete_request(&self, number: u64) {
         let is_open = matches!(self.phase.get(), Phase::RequestOpen);
         if is_open && self.request_count.get() == number {
+            self.is_request_read.set(true);
             self.enter(Phase::AwaitingResponse);
         }
     }
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -3,7 +3,9 @@
 use super::close::{close_gracefully, EVICTION_LINGER_TIMEOUT, LINGER_TIMEOUT};
 use super::connection::{ClientConnection, ClientPresence};
 use super::detached_response::deliver;
+use super::head_memory::MAX_HEAD_BYTES;
 use super::open_request::OpenRequest;
+use super::rejection::reject_unread_request;
 use super::request::{RequestContext, RequestHandler};
 use super::response::TrackedBody;
 use super::shutdown::ShutdownSignal;
@@ -12,6 +14,7 @@
 use crate::body::DetachedResponse;
 use crate::clock::sleep_until;
 use crate::hot_restart::{SuccessorAddress, SuccessorConnection};
+use crate::metrics::RejectionReason;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
 use hyper::server::conn::http1;
@@ -26,9 +29,6 @@
 use tokio::time::Instant;
 use tracing::{info, warn};
 
-/// Maximum size of a request's head.
-const MAX_HEAD_BYTES: usize = 32 * 1024;
-
 /// How a connection ends.
 #[derive(Debug)]
 enum ConnectionEnd {
@@ -40,6 +40,17 @@
     Abandoned,
     /// The remainder of the response goes to the successor.
     Detached(SuccessorConnection),
+    /// No memory became available in time for the rest of a request's head.
+    HeadRejected,
+}
+
+/// What follows when the HTTP parser is no longer polled.
+#[derive(Debug)]
+enum ServingEnd {
+    /// The connection ends.
+    Connection(ConnectionEnd),
+    /// The connection goes on with another parser, as a large head has enlarged the buffer of this one.
+    ReplaceParser,
 }
 
 /// A client connection with the handler of its requests.
@@ -60,18 +71,30 @@
         // bytes the client must receive first.
         let shutdown_writer = ShutdownWriter::new(self.shutdown.clone(), Rc::clone(&self.handler.memory));
         let shutdown_writer = Rc::new(RefCell::new(shutdown_writer));
-        let end = {
+        let mut stream = ObservedStream::new(&self.connection, Rc::clone(&shutdown_writer));
+        let end = loop {
             let this = &self;
             let service =
                 service_fn(move |request| async move { Ok::<_, Infallible>(this.respond(request).await) });
-            let stream = ObservedStream::new(&self.connection, Rc::clone(&shutdown_writer));
-            let serving = http1::Builder::new()
+            let mut serving = http1::Builder::new()
                 .max_buf_size(MAX_HEAD_BYTES)
                 .keep_alive(!self.at_capacity)
                 .serve_connection(TokioIo::new(stream), service);
-            self.run_until_end(serving).await
+            match self.run_until_end(&mut serving).await {
+                ServingEnd::Connection(end) => break end,
+                ServingEnd::ReplaceParser => {
+                    let parts = serving.into_parts();
+                    stream = parts.io.into_inner().with_unparsed(&parts.read_buf);
+                    self.connection.head_memory().release();
+                }
+            }
         };
         match end {
+            ConnectionEnd::HeadRejected => {
+                self.handler.dispatcher.count_rejected_unread(RejectionReason::Memory);
+                self.connection.head_memory().log_rejection();
+                reject_unread_request(&self.connection.socket).await;
+            }
             ConnectionEnd::Finished => close_gracefully(&self.connection.socket, LINGER_TIMEOUT).await,
             ConnectionEnd::Evicted => {
                 close_gracefully(&self.connection.socket, EVICTION_LINGER_TIMEOUT).await;
@@ -136,10 +159,9 @@
         }
     }
 
-    async fn run_until_end(&self, serving: impl Future) -> ConnectionEnd {
+    async fn run_until_end(&self, serving: &mut (impl Future + Unpin)) -> ServingEnd {
         let connection = &self.connection;
         let mut shutdown = self.shutdown.clone();
-        let mut serving = pin!(serving);
         let mut peer_closed = pin!(connection.socket.peer_closed());
         let mut close_seen = false;
         let mut successor = None;
@@ -154,8 +176,9 @@
                 // Bytes that have arrived are read before the deadline is checked.
                 biased;
                 // The result is ignored: the connection's calls are dropped with the future.
-                _ = serving.as_mut() => {
-                    return successor.map_or(ConnectionEnd::Finished, ConnectionEnd::Detached);
+                _ = &mut *serving => {
+                    let end = successor.map_or(ConnectionEnd::Finished, ConnectionEnd::Detached);
+                    return ServingEnd::Connection(end);
                 }
                 () = peer_closed.as_mut(), if !close_seen => {
                     close_seen = true;
@@ -169,7 +192,7 @@
                     let deadline = connection.deadline(self.at_capacity, shutdown_began);
                     let is_over = deadline.is_some_and(|deadline| deadline <= Instant::now());
                     if is_over && !connection.await_delivery() {
-                        return self.end_at_deadline();
+                        return ServingEnd::Connection(self.end_at_deadline());
                     }
                 }
                 () = sleep_until(handover_at), if may_hand_over => {
@@ -179,20 +202,30 @@
                         connection.begin_detachment();
                     }
                 }
+                () = sleep_until(connection.head_memory().wait_deadline()) => {
+                    // The wait may have ended since, or another one begun.
+                    let deadline = connection.head_memory().wait_deadline();
+                    if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+                        return ServingEnd::Connection(ConnectionEnd::HeadRejected);
+                    }
+                }
                 () = connection.state_changed() => {}
                 Ok(()) = shutdown.changed() => {}
                 () = connection.evicted() => {
                     if connection.is_idle() {
-                        return ConnectionEnd::Evicted;
+                        return ServingEnd::Connection(ConnectionEnd::Evicted);
                     }
                 }
             }
             if let Some(successor) = successor.take_if(|_| connection.is_detached()) {
-                return ConnectionEnd::Detached(successor);
+                return ServingEnd::Connection(ConnectionEnd::Detached(successor));
             }
             // Unread bytes, such as a part of the next request, hide the client's close from the HTTP parser.
             if connection.is_abandoned() {
-                return ConnectionEnd::Abandoned;
+                return ServingEnd::Connection(ConnectionEnd::Abandoned);
+            }
+            if connection.has_idle_enlarged_parser() {
+                return ServingEnd::ReplaceParser;
             }
         }
     }
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -14,6 +14,7 @@
 pub mod open_connections;
 mod open_request;
 mod read_ahead;
+mod rejection;
 mod request;
 mod request_head;
 mod response;
--- a/crates/proxy/src/downstream/response.rs
+++ b/crates/proxy/src/downstream/response.rs
@@ -117,11 +117,15 @@
     response
 }
 
+/// The value of `Retry-After`: seconds with milliseconds.
+pub fn retry_after_seconds(retry_after_us: Micros) -> String {
+    format!("{}.{:03}", retry_after_us / 1_000_000, retry_after_us / 1_000 % 1_000)
+}
+
 /// A rejection, with `Retry-After` in seconds.
 pub fn rejected(retry_after_us: Micros) -> Response<ResponseStream> {
     let mut response = text_response(StatusCode::SERVICE_UNAVAILABLE, "refused");
-    let seconds = format!("{}.{:03}", retry_after_us / 1_000_000, retry_after_us / 1_000 % 1_000);
-    if let Ok(value) = HeaderValue::from_str(&seconds) {
+    if let Ok(value) = HeaderValue::from_str(&retry_after_seconds(retry_after_us)) {
         response.headers_mut().insert(header::RETRY_AFTER, value);
     }
     response
--- a/crates/proxy/src/downstream/stream.rs
+++ b/crates/proxy/src/downstream/stream.rs
@@ -2,42 +2,38 @@
 
 use super::connection::ClientConnection;
 use super::shutdown_writer::ShutdownWriter;
+use bytes::Bytes;
 use std::cell::RefCell;
-use std::future::Future;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
-use std::task::{Context, Poll};
-use std::time::Duration;
+use std::task::{ready, Context, Poll};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
-use tokio::time::{sleep, Sleep};
-
-/// Interval between checks for memory for a large head.
-const MEMORY_RETRY_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A client's stream: returns the bytes that were read ahead first, and reports reads and writes to the
 /// connection.
 pub struct ObservedStream {
     connection: Rc<ClientConnection>,
     shutdown_writer: Rc<RefCell<ShutdownWriter>>,
-    /// Runs while no memory is left for more of a head.
-    memory_retry: Option<Pin<Box<Sleep>>>,
+    /// Bytes that an earlier parser of this connection has read, but not parsed.
+    unparsed: Bytes,
 }
 
 impl ObservedStream {
     pub fn new(connection: &Rc<ClientConnection>, shutdown_writer: Rc<RefCell<ShutdownWriter>>) -> Self {
-        ObservedStream { connection: Rc::clone(connection), shutdown_writer, memory_retry: None }
+        ObservedStream { connection: Rc::clone(connection), shutdown_writer, unparsed: Bytes::new() }
     }
 
-    /// Pending, but has the task poll again later: there may be memory for more of a head by then. The time limit of
-    /// the head applies meanwhile.
-    fn poll_memory_retry<T>(&mut self, cx: &mut Context<'_>) -> Poll<T> {
-        let timer = self.memory_retry.get_or_insert_with(|| Box::pin(sleep(MEMORY_RETRY_INTERVAL)));
-        if timer.as_mut().poll(cx).is_ready() {
-            self.memory_retry = None;
-            cx.waker().wake_by_ref();
-        }
-        Poll::Pending
+    /// The same stream for another parser, which begins with what the earlier one has read, but not parsed.
+    pub fn with_unparsed(self, unparsed: &[u8]) -> Self {
+        ObservedStream { unparsed: Bytes::copy_from_slice(unparsed), ..self }
+    }
+
+    /// Moves bytes that an earlier parser has read to `buf`. False if there are none.
+    fn take_unparsed(&mut self, buf: &mut ReadBuf<'_>) -> bool {
+        let count = self.unparsed.len().min(buf.remaining());
+        buf.put_slice(&self.unparsed.split_to(count));
+        count > 0
     }
 }
 
@@ -50,10 +46,10 @@
         if self.connection.detachment().is_begun() {
             return Poll::Pending;
         }
-        let max_bytes = self.connection.readable_bytes();
-        if max_bytes == 0 {
-            return self.poll_memory_retry(cx);
+        if self.take_unparsed(buf) {
+            return Poll::Ready(Ok(()));
         }
+        let max_bytes = ready!(self.connection.poll_readable_bytes(cx));
         let read = match self.connection.buffered_read_ahead().take(buf, max_bytes) {
             Some(count) => Poll::Ready(Ok(count)),
             // The bytes that would follow have been discarded.
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -21,7 +21,7 @@
 pub enum RejectionReason {
     /// A client connection within the number that is served.
     ClientConnections,
-    /// Memory for the body of the request.
+    /// Memory for the head or the body of the request.
     Memory,
     /// An open call within the limit of the settings.
     OpenCalls,
@@ -156,12 +156,17 @@
             RequestOutcome::Served => counts.served += 1,
             RequestOutcome::Rejected(reason) => {
                 counts.rejected += 1;
-                *self.rejections.borrow_mut().entry(reason).or_default() += 1;
+                self.count_rejection(reason);
             }
             RequestOutcome::Failed => counts.failed += 1,
         }
     }
 
+    /// Counts a request that was rejected before its class was known.
+    pub fn count_rejection(&self, reason: RejectionReason) {
+        *self.rejections.borrow_mut().entry(reason).or_default() += 1;
+    }
+
     /// Counts an attempt whose request has been written completely.
     pub fn count_attempt(&self) {
         increment(&self.attempts);
