Take every response over that fits within the limit of both processes, and offer a declined one again

Cause: the successor reserved the unsent bytes of a response like read-ahead, beyond what a third of the descriptors would need in clients yet to come, which is more than its part of the memory; and a response was offered once. Evidence: each reason for declining has its own log line: three responses that require 0 bytes declined with 13,489,152 left. Change: what is handed over moves with its descriptors, connections and bytes, which count beside the memory of bodies within what the predecessor leaves; the predecessor hardly grows any more, keeps unsent bytes counted, and offers a declined response again every 25 ms while it delivers it. Nothing depends on a size or a deployment. Measured: four new tests with six pairs of limits each.

--- a/crates/cli/tests/peers/shutdown.rs
+++ b/crates/cli/tests/peers/shutdown.rs
@@ -42,12 +42,19 @@
     Planned,
 }
 
+/// The limits of a process, or of both processes of a hot restart together.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    pub memory_mb: usize,
+    pub max_sockets: usize,
+}
+
 /// The process that is shut down and, in a hot restart, the listener and folder shared with its successor.
 pub struct Shutdown {
     pub proxy: Proxy,
     platform: Option<Platform>,
     config: String,
-    _discovery: Discovery,
+    pub discovery: Discovery,
 }
 
 impl Shutdown {
@@ -56,15 +63,21 @@
         Shutdown::prepare_with_endpoints(restart, &[endpoint])
     }
 
-    /// Starts the process that will be shut down, with these endpoints.
+    /// Starts the process that will be shut down, with these endpoints and the highest limits.
     pub fn prepare_with_endpoints(restart: Restart, endpoints: &[SocketAddr]) -> Shutdown {
+        Shutdown::prepare_with_limits(restart, endpoints, Limits { memory_mb: 192, max_sockets: 1_024 })
+    }
+
+    /// Starts the process that will be shut down, with these endpoints and limits.
+    pub fn prepare_with_limits(restart: Restart, endpoints: &[SocketAddr], limits: Limits) -> Shutdown {
         response_body(0);
         let discovery = Discovery::start();
         let known: Vec<String> =
             endpoints.iter().zip(1..).map(|(&e, number)| entry(&format!("s-{number}"), e, "up", 0)).collect();
         let listen = "127.0.0.1:0".parse().expect("an address");
         let deadline = format!("\"deadline_us\":{}", DEADLINE.as_micros());
-        let config = config(listen, discovery.address, 1_024, &known)
+        let config = config(listen, discovery.address, limits.max_sockets, &known)
+            .replace("\"memory_mb\":192", &format!("\"memory_mb\":{}", limits.memory_mb))
             .replace("\"deadline_us\":3000000", &deadline)
             .replace("\"objective_us\":1500000", "\"objective_us\":500000");
         assert!(config.contains(&deadline));
@@ -73,15 +86,23 @@
             Some(platform) => platform.start(&config),
             None => Proxy::with(&config),
         };
-        Shutdown { proxy, platform, config, _discovery: discovery }
+        Shutdown { proxy, platform, config, discovery }
+    }
+
+    /// Clients that receive at most a small part of a response ahead.
+    pub fn new_clients(&self, count: usize) -> Vec<Client> {
+        let clients: Vec<Client> = (0..count).map(|_| self.proxy.client()).collect();
+        for client in &clients {
+            let socket = socket2::SockRef::from(client.stream.get_ref());
+            socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a receive buffer");
+        }
+        clients
     }
 
     /// Clients whose connections this process, and not a successor, has accepted.
     pub fn connected_clients(&self, count: usize) -> Vec<Client> {
-        let mut clients: Vec<Client> = (0..count).map(|_| self.proxy.client()).collect();
+        let mut clients = self.new_clients(count);
         for client in &mut clients {
-            let socket = socket2::SockRef::from(client.stream.get_ref());
-            socket.set_recv_buffer_size(RECEIVE_BUFFER_BYTES).expect("a receive buffer");
             assert_eq!(client.call("safe", "900m").status(), 200);
         }
         clients
--- a/crates/cli/tests/response_handover.rs
+++ b/crates/cli/tests/response_handover.rs
@@ -4,6 +4,7 @@
 mod peers;
 
 use peers::bodies::*;
+use peers::memory::peak_memory_kb;
 use peers::shutdown::*;
 use peers::*;
 use std::io::{Read, Write};
@@ -128,12 +129,130 @@
     assert_responses_outlive_the_process(3, RESPONSE_BYTES_BEYOND_A_SEND_BUFFER, true);
 }
 
+/// Limits that the platform may choose (TERMS).
+const DEPLOYMENTS: [Limits; 6] = [
+    Limits { memory_mb: 32, max_sockets: 256 },
+    Limits { memory_mb: 32, max_sockets: 1_024 },
+    Limits { memory_mb: 48, max_sockets: 512 },
+    Limits { memory_mb: 64, max_sockets: 512 },
+    Limits { memory_mb: 64, max_sockets: 1_024 },
+    Limits { memory_mb: 192, max_sockets: 1_024 },
+];
+const ENDPOINT_COUNT: usize = 12;
+/// Clients that are slow at the same time.
+const SLOW_CLIENT_COUNT: usize = 6;
+
+/// Restarts a process with these limits while `count` clients receive responses that last until after the kill. Returns
+/// the number of bytes that each of them received, and the peak memory of both processes.
+fn restart_with_limits(limits: Limits, count: usize, size: usize, is_slow: bool) -> (Vec<usize>, usize) {
+    let endpoints: Vec<_> = (0..ENDPOINT_COUNT).map(|_| paced_endpoint()).collect();
+    let mut shutdown = Shutdown::prepare_with_limits(Restart::Hot, &endpoints, limits);
+    let mut clients = shutdown.new_clients(count);
+    let heads = begin_responses(&mut clients, "length", size, SEND_TIME_UNTIL_AFTER_KILL);
+    let successor = shutdown.start_successor().expect("a successor");
+    let processes = [shutdown.proxy.child.id(), successor.child.id()];
+    let observed_until = Instant::now() + SEND_TIME_UNTIL_AFTER_KILL;
+    let peak_kb = thread::spawn(move || peak_memory_kb(&processes, observed_until));
+    let received = read_across_kill(&mut shutdown, clients, &heads, size, is_slow);
+    (received, peak_kb.join().expect("an observer"))
+}
+
+#[test]
+fn responses_in_progress_at_the_kill_arrive_complete_in_every_deployment() {
+    // Guards against a successor that declines responses for memory which it keeps free for clients that may never come.
+    for limits in DEPLOYMENTS {
+        let (received, peak_kb) = restart_with_limits(limits, 3, RESPONSE_BYTES, false);
+        assert_eq!(received, [RESPONSE_BYTES; 3], "{limits:?}");
+        assert!(peak_kb <= limits.memory_mb * 1_024, "{limits:?}: {peak_kb} kB");
+    }
+}
+
+#[test]
+fn responses_of_a_third_of_the_descriptors_arrive_complete() {
+    // Guards against a successor whose share of the descriptors is too small for what its predecessor hands over.
+    for limits in DEPLOYMENTS {
+        let count = limits.max_sockets / 3 - 1;
+        let (received, peak_kb) = restart_with_limits(limits, count, RESPONSE_BYTES, false);
+        let incomplete_count = received.iter().filter(|&&bytes| bytes != RESPONSE_BYTES).count();
+        println!("{limits:?}: {incomplete_count} of {count} incomplete, {peak_kb} kB");
+        assert_eq!(incomplete_count, 0, "{limits:?}: of {count}");
+        assert!(peak_kb <= limits.memory_mb * 1_024, "{limits:?}: {peak_kb} kB");
+    }
+}
+
+#[test]
+fn responses_to_slow_readers_arrive_complete_in_every_deployment() {
+    // Guards against a successor that declines the unsent bytes of a response once and for all, although their memory is
+    // about to be returned.
+    for limits in DEPLOYMENTS {
+        let size = RESPONSE_BYTES_BEYOND_A_SEND_BUFFER;
+        let (received, peak_kb) = restart_with_limits(limits, SLOW_CLIENT_COUNT, size, true);
+        println!("{limits:?}: {received:?}, {peak_kb} kB");
+        assert_eq!(received, [size; SLOW_CLIENT_COUNT], "{limits:?}");
+        assert!(peak_kb <= limits.memory_mb * 1_024, "{limits:?}: {peak_kb} kB");
+    }
+}
+
 /// Number of times that the longest response body is repeated in a response that is sent as fast as it is
 /// read.
 const BODY_REPETITIONS: usize = 5;
+const REPEATED_RESPONSE_BYTES: usize = BODY_REPETITIONS * RESPONSE_BYTES_BEYOND_A_SEND_BUFFER;
+
+/// Starts an endpoint that sends such responses to requests that specify one.
+fn fast_endpoint() -> SocketAddr {
+    endpoint(|head, stream| {
+        let _ = body(head, stream);
+        if requested_response(head).is_none() {
+            write_response(stream, "length", b"ok");
+            return;
+        }
+        let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {REPEATED_RESPONSE_BYTES}\r\n\r\n");
+        send_bytes(stream, head.as_bytes());
+        for _ in 0..BODY_REPETITIONS {
+            send_bytes(stream, response_body(RESPONSE_BYTES_BEYOND_A_SEND_BUFFER));
+        }
+    })
+}
+
+fn assert_is_repeated_response(received: &[u8]) {
+    assert_eq!(received.len(), REPEATED_RESPONSE_BYTES);
+    let part = RESPONSE_BYTES_BEYOND_A_SEND_BUFFER;
+    let is_right = received.chunks(part).all(|received| received == response_body(part));
+    assert!(is_right, "other bytes than the endpoint sent");
+}
+
+#[test]
+fn responses_that_were_read_ahead_are_handed_over_as_their_memory_is_returned() {
+    // Guards against a successor that declines the unsent bytes of a response once and for all, although the processes
+    // share out their memory anew.
+    for limits in DEPLOYMENTS {
+        let address = fast_endpoint();
+        let mut shutdown = Shutdown::prepare_with_limits(Restart::Hot, &[address], limits);
+        let mut clients = shutdown.new_clients(SLOW_CLIENT_COUNT);
+        begin_responses(&mut clients, "length", REPEATED_RESPONSE_BYTES, Duration::ZERO);
+        // What a draining endpoint sends is read as far as the memory allows.
+        let is_draining = list(42, false, &[entry("s-1", address, "draining", 0)]);
+        shutdown.discovery.respond_with_list(&is_draining);
+        thread::sleep(SHORT);
+        let successor = shutdown.start_successor().expect("a successor");
+        let processes = [shutdown.proxy.child.id(), successor.child.id()];
+        let is_killed = Arc::<AtomicBool>::default();
+        let readers: Vec<_> =
+            clients.into_iter().map(|client| spawn_slow_reader(client, &is_killed)).collect();
+        let terminated = shutdown.terminate();
+        let peak_kb = peak_memory_kb(&processes, terminated + DEADLINE + KILL_MARGIN);
+        shutdown.kill(terminated);
+        is_killed.store(true, Ordering::SeqCst);
+        println!("{limits:?}: {peak_kb} kB");
+        for reader in readers {
+            assert_is_repeated_response(&reader.join().expect("a reader"));
+        }
+        assert!(peak_kb <= limits.memory_mb * 1_024, "{limits:?}: {peak_kb} kB");
+    }
+}
 
 /// The peak resident memory of the process so far, in kB. None if the process has ended.
-fn peak_memory_kb(proxy: &Proxy) -> Option<usize> {
+fn process_peak_kb(proxy: &Proxy) -> Option<usize> {
     let status = std::fs::read_to_string(format!("/proc/{}/status", proxy.child.id())).expect("a child");
     let line = status.lines().find(|line| line.starts_with("VmHWM:"))?;
     line.split_whitespace().nth(1)?.parse().ok()
@@ -143,20 +262,8 @@
 fn handing_over_a_response_reads_nothing_more_of_it() {
     // Guards against reading a response from a fast endpoint into the memory of the process that is about to
     // be killed.
-    let part = RESPONSE_BYTES_BEYOND_A_SEND_BUFFER;
-    let size = BODY_REPETITIONS * part;
-    let address = endpoint(move |head, stream| {
-        let _ = body(head, stream);
-        if requested_response(head).is_none() {
-            write_response(stream, "length", b"ok");
-            return;
-        }
-        send_bytes(stream, format!("HTTP/1.1 200 OK\r\nContent-Length: {size}\r\n\r\n").as_bytes());
-        for _ in 0..BODY_REPETITIONS {
-            send_bytes(stream, response_body(part));
-        }
-    });
-    let mut shutdown = Shutdown::prepare(Restart::Hot, address);
+    let size = REPEATED_RESPONSE_BYTES;
+    let mut shutdown = Shutdown::prepare(Restart::Hot, fast_endpoint());
     let mut clients = shutdown.connected_clients(1);
     let _successor = shutdown.start_successor();
     begin_responses(&mut clients, "length", size, Duration::ZERO);
@@ -164,11 +271,11 @@
     let is_killed = Arc::<AtomicBool>::default();
     let reader = spawn_slow_reader(clients.remove(0), &is_killed);
     thread::sleep(Duration::from_millis(900));
-    let before_kb = peak_memory_kb(&shutdown.proxy).expect("a process that writes a response");
+    let before_kb = process_peak_kb(&shutdown.proxy).expect("a process that writes a response");
     let mut peak_kb = before_kb;
     // The process may end as soon as it has handed the response over.
     while let Some(kb) =
-        peak_memory_kb(&shutdown.proxy).filter(|_| terminated.elapsed() < DEADLINE + KILL_MARGIN)
+        process_peak_kb(&shutdown.proxy).filter(|_| terminated.elapsed() < DEADLINE + KILL_MARGIN)
     {
         peak_kb = peak_kb.max(kb);
         thread::sleep(Duration::from_millis(1));
@@ -177,9 +284,7 @@
     shutdown.kill(terminated);
     is_killed.store(true, Ordering::SeqCst);
     let received = reader.join().expect("a reader");
-    assert_eq!(received.len(), size);
-    let is_right = received.chunks(part).all(|received| received == response_body(part));
-    assert!(is_right, "other bytes than the endpoint sent");
+    assert_is_repeated_response(&received);
     assert!(growth_kb < 4 * 1_024, "peak memory grew by {growth_kb} kB during the handover");
 }
 
--- a/crates/proxy/src/body/counted_bytes.rs
+++ b/crates/proxy/src/body/counted_bytes.rs
@@ -26,11 +26,6 @@
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty()
     }
-
-    /// The bytes alone; their memory is no longer counted.
-    pub fn into_bytes(self) -> Bytes {
-        self.bytes
-    }
 }
 
 impl From<Bytes> for CountedBytes {
--- a/crates/proxy/src/body/detached_body.rs
+++ b/crates/proxy/src/body/detached_body.rs
@@ -1,9 +1,9 @@
 //! The remainder of a streamed response, detached from the HTTP parsers on both sides: its bytes are copied
 //! unparsed.
 
+use super::counted_bytes::CountedBytes;
 use crate::descriptors::ConnectionDescriptors;
 use crate::socket::Socket;
-use bytes::Bytes;
 use std::rc::Rc;
 use tokio::sync::Notify;
 
@@ -11,7 +11,7 @@
 #[derive(Debug)]
 pub struct DetachedBody {
     /// Chunks that have been read from the endpoint, in order.
-    pub read: Vec<Bytes>,
+    pub read: Vec<CountedBytes>,
     /// The connection that the bytes after `read` arrive on. `None` if all have been read.
     pub source: Option<BodySource>,
 }
@@ -26,7 +26,7 @@
 impl DetachedResponse {
     /// Number of bytes that have been read from the endpoint and not yet written to the client's socket.
     pub fn unsent_bytes(&self) -> usize {
-        self.rest.read.iter().map(Bytes::len).sum()
+        self.rest.read.iter().map(CountedBytes::len).sum()
     }
 
     /// Number of bytes that are still to be read from the endpoint.
--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -45,6 +45,7 @@
     body_reserve_kib: usize,
     /// Memory that incomplete heads hold or wait for.
     pub(super) incomplete_heads_kib: Cell<usize>,
+    is_handing_over: Cell<bool>,
 }
 
 /// A body's reservation of memory, returned when dropped.
@@ -52,6 +53,8 @@
 pub struct MemoryReservation {
     kib: usize,
     accounts: Option<Rc<MemoryAccounts>>,
+    /// Another process has handed these bytes over.
+    is_handed_over: bool,
 }
 
 impl MemoryReservation {
@@ -64,8 +67,10 @@
 
 impl Drop for MemoryReservation {
     fn drop(&mut self) {
-        if let Some(accounts) = &self.accounts {
-            accounts.release(self.kib);
+        match &self.accounts {
+            Some(accounts) if self.is_handed_over => accounts.release_handed_over(self.kib),
+            Some(accounts) => accounts.release(self.kib),
+            None => {}
         }
     }
 }
@@ -78,6 +83,7 @@
             accounts: MemoryAccounts::new(memory_kib, MIN_BODY_KIB),
             body_reserve_kib: memory_kib / BODY_RESERVE_DIVISOR,
             incomplete_heads_kib: Cell::default(),
+            is_handing_over: Cell::default(),
         })
     }
 
@@ -180,7 +186,8 @@
         if MemoryLimit::needs_no_reservation(size_bytes) {
             return 0;
         }
-        size_bytes.div_ceil(BYTES_PER_KIB).saturating_sub(reservation.kib) as u32
+        let kib = size_bytes.div_ceil(BYTES_PER_KIB).saturating_sub(reservation.kib);
+        u32::try_from(kib).unwrap_or(u32::MAX)
     }
 
     fn try_grow(&self, reservation: &mut MemoryReservation, kib: u32) -> bool {
@@ -260,6 +267,31 @@
             && self.try_grow(reservation, additional_kib as u32)
     }
 
+    /// Reserves memory for bytes that another process hands over, which returns as much: beside the memory of bodies, as
+    /// these bytes are a block of their own. `None` if both processes together would exceed the limit meanwhile.
+    pub fn try_take_over(&self, size_bytes: usize) -> Option<MemoryReservation> {
+        let kib = size_bytes.div_ceil(BYTES_PER_KIB);
+        if !self.accounts.try_take_over(kib) {
+            return None;
+        }
+        Some(MemoryReservation { kib, accounts: Some(Rc::clone(&self.accounts)), is_handed_over: true })
+    }
+
+    /// See [`MemoryAccounts::set_handover_limit`].
+    pub fn set_handover_limit(&self, limit_kib: usize) {
+        self.accounts.set_handover_limit(limit_kib);
+    }
+
+    /// Records that this process hands its responses over, and needs hardly more memory than it uses.
+    pub fn begin_handover(&self) {
+        self.is_handing_over.set(true);
+    }
+
+    /// See [`Self::begin_handover`].
+    pub fn is_handing_over(&self) -> bool {
+        self.is_handing_over.get()
+    }
+
     /// Grows a reservation to fit a body of this size, waiting until the memory suffices.
     pub async fn reserve(&self, reservation: &mut MemoryReservation, size_bytes: usize) {
         let kib = MemoryLimit::missing_kib(reservation, size_bytes);
--- a/crates/proxy/src/body/memory_limit/tests.rs
+++ b/crates/proxy/src/body/memory_limit/tests.rs
@@ -97,3 +97,22 @@
         assert!(!memory.try_reserve_optional(&mut reservation, bytes), "{bytes}");
     }
 }
+
+/// Guards against handed-over bytes that take memory from bodies although there is enough beside them, or that remain
+/// counted after they have been written or declined.
+#[test]
+fn handed_over_bytes_are_counted_beside_bodies_until_they_are_dropped() {
+    let memory = MemoryLimit::new(MEMORY_MB);
+    memory.set_handover_limit((MEMORY_MB / 2) << 10);
+    let (available_bytes, used_kib) = (memory.available_bytes(), memory.used_kib());
+    for declined_bytes in [usize::MAX, MEMORY_MB << 20, (MEMORY_MB / 2 + 1) << 20] {
+        assert!(memory.try_take_over(declined_bytes).is_none(), "{declined_bytes}");
+    }
+    let taken_over =
+        memory.try_take_over((MEMORY_MB / 4) << 20).expect("memory that the other process leaves");
+    assert!(memory.used_kib() >= used_kib + ((MEMORY_MB / 4) << 10));
+    assert_eq!(memory.available_bytes(), available_bytes, "three fifths of the memory are still left");
+    assert!(memory.try_take_over((MEMORY_MB / 4) << 20).is_none(), "with the allocator's overhead");
+    drop(taken_over);
+    assert_eq!((memory.available_bytes(), memory.used_kib()), (available_bytes, used_kib));
+}
--- a/crates/proxy/src/body/read_ahead_buffer.rs
+++ b/crates/proxy/src/body/read_ahead_buffer.rs
@@ -148,9 +148,9 @@
         self.blocks.push_back(next);
     }
 
-    /// Removes all chunks, in order, and releases their reservations.
-    pub fn drain_bytes(&mut self) -> Vec<Bytes> {
-        std::iter::from_fn(|| self.pop()).map(CountedBytes::into_bytes).collect()
+    /// Removes all chunks, in order, with their reservations.
+    pub fn drain(&mut self) -> Vec<CountedBytes> {
+        std::iter::from_fn(|| self.pop()).collect()
     }
 
     /// Removes the next chunk for the client, with its reservation.
--- a/crates/proxy/src/body/read_ahead_buffer/tests.rs
+++ b/crates/proxy/src/body/read_ahead_buffer/tests.rs
@@ -1,6 +1,7 @@
 //! The order of the chunks and the memory reserved for them.
 
 use super::*;
+use bytes::Buf;
 
 const MEMORY_MB: usize = 32;
 const CHUNK_BYTES: usize = 20_000;
@@ -29,8 +30,12 @@
     count
 }
 
+fn into_bytes(mut counted: CountedBytes) -> Bytes {
+    counted.copy_to_bytes(counted.len())
+}
+
 fn drain(buffer: &mut ReadAheadBuffer) -> Vec<u8> {
-    std::iter::from_fn(|| buffer.pop()).flat_map(CountedBytes::into_bytes).collect()
+    buffer.drain().into_iter().flat_map(into_bytes).collect()
 }
 
 #[test]
@@ -65,7 +70,7 @@
     let mut buffer = ReadAheadBuffer::new(&memory);
     assert_eq!(fill(&mut buffer, ReadAheadLimit::OneChunk), 1);
     assert_eq!(memory.available_bytes(), total_bytes);
-    assert_eq!(buffer.pop().map(CountedBytes::into_bytes), Some(chunk(0)));
+    assert_eq!(buffer.pop().map(into_bytes), Some(chunk(0)));
     assert!(buffer.is_empty() && buffer.try_reserve_chunk(ReadAheadLimit::OneChunk));
 }
 
--- a/crates/proxy/src/descriptor_budget.rs
+++ b/crates/proxy/src/descriptor_budget.rs
@@ -106,13 +106,15 @@
     /// of each.
     fn limit(&self) -> usize {
         let shared = self.max_sockets.saturating_sub(2 * RESERVED_DESCRIPTOR_COUNT);
+        // What the predecessor has handed over it no longer holds.
+        let handed_over = self.descriptors.handed_over_count();
         let limit = match self.other_process.get() {
             OtherProcess::None => counted_descriptors(self.max_sockets),
             OtherProcess::Successor => shared * PREDECESSOR_SHARE_TENTHS / TENTHS,
             OtherProcess::Predecessor { notices_by } if Instant::now() < notices_by => {
-                shared * UNNOTICED_SUCCESSOR_SHARE_TENTHS / TENTHS
+                shared * UNNOTICED_SUCCESSOR_SHARE_TENTHS / TENTHS + handed_over
             }
-            OtherProcess::Predecessor { .. } => shared * SUCCESSOR_SHARE_TENTHS / TENTHS,
+            OtherProcess::Predecessor { .. } => shared * SUCCESSOR_SHARE_TENTHS / TENTHS + handed_over,
         };
         limit.max(MIN_DESCRIPTORS)
     }
--- a/crates/proxy/src/descriptors.rs
+++ b/crates/proxy/src/descriptors.rs
@@ -10,16 +10,21 @@
 pub struct Descriptors {
     limit: Cell<usize>,
     open: Cell<usize>,
+    /// Open sockets that another process of this proxy has handed over.
+    handed_over: Cell<usize>,
 }
 
 /// A guard that counts one socket as open until it is dropped.
 #[derive(Debug)]
-pub struct Descriptor(Rc<Descriptors>);
+pub struct Descriptor {
+    descriptors: Rc<Descriptors>,
+    is_handed_over: bool,
+}
 
 impl Descriptors {
     /// A counter that allows `limit` open sockets.
     pub fn new(limit: usize) -> Rc<Self> {
-        Rc::new(Descriptors { limit: Cell::new(limit), open: Cell::new(0) })
+        Rc::new(Descriptors { limit: Cell::new(limit), open: Cell::new(0), handed_over: Cell::new(0) })
     }
 
     /// Changes the limit. Sockets open beyond it stay open.
@@ -43,13 +48,31 @@
             return None;
         }
         self.open.set(self.open.get() + 1);
-        Some(Descriptor(Rc::clone(self)))
+        Some(Descriptor { descriptors: Rc::clone(self), is_handed_over: false })
+    }
+
+    /// Counts a socket that another process hands over, and raises the limit by it: the other process no longer holds
+    /// the socket, so that both together hold as many as before.
+    pub fn acquire_handed_over(self: &Rc<Self>) -> Descriptor {
+        self.open.set(self.open.get() + 1);
+        self.handed_over.set(self.handed_over.get() + 1);
+        self.limit.set(self.limit.get() + 1);
+        Descriptor { descriptors: Rc::clone(self), is_handed_over: true }
+    }
+
+    /// The number of open sockets that another process has handed over.
+    pub fn handed_over_count(&self) -> usize {
+        self.handed_over.get()
     }
 }
 
 impl Drop for Descriptor {
     fn drop(&mut self) {
-        self.0.open.set(self.0.open.get() - 1);
+        let Descriptors { open, handed_over, .. } = &*self.descriptors;
+        open.set(open.get() - 1);
+        if self.is_handed_over {
+            handed_over.set(handed_over.get() - 1);
+        }
     }
 }
 
--- a/crates/proxy/src/downstream/detached_response.rs
+++ b/crates/proxy/src/downstream/detached_response.rs
@@ -3,7 +3,9 @@
 
 use super::close::{close_gracefully, LINGER_TIMEOUT};
 use super::delivery::WRITE_STALL_TIMEOUT;
-use crate::body::{BodySource, CountedBytes, DetachedResponse, MemoryLimit, ReadAheadBuffer, ReadAheadLimit};
+use crate::body::{
+    BodySource, CountedBytes, DetachedBody, DetachedResponse, MemoryLimit, ReadAheadBuffer, ReadAheadLimit,
+};
 use crate::socket::{Socket, READ_BUFFER_BYTES};
 use crate::upstream::MAX_STALL;
 use bytes::{Buf, Bytes, BytesMut};
@@ -11,6 +13,7 @@
 use std::future::{pending, poll_fn};
 use std::io;
 use std::rc::Rc;
+use std::time::Duration;
 use thiserror::Error;
 use tokio::io::ReadBuf;
 use tokio::time::timeout;
@@ -43,39 +46,80 @@
 struct Delivery {
     client: Socket,
     /// Chunks that were read before the response was detached.
-    unsent: VecDeque<Bytes>,
+    unsent: VecDeque<CountedBytes>,
     source: Option<BodySource>,
     buffer: ReadAheadBuffer,
+    /// How far the response is read ahead of the client.
+    read_ahead: ReadAheadLimit,
     /// The chunk that is being written to the client.
     next: CountedBytes,
 }
 
+/// A response that is being delivered, or how its delivery ended.
+pub enum DeliveryState {
+    /// The rest of the response.
+    InProgress(DetachedResponse),
+    /// The client's connection has been closed.
+    Ended(Result<(), DeliveryError>),
+}
+
 /// Writes all of a response to its client, then closes both connections.
 ///
 /// # Errors
 /// The response is incomplete: the connection to the client or to the endpoint ended or stalled.
 pub async fn deliver(response: DetachedResponse, memory: &Rc<MemoryLimit>) -> Result<(), DeliveryError> {
     let client = response.client.clone();
-    let delivery = Delivery {
-        client: response.client,
-        unsent: response.rest.read.into(),
-        source: response.rest.source,
-        buffer: ReadAheadBuffer::new(memory),
-        next: CountedBytes::default(),
-    };
-    let delivered = delivery.run().await;
+    let delivered = Delivery::new(response, memory, ReadAheadLimit::Urgent).run().await;
+    close(&client, delivered).await
+}
+
+/// Delivers a response for at most `max_time`, reading no more of it than the client takes.
+pub async fn deliver_for(
+    max_time: Duration,
+    response: DetachedResponse,
+    memory: &Rc<MemoryLimit>,
+) -> DeliveryState {
+    let client = response.client.clone();
+    let mut delivery = Delivery::new(response, memory, ReadAheadLimit::OneChunk);
+    match timeout(max_time, delivery.run()).await {
+        Ok(delivered) => DeliveryState::Ended(close(&client, delivered).await),
+        Err(_) => DeliveryState::InProgress(delivery.into_response()),
+    }
+}
+
+/// Closes the client's connection after a delivery. Returns the result of the delivery.
+async fn close(client: &Socket, delivered: Result<(), DeliveryError>) -> Result<(), DeliveryError> {
     if !matches!(delivered, Err(DeliveryError::ClientDisconnected | DeliveryError::Client(_))) {
-        close_gracefully(&client, LINGER_TIMEOUT).await;
+        close_gracefully(client, LINGER_TIMEOUT).await;
     }
     delivered
 }
 
 impl Delivery {
-    async fn run(mut self) -> Result<(), DeliveryError> {
+    fn new(response: DetachedResponse, memory: &Rc<MemoryLimit>, read_ahead: ReadAheadLimit) -> Self {
+        Delivery {
+            client: response.client,
+            unsent: response.rest.read.into(),
+            source: response.rest.source,
+            buffer: ReadAheadBuffer::new(memory),
+            read_ahead,
+            next: CountedBytes::default(),
+        }
+    }
+
+    /// The part of the response that has not been written.
+    fn into_response(mut self) -> DetachedResponse {
+        let mut read = vec![self.next];
+        read.extend(self.unsent);
+        read.extend(self.buffer.drain());
+        DetachedResponse { client: self.client, rest: DetachedBody { read, source: self.source } }
+    }
+
+    /// Writes the response to its end. May be interrupted at any time without losing a byte.
+    async fn run(&mut self) -> Result<(), DeliveryError> {
         loop {
             while self.next.is_empty() {
-                let unsent = self.unsent.pop_front().map(CountedBytes::from);
-                let Some(chunk) = unsent.or_else(|| self.buffer.pop()) else { break };
+                let Some(chunk) = self.unsent.pop_front().or_else(|| self.buffer.pop()) else { break };
                 self.next = chunk;
             }
             if self.next.is_empty() && self.source.is_none() {
@@ -92,7 +136,7 @@
     /// Reads as far as the memory allows, however slowly the client receives: the endpoint may close its
     /// connection once it has passed all bytes to its system.
     async fn next_step(&mut self) -> Result<Step, DeliveryError> {
-        let may_read = self.source.is_some() && self.buffer.try_reserve_chunk(ReadAheadLimit::Urgent);
+        let may_read = self.source.is_some() && self.buffer.try_reserve_chunk(self.read_ahead);
         let source = self.source.as_ref().filter(|_| may_read);
         let memory_returned = self.buffer.memory_returned();
         tokio::select! {
--- a/crates/proxy/src/downstream/detachment.rs
+++ b/crates/proxy/src/downstream/detachment.rs
@@ -62,7 +62,7 @@
     pub fn take(&self) -> DetachedBody {
         let captured: Bytes = self.captured.take().freeze();
         let mut rest = self.rest.take().unwrap_or(DetachedBody { read: Vec::new(), source: None });
-        rest.read.insert(0, captured);
+        rest.read.insert(0, captured.into());
         rest
     }
 }
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -2,7 +2,7 @@
 
 use super::close::{close_gracefully, EVICTION_LINGER_TIMEOUT, LINGER_TIMEOUT};
 use super::connection::{ClientConnection, ClientPresence};
-use super::detached_response::deliver;
+use super::detached_response::{deliver, deliver_for, DeliveryError, DeliveryState};
 use super::head_memory::MAX_HEAD_BYTES;
 use super::open_request::OpenRequest;
 use super::rejection::reject_unread_request;
@@ -13,7 +13,7 @@
 use super::stream::ObservedStream;
 use crate::body::DetachedResponse;
 use crate::clock::sleep_until;
-use crate::hot_restart::{SuccessorAddress, SuccessorConnection};
+use crate::hot_restart::{HandoverError, SuccessorAddress, SuccessorConnection};
 use crate::metrics::RejectionReason;
 use hyper::body::Incoming;
 use hyper::header::{self, HeaderValue};
@@ -26,9 +26,14 @@
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::time::Instant;
 use tracing::{info, warn};
 
+/// How long a response is delivered before it is offered again to a successor that has declined it. The processes share
+/// out their memory anew about as often.
+const HANDOVER_RETRY_INTERVAL: Duration = Duration::from_millis(25);
+
 /// How a connection ends.
 #[derive(Debug)]
 enum ConnectionEnd {
@@ -64,6 +69,12 @@
     pub successor: Option<SuccessorAddress>,
 }
 
+fn log_delivery(delivered: Result<(), DeliveryError>) {
+    if let Err(error) = delivered {
+        warn!(reason = %error, "detached response not delivered completely");
+    }
+}
+
 impl HttpConnection {
     /// Serves the connection, then closes it.
     pub async fn serve(self) {
@@ -104,27 +115,39 @@
         }
     }
 
-    /// Hands the remainder of a detached response over to the successor. If that fails, delivers it in this
-    /// process for as long as the process runs.
+    /// Hands the remainder of a detached response over to the successor. If the successor declines it, delivers it in
+    /// this process meanwhile and offers it again; if that fails, delivers it for as long as the process runs.
     async fn hand_over(&self, successor: SuccessorConnection) {
+        self.handler.memory.begin_handover();
         let client = self.connection.socket.clone();
-        let response = DetachedResponse { client, rest: self.connection.detachment().take() };
-        let unsent_bytes = response.unsent_bytes();
-        let remaining_bytes = response.remaining_bytes();
-        match successor.hand_over(&response).await {
-            Ok(()) => info!(unsent_bytes, remaining_bytes, "response handed over to the successor"),
-            Err(error) => {
-                warn!(
-                    unsent_bytes,
-                    remaining_bytes,
-                    reason = %error,
-                    "response not handed over to the successor"
-                );
-                if let Err(error) = deliver(response, &self.handler.memory).await {
-                    warn!(reason = %error, "detached response not delivered completely");
+        let mut response = DetachedResponse { client, rest: self.connection.detachment().take() };
+        let mut successor = Some(successor);
+        let mut is_decline_logged = false;
+        while let Some(connected) = successor {
+            let unsent_bytes = response.unsent_bytes();
+            let remaining_bytes = response.remaining_bytes();
+            let error = match connected.hand_over(&response).await {
+                Ok(()) => {
+                    info!(unsent_bytes, remaining_bytes, "response handed over to the successor");
+                    return;
                 }
+                Err(error) => error,
+            };
+            let is_declined = matches!(error, HandoverError::Declined);
+            if !is_declined || !std::mem::replace(&mut is_decline_logged, true) {
+                let reason = error.to_string();
+                warn!(unsent_bytes, remaining_bytes, reason, "response not handed over to the successor");
+            }
+            if !is_declined {
+                break;
             }
+            response = match deliver_for(HANDOVER_RETRY_INTERVAL, response, &self.handler.memory).await {
+                DeliveryState::InProgress(response) => response,
+                DeliveryState::Ended(delivered) => return log_delivery(delivered),
+            };
+            successor = self.connect_to_successor().await;
         }
+        log_delivery(deliver(response, &self.handler.memory).await);
     }
 
     /// Connects to the successor, if there is one.
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -7,7 +7,6 @@
 use super::open_connections::{Activity, OpenConnections};
 use super::request::RequestHandler;
 use super::shutdown::{Shutdown, ShutdownSignal};
-use crate::body::MemoryReservation;
 use crate::clock::sleep_until;
 use crate::descriptors::{ConnectionDescriptors, Descriptor, Descriptors};
 use crate::hot_restart::{HandoverError, HandoverListener, PredecessorConnection, SuccessorAddress};
@@ -23,7 +22,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{watch, OwnedSemaphorePermit, Semaphore};
 use tokio::time::Instant;
-use tracing::{info, warn};
+use tracing::{debug, info, warn};
 
 /// In a graceful shutdown without a shared listener, connections are accepted for at least this long.
 const SHUTDOWN_ACCEPT_TIME: Duration = Duration::from_millis(450);
@@ -127,17 +126,13 @@
     /// Takes one response over from the predecessor and delivers it.
     async fn take_response_over(&self, predecessor: PredecessorConnection) -> Result<(), HandoverError> {
         let offered = predecessor.read_offer().await?;
-        let mut reservation = MemoryReservation::default();
         let memory = &self.handler.memory;
-        let descriptor = self.try_acquire_descriptor().ok_or(HandoverError::NoConnection)?;
         let required_bytes = offered.offer().unsent_bytes;
-        if !memory.try_reserve_optional(&mut reservation, required_bytes) {
-            return Err(HandoverError::NoMemory {
-                required_bytes,
-                available_bytes: memory.available_bytes(),
-            });
-        }
-        let response = offered.accept(ConnectionDescriptors::of_handed_over(descriptor)).await?;
+        let no_memory =
+            || HandoverError::NoMemory { required_bytes, available_bytes: memory.available_bytes() };
+        let reservation = memory.try_take_over(required_bytes).ok_or_else(no_memory)?;
+        let descriptors = ConnectionDescriptors::of_handed_over(self.descriptors.acquire_handed_over());
+        let response = offered.accept(descriptors, reservation).await?;
         let unsent_bytes = response.unsent_bytes();
         let remaining_bytes = response.remaining_bytes();
         info!(unsent_bytes, remaining_bytes, "response taken over from the predecessor");
@@ -232,8 +227,8 @@
     /// Spawns a task that takes a response over from the predecessor and delivers it. Without capacity for
     /// it, the response stays with the predecessor.
     fn take_over(&self, predecessor: PredecessorConnection) {
-        let Some(permit) = self.try_acquire_permit() else {
-            warn!(reason = %HandoverError::NoConnection, "response not taken over from the predecessor");
+        let Some(permit) = self.permit_for_handover() else {
+            debug!(reason = %HandoverError::NoConnection, "response not taken over from the predecessor");
             return;
         };
         let downstream = Rc::clone(&self.downstream);
@@ -241,22 +236,22 @@
         open_connection.set_activity(Activity::WritingResponse);
         tokio::task::spawn_local(async move {
             if let Err(error) = downstream.take_response_over(predecessor).await {
-                warn!(reason = %error, "response not taken over from the predecessor");
+                debug!(reason = %error, "response not taken over from the predecessor");
             }
             drop((open_connection, permit));
         });
     }
 
-    /// Acquires capacity to serve one more connection. `None` if none is left.
-    fn try_acquire_permit(&self) -> Option<ConnectionPermit> {
-        let memory = &self.downstream.handler.memory;
-        let at_capacity = self.is_at_capacity() && !self.downstream.idle_connections.evict_longest_idle();
-        if at_capacity || !memory.has_room_for_client() {
-            return None;
+    /// The capacity of a connection that the predecessor hands over. Its descriptor and its memory need not be left: the
+    /// predecessor returns as much. `None` without a free slot.
+    fn permit_for_handover(&self) -> Option<ConnectionPermit> {
+        if self.is_at_capacity() {
+            self.downstream.idle_connections.evict_longest_idle();
         }
         let slot = Arc::clone(&self.slots).try_acquire_owned().ok()?;
-        let descriptor = self.downstream.try_acquire_descriptor()?;
-        Some(ConnectionPermit { _slot: Some(slot), _descriptor: descriptor, _memory: memory.client() })
+        let descriptor = self.downstream.descriptors.acquire_handed_over();
+        let memory = self.downstream.handler.memory.client();
+        Some(ConnectionPermit { _slot: Some(slot), _descriptor: descriptor, _memory: memory })
     }
 
     /// Spawns a task that serves a connection. Closes the connection immediately if no descriptor is left for
--- a/crates/proxy/src/hot_restart/response_handover.rs
+++ b/crates/proxy/src/hot_restart/response_handover.rs
@@ -7,10 +7,10 @@
 //! the response until it commits, and the successor from then on.
 
 use super::directory::shared_directory;
-use crate::body::{BodySource, DetachedBody, DetachedResponse};
+use crate::body::{BodySource, CountedBytes, DetachedBody, DetachedResponse, MemoryReservation};
 use crate::descriptors::ConnectionDescriptors;
 use crate::socket::Socket;
-use bytes::Bytes;
+use bytes::{Buf, Bytes};
 use rustix::net::{
     RecvAncillaryBuffer, RecvAncillaryMessage, RecvFlags, SendAncillaryBuffer, SendAncillaryMessage,
     SendFlags,
@@ -24,7 +24,7 @@
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt, Interest};
 use tokio::net::{UnixListener, UnixStream};
-use tokio::time::timeout;
+use tokio::time::{timeout, Instant};
 use tracing::warn;
 
 /// The socket on which a successor accepts responses.
@@ -60,9 +60,11 @@
     Io(#[from] io::Error),
     #[error("handover timed out")]
     TimedOut,
-    #[error("successor has no capacity for the response")]
-    Rejected,
-    #[error("no client connection or descriptor left for the response")]
+    #[error("successor has no capacity for the response now")]
+    Declined,
+    #[error("reply of the successor is invalid")]
+    InvalidReply,
+    #[error("no client connection left for the response")]
     NoConnection,
     #[error("no memory left for the response: {required_bytes} bytes required, {available_bytes} available")]
     NoMemory {
@@ -97,11 +99,25 @@
 
     /// Connects to the successor. `None` if no successor accepts responses.
     pub async fn connect(&self) -> Option<SuccessorConnection> {
-        let stream = UnixStream::connect(&self.path).await.ok()?;
+        let stream = self.connect_when_not_busy().await.ok()?;
         // The socket belongs to this process if it was a successor itself and has no successor of its own.
         let is_own = stream.peer_cred().ok()?.pid() == i32::try_from(std::process::id()).ok();
         (!is_own).then_some(SuccessorConnection { stream })
     }
+
+    /// Connects to the socket. Many responses are handed over at once, so that the queue of its listener may be full for
+    /// a moment.
+    async fn connect_when_not_busy(&self) -> io::Result<UnixStream> {
+        let busy_until = Instant::now() + PREDECESSOR_TIMEOUT;
+        loop {
+            match UnixStream::connect(&self.path).await {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock && Instant::now() < busy_until => {
+                    tokio::time::sleep(ACCEPT_RETRY_PAUSE).await;
+                }
+                connected => return connected,
+            }
+        }
+    }
 }
 
 /// A connection to the successor, for one response.
@@ -133,9 +149,9 @@
         self.stream
             .async_io(Interest::WRITABLE, || send_with_descriptors(&self.stream, &text, &descriptors))
             .await?;
-        self.expect_reply(ACCEPTED).await?;
+        self.expect_accepted().await?;
         for bytes in &response.rest.read {
-            self.stream.write_all(bytes).await?;
+            self.stream.write_all(bytes.chunk()).await?;
         }
         self.expect_reply(RECEIVED).await?;
         // Once this byte is written, the successor owns the response.
@@ -143,11 +159,21 @@
         Ok(())
     }
 
+    /// A successor that has no capacity closes the connection without a reply.
+    async fn expect_accepted(&mut self) -> Result<(), HandoverError> {
+        match self.expect_reply(ACCEPTED).await {
+            Err(HandoverError::Io(error)) if error.kind() == io::ErrorKind::UnexpectedEof => {
+                Err(HandoverError::Declined)
+            }
+            reply => reply,
+        }
+    }
+
     async fn expect_reply(&mut self, expected: u8) -> Result<(), HandoverError> {
         if self.stream.read_u8().await? == expected {
             Ok(())
         } else {
-            Err(HandoverError::Rejected)
+            Err(HandoverError::InvalidReply)
         }
     }
 }
@@ -262,11 +288,16 @@
         self.offer
     }
 
-    /// Takes the response over. `descriptors` account for the connection to its endpoint.
+    /// Takes the response over. `descriptors` account for the connection to its endpoint, and `reservation` for the bytes
+    /// that have yet to be sent.
     ///
     /// # Errors
     /// The handover failed or was not committed.
-    pub async fn accept(self, descriptors: ConnectionDescriptors) -> Result<DetachedResponse, HandoverError> {
+    pub async fn accept(
+        self,
+        descriptors: ConnectionDescriptors,
+        reservation: MemoryReservation,
+    ) -> Result<DetachedResponse, HandoverError> {
         let OfferedResponse { mut stream, offer, client, endpoint } = self;
         let unsent = timeout(SUCCESSOR_TIMEOUT, read_unsent(&mut stream, offer.unsent_bytes)).await;
         let unsent = unsent.map_err(|_| HandoverError::TimedOut)??;
@@ -278,7 +309,8 @@
             None => None,
         };
         let client = Socket::from_descriptor(client)?;
-        Ok(DetachedResponse { client, rest: DetachedBody { read: vec![unsent], source } })
+        let read = vec![CountedBytes::new(unsent, reservation)];
+        Ok(DetachedResponse { client, rest: DetachedBody { read, source } })
     }
 }
 
--- a/crates/proxy/src/memory_accounts.rs
+++ b/crates/proxy/src/memory_accounts.rs
@@ -49,6 +49,10 @@
     expected_client_count: Cell<usize>,
     /// Memory that bodies have reserved.
     reserved_kib: Cell<usize>,
+    /// Memory of bytes that another process has handed over, beside the memory of bodies.
+    handed_over_kib: Cell<usize>,
+    /// What handed-over bytes may raise the memory of this process to: all that the other process leaves.
+    handover_limit_kib: Cell<usize>,
     /// Memory that bodies get, whatever everything else uses: without any, no request could proceed.
     min_body_kib: usize,
 }
@@ -67,6 +71,8 @@
             endpoint_connection_count: Cell::new(0),
             expected_client_count: Cell::new(0),
             reserved_kib: Cell::new(0),
+            handed_over_kib: Cell::new(0),
+            handover_limit_kib: Cell::new(limit_kib),
             min_body_kib,
         };
         accounts.give(accounts.body_memory_kib());
@@ -88,7 +94,8 @@
     fn beyond_connections_kib(&self) -> usize {
         let limit_kib = self.limit_kib.get();
         let overhead_kib = percent_of(limit_kib, ALLOCATOR_OVERHEAD_PERCENT);
-        limit_kib.saturating_sub(self.base_kib.get() + self.connections_kib() + overhead_kib)
+        let other_kib = self.base_kib.get() + self.connections_kib() + self.handed_over_kib.get();
+        limit_kib.saturating_sub(other_kib + overhead_kib)
     }
 
     /// The memory of all connections, and of those to endpoints that may always be opened while clients are there.
@@ -106,10 +113,35 @@
 
     /// The memory that is in use or has been granted, with the allocator's overhead.
     pub fn used_kib(&self) -> usize {
-        let counted_kib = self.base_kib.get() + self.connections_kib() + self.reserved_kib.get();
+        let counted_kib = self.base_kib.get() + self.granted_kib();
         counted_kib * PERCENT / (PERCENT - ALLOCATOR_OVERHEAD_PERCENT)
     }
 
+    /// The memory that has been granted to connections, bodies and handed-over bytes.
+    fn granted_kib(&self) -> usize {
+        self.connections_kib() + self.reserved_kib.get() + self.handed_over_kib.get()
+    }
+
+    /// Sets what handed-over bytes may raise the memory of this process to.
+    pub fn set_handover_limit(&self, limit_kib: usize) {
+        self.handover_limit_kib.set(limit_kib);
+    }
+
+    /// Counts bytes that another process hands over. False if both processes together would exceed the limit while both
+    /// hold them.
+    pub fn try_take_over(&self, kib: usize) -> bool {
+        let fits = self.used_kib().saturating_add(kib) <= self.handover_limit_kib.get();
+        if fits {
+            self.update(|| self.handed_over_kib.set(self.handed_over_kib.get() + kib));
+        }
+        fits
+    }
+
+    /// Returns the memory of handed-over bytes.
+    pub fn release_handed_over(&self, kib: usize) {
+        self.update(|| self.handed_over_kib.set(self.handed_over_kib.get() - kib));
+    }
+
     /// Whether another client can be served within the limit, with a connection to an endpoint.
     pub fn has_room_for_client(&self) -> bool {
         self.client_count.get() < MIN_CLIENTS || self.free_kib() >= CLIENT_KIB + CONNECTION_KIB
@@ -195,8 +227,7 @@
     /// Counts what the process uses beyond connections and bodies, and at least `min_base_kib`, for everything
     /// else.
     pub fn record_resident(&self, resident_kib: usize, min_base_kib: usize) {
-        let counted_kib = self.connections_kib() + self.reserved_kib.get();
-        let base_kib = resident_kib.saturating_sub(counted_kib).max(min_base_kib);
+        let base_kib = resident_kib.saturating_sub(self.granted_kib()).max(min_base_kib);
         self.update(|| self.base_kib.set(base_kib));
     }
 }
--- a/crates/proxy/src/process_memory.rs
+++ b/crates/proxy/src/process_memory.rs
@@ -11,6 +11,8 @@
 const MAPPED_BLOCK_BYTES: nix::libc::c_int = 32 * 1024;
 /// Memory for the first connections of a successor, until this process frees more.
 const SUCCESSOR_START_KIB: usize = 2 * 1024;
+/// Memory for the last requests of a process that hands its responses over.
+const LAST_REQUESTS_KIB: usize = 1024;
 /// How often the limit is checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 /// The same while another process runs: clients move from one to the other.
@@ -95,6 +97,9 @@
         };
         let other = handover.borrow_mut().other_process();
         let limit_kib = self.limit_kib(other, resident_kib);
+        let other_limit_kib = other.and_then(|other| other.memory_limit_kib);
+        let left_kib = other_limit_kib.map(|other_kib| self.total_kib.saturating_sub(other_kib));
+        self.memory.set_handover_limit(left_kib.unwrap_or(limit_kib));
         self.memory.set_limit(limit_kib);
         handover.borrow().write_memory_limit(limit_kib);
         if other.is_some() {
@@ -110,11 +115,16 @@
             return self.total_kib.saturating_sub(self.start_kib + SUCCESSOR_START_KIB);
         };
         self.return_free_memory_at_times();
-        // Both processes may grow until the next check, each by half of what neither may use.
+        // Both processes may grow until the next check, each by half of what neither may use. One that hands its
+        // responses over leaves that to the other one.
         let with_half_of_rest = |own_kib: usize, other_kib: usize| {
             own_kib + self.total_kib.saturating_sub(own_kib + other_kib) / 2
         };
         match (other.memory_limit_kib, other.id.and_then(other_resident_kib)) {
+            (Some(other_limit_kib), Some(_)) if self.memory.is_handing_over() => {
+                let needed_kib = self.memory.used_kib() + LAST_REQUESTS_KIB;
+                needed_kib.min(with_half_of_rest(self.memory.used_kib(), other_limit_kib))
+            }
             (Some(other_limit_kib), Some(_)) => {
                 with_half_of_rest(self.memory.used_kib(), other_limit_kib).min(self.total_kib)
             }
--- a/crates/proxy/src/upstream/response_forwarder.rs
+++ b/crates/proxy/src/upstream/response_forwarder.rs
@@ -2,7 +2,8 @@
 //! close.
 
 use crate::body::{
-    BodyChunk, DetachRequest, DetachedBody, MemoryLimit, ReadAheadBuffer, ReadAheadLimit, WriteProgress,
+    BodyChunk, CountedBytes, DetachRequest, DetachedBody, MemoryLimit, ReadAheadBuffer, ReadAheadLimit,
+    WriteProgress,
 };
 use crate::metrics::Metrics;
 use crate::upstream::connection::UpstreamConnection;
@@ -302,16 +303,16 @@
         connection: UpstreamConnection,
         mut body: Incoming,
     ) -> Result<bool, hyper::Error> {
-        let mut read = self.buffer.drain_bytes();
+        let mut read = self.buffer.drain();
         // Takes the frames that are already parsed, without reading more from the connection.
         while let Some(frame) = next_frame_now(&mut body).await.transpose()? {
-            read.extend(frame.into_data().ok());
+            read.extend(frame.into_data().ok().map(CountedBytes::from));
         }
         let remaining_bytes = body.size_hint().exact().unwrap_or_default();
         let mut source = None;
         if remaining_bytes > 0 {
             let (rest, body_source) = connection.into_body_source(remaining_bytes);
-            read.push(rest);
+            read.push(rest.into());
             source = (body_source.remaining_bytes > 0).then_some(body_source);
         }
         let rest = DetachedBody { read, source };
@@ -326,7 +327,7 @@
                 biased;
                 permit = self.client.reserve() => permit,
                 () = self.detach_request.received() => {
-                    let rest = DetachedBody { read: self.buffer.drain_bytes(), source: None };
+                    let rest = DetachedBody { read: self.buffer.drain(), source: None };
                     return self.client.send(BodyChunk::Detached(rest)).await.is_ok();
                 }
             };
