Test: chunked responses that last past the kill of a hot restart are cut

Cause: only responses of known length are handed over to the successor: the HTTP parser does not tell where in a chunk it stands. It cannot be mended without a parser of our own for the chunks.

--- a/crates/cli/tests/response_handover.rs
+++ b/crates/cli/tests/response_handover.rs
@@ -122,6 +122,17 @@
     assert_responses_outlive_the_process(6, RESPONSE_BYTES, false);
 }
 
+#[test]
+fn chunked_responses_in_progress_at_the_kill_of_a_hot_restart_arrive_complete() {
+    // Guards against the kill truncating a response whose end only the parser of its framing detects.
+    let mut shutdown = Shutdown::prepare(Restart::Hot, paced_endpoint());
+    let mut clients = shutdown.connected_clients(3);
+    let _successor = shutdown.start_successor();
+    let heads = begin_responses(&mut clients, "chunked", RESPONSE_BYTES, SEND_TIME_UNTIL_AFTER_KILL);
+    let received = read_across_kill(&mut shutdown, clients, &heads, RESPONSE_BYTES, false);
+    assert_eq!(received, [RESPONSE_BYTES; 3]);
+}
+
 #[test]
 fn responses_to_slow_readers_in_progress_at_the_kill_of_a_hot_restart_arrive_complete() {
     // Guards against losing or repeating data that is in the buffers of the process when it hands a response
