Count handed-over sockets beside a successor's share only while they are open

Cause: each handed-over socket raised the limit of descriptors until the next check, 0.25 s at most, also after it had been closed. A successor that declines responses is offered them again every 25 ms, so that its limit could grow far beyond its share. Change: the limit excludes open handed-over sockets while the predecessor runs, and includes them afterwards; nothing is added up.

--- a/crates/proxy/src/descriptor_budget.rs
+++ b/crates/proxy/src/descriptor_budget.rs
@@ -98,25 +98,21 @@
         budget
     }
 
+    /// Sets the limit on descriptors for clients and endpoints. Two processes share what remains after the reserve of each;
+    /// what the predecessor has handed over it no longer holds.
     fn apply_limit(&self) {
-        self.descriptors.set_limit(self.limit());
-    }
-
-    /// The limit on descriptors for clients and endpoints. Two processes share what remains after the reserve
-    /// of each.
-    fn limit(&self) -> usize {
         let shared = self.max_sockets.saturating_sub(2 * RESERVED_DESCRIPTOR_COUNT);
-        // What the predecessor has handed over it no longer holds.
-        let handed_over = self.descriptors.handed_over_count();
-        let limit = match self.other_process.get() {
-            OtherProcess::None => counted_descriptors(self.max_sockets),
-            OtherProcess::Successor => shared * PREDECESSOR_SHARE_TENTHS / TENTHS,
-            OtherProcess::Predecessor { notices_by } if Instant::now() < notices_by => {
-                shared * UNNOTICED_SUCCESSOR_SHARE_TENTHS / TENTHS + handed_over
+        let share = |tenths: usize| (shared * tenths / TENTHS).max(MIN_DESCRIPTORS);
+        match self.other_process.get() {
+            OtherProcess::None => self.descriptors.set_limit(counted_descriptors(self.max_sockets)),
+            OtherProcess::Successor => self.descriptors.set_limit(share(PREDECESSOR_SHARE_TENTHS)),
+            OtherProcess::Predecessor { notices_by } => {
+                let is_unnoticed = Instant::now() < notices_by;
+                let tenths =
+                    if is_unnoticed { UNNOTICED_SUCCESSOR_SHARE_TENTHS } else { SUCCESSOR_SHARE_TENTHS };
+                self.descriptors.set_limit_beside_handed_over(share(tenths));
             }
-            OtherProcess::Predecessor { .. } => shared * SUCCESSOR_SHARE_TENTHS / TENTHS + handed_over,
-        };
-        limit.max(MIN_DESCRIPTORS)
+        }
     }
 
     /// Checks whether another process runs, updates the limit, and closes idle connections beyond it.
--- a/crates/proxy/src/descriptors.rs
+++ b/crates/proxy/src/descriptors.rs
@@ -1,6 +1,9 @@
 //! Counts open sockets, so that the process stays below its descriptor limit instead of failing when it is
 //! reached.
 
+#[cfg(test)]
+mod tests;
+
 use crate::memory_accounts::ConnectionMemory;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -9,6 +12,8 @@
 #[derive(Debug)]
 pub struct Descriptors {
     limit: Cell<usize>,
+    /// The limit does not include handed-over sockets.
+    excludes_handed_over: Cell<bool>,
     open: Cell<usize>,
     /// Open sockets that another process of this proxy has handed over.
     handed_over: Cell<usize>,
@@ -24,12 +29,30 @@
 impl Descriptors {
     /// A counter that allows `limit` open sockets.
     pub fn new(limit: usize) -> Rc<Self> {
-        Rc::new(Descriptors { limit: Cell::new(limit), open: Cell::new(0), handed_over: Cell::new(0) })
+        Rc::new(Descriptors {
+            limit: Cell::new(limit),
+            excludes_handed_over: Cell::default(),
+            open: Cell::default(),
+            handed_over: Cell::default(),
+        })
     }
 
     /// Changes the limit. Sockets open beyond it stay open.
     pub fn set_limit(&self, limit: usize) {
         self.limit.set(limit);
+        self.excludes_handed_over.set(false);
+    }
+
+    /// Changes the limit to this number beside the sockets that the other process hands over: it no longer holds them, so
+    /// that both together hold as many as before.
+    pub fn set_limit_beside_handed_over(&self, limit: usize) {
+        self.limit.set(limit);
+        self.excludes_handed_over.set(true);
+    }
+
+    fn limit(&self) -> usize {
+        let handed_over = if self.excludes_handed_over.get() { self.handed_over.get() } else { 0 };
+        self.limit.get() + handed_over
     }
 
     /// The number of open sockets.
@@ -39,31 +62,24 @@
 
     /// The number of open sockets beyond the limit.
     pub fn excess(&self) -> usize {
-        self.open.get().saturating_sub(self.limit.get())
+        self.open.get().saturating_sub(self.limit())
     }
 
     /// Counts one more socket. `None` if the limit is reached.
     pub fn try_acquire(self: &Rc<Self>) -> Option<Descriptor> {
-        if self.open.get() >= self.limit.get() {
+        if self.open.get() >= self.limit() {
             return None;
         }
         self.open.set(self.open.get() + 1);
         Some(Descriptor { descriptors: Rc::clone(self), is_handed_over: false })
     }
 
-    /// Counts a socket that another process hands over, and raises the limit by it: the other process no longer holds
-    /// the socket, so that both together hold as many as before.
+    /// Counts a socket that another process hands over, whatever the limit.
     pub fn acquire_handed_over(self: &Rc<Self>) -> Descriptor {
         self.open.set(self.open.get() + 1);
         self.handed_over.set(self.handed_over.get() + 1);
-        self.limit.set(self.limit.get() + 1);
         Descriptor { descriptors: Rc::clone(self), is_handed_over: true }
     }
-
-    /// The number of open sockets that another process has handed over.
-    pub fn handed_over_count(&self) -> usize {
-        self.handed_over.get()
-    }
 }
 
 impl Drop for Descriptor {
