Take over a response of which nothing is unsent, whatever memory is left, and log what is

A successor over its limit would decline a response of which nothing is unsent, and its log named the memory left for bodies, which is not what decides. Cause: used memory plus the bytes was compared with the limit, so that zero bytes did not fit beside too much. Change: the bytes are compared with what is left, and that is logged.

--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -277,6 +277,11 @@
         Some(MemoryReservation { kib, accounts: Some(Rc::clone(&self.accounts)), is_handed_over: true })
     }
 
+    /// See [`MemoryAccounts::left_for_handover_kib`].
+    pub fn left_for_handover_bytes(&self) -> usize {
+        self.accounts.left_for_handover_kib() * BYTES_PER_KIB
+    }
+
     /// See [`MemoryAccounts::set_handover_limit`].
     pub fn set_handover_limit(&self, limit_kib: usize) {
         self.accounts.set_handover_limit(limit_kib);
--- a/crates/proxy/src/body/memory_limit/tests.rs
+++ b/crates/proxy/src/body/memory_limit/tests.rs
@@ -113,6 +113,8 @@
     assert!(memory.used_kib() >= used_kib + ((MEMORY_MB / 4) << 10));
     assert_eq!(memory.available_bytes(), available_bytes, "three fifths of the memory are still left");
     assert!(memory.try_take_over((MEMORY_MB / 4) << 20).is_none(), "with the allocator's overhead");
+    memory.set_handover_limit(0);
+    assert!(memory.try_take_over(0).is_some(), "a response of which nothing is unsent needs no memory");
     drop(taken_over);
     assert_eq!((memory.available_bytes(), memory.used_kib()), (available_bytes, used_kib));
 }
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -129,7 +129,7 @@
         let memory = &self.handler.memory;
         let required_bytes = offered.offer().unsent_bytes;
         let no_memory =
-            || HandoverError::NoMemory { required_bytes, available_bytes: memory.available_bytes() };
+            || HandoverError::NoMemory { required_bytes, available_bytes: memory.left_for_handover_bytes() };
         let reservation = memory.try_take_over(required_bytes).ok_or_else(no_memory)?;
         let descriptors = ConnectionDescriptors::of_handed_over(self.descriptors.acquire_handed_over());
         let response = offered.accept(descriptors, reservation).await?;
--- a/crates/proxy/src/hot_restart/response_handover.rs
+++ b/crates/proxy/src/hot_restart/response_handover.rs
@@ -70,7 +70,7 @@
     NoMemory {
         /// Bytes that the response needs at once.
         required_bytes: usize,
-        /// Bytes that bodies have not reserved.
+        /// Bytes that both processes leave.
         available_bytes: usize,
     },
     #[error("handover offer is invalid")]
--- a/crates/proxy/src/memory_accounts.rs
+++ b/crates/proxy/src/memory_accounts.rs
@@ -127,10 +127,15 @@
         self.handover_limit_kib.set(limit_kib);
     }
 
-    /// Counts bytes that another process hands over. False if both processes together would exceed the limit while both
-    /// hold them.
+    /// How much another process may hand over, so that both together stay within the limit while both hold it.
+    pub fn left_for_handover_kib(&self) -> usize {
+        self.handover_limit_kib.get().saturating_sub(self.used_kib())
+    }
+
+    /// Counts bytes that another process hands over. False if less is left for them; see
+    /// [`Self::left_for_handover_kib`].
     pub fn try_take_over(&self, kib: usize) -> bool {
-        let fits = self.used_kib().saturating_add(kib) <= self.handover_limit_kib.get();
+        let fits = kib <= self.left_for_handover_kib();
         if fits {
             self.update(|| self.handed_over_kib.set(self.handed_over_kib.get() + kib));
         }
