Test: start chunked responses of a hot restart in one place

Cause: the new test of chunked responses repeated an older one but for the time that the endpoint takes. Change: one function with that time. The older test has three clients in place of two.

--- a/crates/cli/tests/response_handover.rs
+++ b/crates/cli/tests/response_handover.rs
@@ -122,17 +122,22 @@
     assert_responses_outlive_the_process(6, RESPONSE_BYTES, false);
 }
 
-#[test]
-fn chunked_responses_in_progress_at_the_kill_of_a_hot_restart_arrive_complete() {
-    // Guards against the kill truncating a response whose end only the parser of its framing detects.
+/// Asserts that chunked responses are received completely that an endpoint sends over this time, from before SIGTERM on.
+fn assert_chunked_responses_arrive_complete(send_time: Duration) {
     let mut shutdown = Shutdown::prepare(Restart::Hot, paced_endpoint());
     let mut clients = shutdown.connected_clients(3);
     let _successor = shutdown.start_successor();
-    let heads = begin_responses(&mut clients, "chunked", RESPONSE_BYTES, SEND_TIME_UNTIL_AFTER_KILL);
+    let heads = begin_responses(&mut clients, "chunked", RESPONSE_BYTES, send_time);
     let received = read_across_kill(&mut shutdown, clients, &heads, RESPONSE_BYTES, false);
     assert_eq!(received, [RESPONSE_BYTES; 3]);
 }
 
+#[test]
+fn chunked_responses_in_progress_at_the_kill_of_a_hot_restart_arrive_complete() {
+    // Guards against the kill truncating a response whose end only the parser of its framing detects.
+    assert_chunked_responses_arrive_complete(SEND_TIME_UNTIL_AFTER_KILL);
+}
+
 #[test]
 fn responses_to_slow_readers_in_progress_at_the_kill_of_a_hot_restart_arrive_complete() {
     // Guards against losing or repeating data that is in the buffers of the process when it hands a response
@@ -442,12 +447,7 @@
 #[test]
 fn a_chunked_response_that_ends_before_the_kill_is_delivered_by_its_own_process() {
     // Guards against handing over a response whose end can only be found by parsing its chunks.
-    let mut shutdown = Shutdown::prepare(Restart::Hot, paced_endpoint());
-    let mut clients = shutdown.connected_clients(2);
-    let _successor = shutdown.start_successor();
-    let heads = begin_responses(&mut clients, "chunked", RESPONSE_BYTES, SEND_TIME_UNTIL_BEFORE_KILL);
-    let received = read_across_kill(&mut shutdown, clients, &heads, RESPONSE_BYTES, false);
-    assert_eq!(received, [RESPONSE_BYTES; 2]);
+    assert_chunked_responses_arrive_complete(SEND_TIME_UNTIL_BEFORE_KILL);
 }
 
 #[test]
