--- a/crates/cli/tests/fault_library/faults.c
+++ b/crates/cli/tests/fault_library/faults.c
@@ -1,6 +1,7 @@
 /* Makes system calls of a process fail now and then, in ways that Linux documents, and steps its wall clock.
  * FAULT_SEED seeds the failures, one call in FAULT_EVERY fails; 0 means none.
- * FAULT_CLOCK names a file that holds the step of the wall clock in seconds, as text. */
+ * FAULT_CLOCK names a file that holds the step of the wall clock in seconds, as text.
+ * FAULT_SEND_BUFFER is the size in bytes that the send buffers of outgoing connections get. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
 #include <errno.h>
@@ -63,6 +64,11 @@
 int connect(int fd, const struct sockaddr *address, socklen_t length) {
     static const int errors[] = {EADDRNOTAVAIL, ENETUNREACH};
     REAL(connect);
+    const char *text = getenv("FAULT_SEND_BUFFER");
+    if (text) {
+        int size = atoi(text);
+        setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &size, sizeof(size));
+    }
     return fails(errors, COUNT(errors)) ? -1 : real(fd, address, length);
 }
 
--- a/crates/cli/tests/peers/mod.rs
+++ b/crates/cli/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod agent;
 pub mod bodies;
+pub mod faults;
 pub mod memory;
 pub mod shutdown;
 
@@ -369,10 +370,16 @@
 
     /// Starts a process that inherits the listener as descriptor 7.
     pub fn start(&self, text: &str) -> Proxy {
+        self.start_with_variables(text, &[])
+    }
+
+    /// Starts a process with additional environment variables.
+    pub fn start_with_variables(&self, text: &str, variables: &[(&str, &str)]) -> Proxy {
         let config = self.folder.join(format!("config-{}", RUNS.fetch_add(1, Ordering::SeqCst)));
         std::fs::write(&config, text).expect("a temporary file");
         let child = launch(&config, "exec 7<&0 0</dev/null; exec \"$0\" serve", |command| {
             let listener = self.listener.try_clone().expect("a descriptor");
+            command.envs(variables.iter().copied());
             command.env("TMPDIR", &self.folder).env("RELAY_ACCEPT_FD", "7").stdin(OwnedFd::from(listener))
         });
         Proxy::listening(child, config)
--- a/crates/cli/tests/system_faults.rs
+++ b/crates/cli/tests/system_faults.rs
@@ -3,11 +3,9 @@
 mod peers;
 
 use peers::bodies::*;
+use peers::faults::fault_library;
 use peers::shutdown::write_response;
 use peers::*;
-use std::path::{Path, PathBuf};
-use std::process::Command;
-use std::sync::OnceLock;
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -20,20 +18,6 @@
 const CLIENT_TIMEOUT: Duration = Duration::from_secs(2);
 const HOUR_S: i64 = 3_600;
 
-/// Builds the library that makes system calls fail. It is loaded into the process under test only.
-fn fault_library() -> &'static Path {
-    static LIBRARY: OnceLock<PathBuf> = OnceLock::new();
-    LIBRARY.get_or_init(|| {
-        let source = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/fault_library/faults.c");
-        let library =
-            Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("faults-{}.so", std::process::id()));
-        let status =
-            Command::new("cc").args(["-shared", "-fPIC", "-O1", "-o"]).arg(&library).arg(source).status();
-        assert!(status.expect("a C compiler").success());
-        library
-    })
-}
-
 fn start_with_faults(config: &str, variables: &[(&str, &str)]) -> Proxy {
     let library = fault_library().to_str().expect("a path");
     let variables = [&[("LD_PRELOAD", library)], variables].concat();
