Time a final answer from the earliest moment at which its client can have written its last byte

Cause: the deadline of a streamed request of unknown length began when the parser had read its end, and the parser reads at the endpoint's pace. With a length, the deadline began when at most 4 MB were missing, a usual limit of send buffers: too late for larger ones, and so early for small ones that a client was cut off which still wrote.

Where it does not, the largest send buffer that the system permits stands in for it, and a pause of the client while the proxy waits for it shows that the queue is empty. Once the request is known not to end up to a position, by its length or because the parser has read on, the client had not written its last byte while it had written no more. The latest such time can never be later than the last byte, whatever the framing, the buffers and the endpoint's pace. The final answer is given 0.3 s and the client's timeout after it. Claims of uploads, which guessed the same from the last arrival, are gone.

A line is logged and `overdue_uploads` counted for each request that is answered before it has been read.

--- a/crates/cli/tests/fault_library/faults.c
+++ b/crates/cli/tests/fault_library/faults.c
@@ -1,6 +1,7 @@
 /* Makes system calls of a process fail now and then, in ways that Linux documents, and steps its wall clock.
  * FAULT_SEED seeds the failures, one call in FAULT_EVERY fails; 0 means none.
  * FAULT_CLOCK names a file that holds the step of the wall clock in seconds, as text.
+ * FAULT_NO_NETLINK, if set, makes the system refuse netlink sockets.
  * FAULT_SEND_BUFFER is the size in bytes that the send buffers of outgoing connections get. */
 #define _GNU_SOURCE
 #include <dlfcn.h>
@@ -58,6 +59,10 @@
 int socket(int domain, int type, int protocol) {
     static const int errors[] = {ENFILE, ENOBUFS};
     REAL(socket);
+    if (domain == AF_NETLINK && getenv("FAULT_NO_NETLINK")) {
+        errno = EPERM;
+        return -1;
+    }
     return domain == AF_INET && fails(errors, COUNT(errors)) ? -1 : real(domain, type, protocol);
 }
 
--- a/crates/cli/tests/upload_deadlines.rs
+++ b/crates/cli/tests/upload_deadlines.rs
@@ -65,6 +65,8 @@
     endpoint: EndpointPace,
     client_bytes_per_s: Option<usize>,
     buffers: Buffers,
+    /// The proxy cannot ask the system how much its client has written.
+    is_netlink_refused: bool,
 }
 
 /// What a client has seen.
@@ -155,9 +157,10 @@
     }
 
     fn start_proxy(self, platform: &Platform, config: &str) -> Proxy {
-        let Some(size) = self.buffers.proxy_send else { return platform.start(config) };
-        let library = fault_library().to_str().expect("a path");
-        let variables = [("LD_PRELOAD", library), ("FAULT_SEND_BUFFER", &size.to_string())];
+        let mut variables = vec![("LD_PRELOAD", fault_library().to_str().expect("a path"))];
+        let size = self.buffers.proxy_send.map(|size| size.to_string());
+        variables.extend(size.as_deref().map(|size| ("FAULT_SEND_BUFFER", size)));
+        variables.extend(self.is_netlink_refused.then_some(("FAULT_NO_NETLINK", "1")));
         platform.start_with_variables(config, &variables)
     }
 
@@ -202,7 +205,7 @@
 }
 
 fn print(play: &Play, observed: &Observed) {
-    let Play { framing, body_bytes, timeout, endpoint, client_bytes_per_s, buffers } = play;
+    let Play { framing, body_bytes, timeout, endpoint, client_bytes_per_s, buffers, .. } = play;
     println!(
         "{framing} {body_bytes} bytes, {timeout:?}, {} B/s, client {client_bytes_per_s:?}, {buffers:?}: {observed:?}",
         endpoint.bytes_per_s
@@ -247,9 +250,44 @@
         endpoint: EndpointPace::steady(bytes_per_s),
         client_bytes_per_s: None,
         buffers: Buffers::default(),
+        is_netlink_refused: false,
     }
 }
 
+/// The requests of these plays are written at once and read slowly.
+fn plays_of_any_buffer_size() -> Vec<Play> {
+    let small = |play| Play { buffers: Buffers::small(), ..play };
+    let large_send = Buffers { client_send: Some(LARGE_BUFFER_BYTES), ..Buffers::default() };
+    let small_receive = Buffers { client_send: Some(LARGE_BUFFER_BYTES), ..Buffers::small() };
+    in_both_framings([
+        small(slow_endpoint(400_000, 50_000, 600)),
+        small(slow_endpoint(2_000_000, 200_000, 600)),
+        Play { buffers: large_send, ..slow_endpoint(6_500_000, 400_000, 800) },
+        Play { buffers: small_receive, ..slow_endpoint(3_000_000, 200_000, 600) },
+        Play { buffers: small_receive, ..slow_endpoint(6_500_000, 400_000, 1_200) },
+    ])
+}
+
+/// The clients of these plays write more slowly than their endpoints read.
+fn plays_of_slow_clients() -> Vec<Play> {
+    let behind = EndpointPace {
+        pause: Duration::from_millis(400),
+        bytes_per_s: SLOWEST_CLIENT_BYTES_PER_S * 5 / 4,
+        stops_after: None,
+    };
+    let paced = |play, bytes_per_s| Play { client_bytes_per_s: Some(bytes_per_s), ..play };
+    in_both_framings([
+        paced(slow_endpoint(300_000, 100_000_000, 600), SLOWEST_CLIENT_BYTES_PER_S),
+        paced(slow_endpoint(900_000, 100_000_000, 600), 300_000),
+        Play { endpoint: behind, ..paced(slow_endpoint(300_000, 1, 1_500), SLOWEST_CLIENT_BYTES_PER_S) },
+        Play {
+            endpoint: EndpointPace { bytes_per_s: 320_000, ..behind },
+            buffers: Buffers { endpoint_receive: Some(SMALL_BUFFER_BYTES), ..Buffers::default() },
+            ..paced(slow_endpoint(1_200_000, 1, 1_500), 300_000)
+        },
+    ])
+}
+
 #[test]
 fn a_request_that_waits_in_buffers_for_its_endpoint_has_its_final_answer_in_time() {
     // Guards against time that counts from the moment at which the proxy reads the end of a request.
@@ -271,17 +309,21 @@
 #[test]
 fn a_request_in_buffers_of_any_size_has_its_final_answer_in_time() {
     // Guards against an end of the request that is inferred from the usual size of a buffer.
-    let small = |play| Play { buffers: Buffers::small(), ..play };
-    let large_send = Buffers { client_send: Some(LARGE_BUFFER_BYTES), ..Buffers::default() };
-    let small_receive = Buffers { client_send: Some(LARGE_BUFFER_BYTES), ..Buffers::small() };
-    let plays = [
-        small(slow_endpoint(400_000, 50_000, 600)),
-        small(slow_endpoint(2_000_000, 200_000, 600)),
-        Play { buffers: large_send, ..slow_endpoint(6_500_000, 400_000, 800) },
-        Play { buffers: small_receive, ..slow_endpoint(3_000_000, 200_000, 600) },
-        Play { buffers: small_receive, ..slow_endpoint(6_500_000, 400_000, 1_200) },
-    ];
-    assert_answered_in_time(&in_both_framings(plays));
+    assert_answered_in_time(&plays_of_any_buffer_size());
+}
+
+#[test]
+fn a_request_in_buffers_has_its_final_answer_in_time_where_the_system_refuses_netlink() {
+    // Guards against a bound that only holds where the send queues of clients can be read.
+    let refused = |play| Play { is_netlink_refused: true, ..play };
+    assert_answered_in_time(&plays_of_any_buffer_size().into_iter().map(refused).collect::<Vec<_>>());
+}
+
+#[test]
+fn a_client_that_writes_slowly_is_served_where_the_system_refuses_netlink() {
+    // Guards against a client's own slowness counted as time in which its answer is due.
+    let refused = |play| Play { is_netlink_refused: true, ..play };
+    assert_served(&plays_of_slow_clients().into_iter().map(refused).collect::<Vec<_>>());
 }
 
 #[test]
@@ -314,23 +356,7 @@
 #[test]
 fn a_client_that_writes_slowly_is_served_although_its_request_takes_longer_than_its_timeout() {
     // Guards against a client's own slowness counted as time in which its answer is due.
-    let behind = EndpointPace {
-        pause: Duration::from_millis(400),
-        bytes_per_s: SLOWEST_CLIENT_BYTES_PER_S * 5 / 4,
-        stops_after: None,
-    };
-    let paced = |play, bytes_per_s| Play { client_bytes_per_s: Some(bytes_per_s), ..play };
-    let plays = [
-        paced(slow_endpoint(300_000, 100_000_000, 600), SLOWEST_CLIENT_BYTES_PER_S),
-        paced(slow_endpoint(900_000, 100_000_000, 600), 300_000),
-        Play { endpoint: behind, ..paced(slow_endpoint(300_000, 1, 1_500), SLOWEST_CLIENT_BYTES_PER_S) },
-        Play {
-            endpoint: EndpointPace { bytes_per_s: 320_000, ..behind },
-            buffers: Buffers { endpoint_receive: Some(SMALL_BUFFER_BYTES), ..Buffers::default() },
-            ..paced(slow_endpoint(1_200_000, 1, 1_500), 300_000)
-        },
-    ];
-    assert_served(&in_both_framings(plays));
+    assert_served(&plays_of_slow_clients());
 }
 
 #[test]
--- a/crates/proxy/src/body/mod.rs
+++ b/crates/proxy/src/body/mod.rs
@@ -19,4 +19,6 @@
 pub use read_ahead_buffer::{ReadAheadBuffer, ReadAheadLimit};
 pub use request_stream::{RequestStream, WriteProgress};
 pub use response_stream::{AbortCondition, BodyChunk, ResponseStream};
-pub use upload::{reserve_while_arriving, BodyError, ByteArrivals, RequestBodyReader, Upload, UploadPrefix};
+pub use upload::{
+    reserve_while_arriving, BodyError, ByteArrivals, ReadState, RequestBodyReader, Upload, UploadPrefix,
+};
--- a/crates/proxy/src/body/request_stream.rs
+++ b/crates/proxy/src/body/request_stream.rs
@@ -113,6 +113,14 @@
     }
 }
 
+impl Drop for RequestStream {
+    fn drop(&mut self) {
+        if let Some(upload) = &self.upload {
+            upload.stop_reading();
+        }
+    }
+}
+
 impl Body for RequestStream {
     type Data = Bytes;
     type Error = BodyError;
--- a/crates/proxy/src/body/upload.rs
+++ b/crates/proxy/src/body/upload.rs
@@ -20,8 +20,6 @@
 const MIN_UPLOAD_BYTES_PER_S: f64 = 32.0 * 1024.0;
 /// A body counts as stalled after this long without a byte.
 const MAX_STALL: Duration = Duration::from_secs(3);
-/// Bytes that the client's system has buffered arrive within this time once the proxy reads on.
-const MAX_TRANSIT: Duration = Duration::from_millis(20);
 
 /// Why a body is incomplete.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Error)]
@@ -83,6 +81,7 @@
     /// How long the body may stall in total, beyond the time that its size accounts for.
     slack: Duration,
     received_bytes: u64,
+    chunk_count: u64,
     waited: Duration,
     waiting_since: Option<Instant>,
     stall_timer: Option<Pin<Box<Sleep>>>,
@@ -94,6 +93,7 @@
             body,
             slack,
             received_bytes: 0,
+            chunk_count: 0,
             waited: Duration::ZERO,
             waiting_since: None,
             stall_timer: None,
@@ -146,9 +146,7 @@
 
     fn poll_chunk(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyError>>> {
         while let Poll::Ready(frame) = Pin::new(&mut self.body).poll_frame(cx) {
-            if let Some(since) = self.waiting_since.take() {
-                self.waited += since.elapsed();
-            }
+            self.stop_waiting();
             match frame.map(|frame| frame.map(Frame::into_data)) {
                 None => return Poll::Ready(None),
                 Some(Err(_)) => return Poll::Ready(Some(Err(BodyError::Aborted))),
@@ -160,7 +158,15 @@
         self.poll_stall(cx).map(|()| Some(Err(BodyError::Stalled)))
     }
 
+    /// Ends the wait for the client, if there is one.
+    fn stop_waiting(&mut self) {
+        if let Some(since) = self.waiting_since.take() {
+            self.waited += since.elapsed();
+        }
+    }
+
     fn count(&mut self, chunk: Bytes) -> Result<Bytes, BodyError> {
+        self.chunk_count += 1;
         self.received_bytes += chunk.len() as u64;
         if self.received_bytes > MAX_BODY_BYTES {
             return Err(BodyError::TooLarge);
@@ -332,20 +338,19 @@
     /// Length of the complete body in bytes, where that is known.
     length: Option<u64>,
     state: Cell<UploadState>,
-    claim: Cell<Claim>,
     ended: Notify,
 }
 
-/// What was known of the client when an attempt claimed its upload.
-#[derive(Clone, Copy, Debug, Default)]
-struct Claim {
-    /// How long no byte of the client had arrived.
-    time_since_last_byte: Duration,
-    /// How long the reader had waited for the client until then.
-    waited: Duration,
+/// How far the body of a request has been read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadState {
+    /// Number of chunks that the reader has received from the HTTP parser.
+    pub chunk_count: u64,
+    /// Since when the reader, which has passed on all that it received, waits for the client. `None` if it does not.
+    pub waiting_since: Option<Instant>,
 }
 
-/// The read state of an upload.
+/// The phase of an upload.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum UploadState {
     Unread,
@@ -368,7 +373,6 @@
             _reservation: reservation,
             length,
             state: Cell::new(UploadState::Unread),
-            claim: Cell::default(),
             ended: Notify::new(),
         })
     }
@@ -378,27 +382,24 @@
         self.state.get() == UploadState::Unread
     }
 
-    /// Claims the body for one attempt, when no byte of the client has arrived for `time_since_last_byte`.
-    /// False if an attempt has already claimed it.
-    pub fn try_claim(&self, time_since_last_byte: Duration) -> bool {
+    /// Claims the body for one attempt. False if an attempt has already claimed it.
+    pub fn try_claim(&self) -> bool {
         let is_unread = self.is_unread();
         if is_unread {
             self.state.set(UploadState::Streaming);
-            self.claim.set(Claim { time_since_last_byte, waited: self.reader.borrow().waited });
         }
         is_unread
     }
 
-    /// How long before the claim the client may have written the last byte of a body that has been read to its
-    /// end. Zero if the reader has waited for the client since.
-    pub fn delay_before_claim(&self) -> Duration {
-        let claim = self.claim.get();
-        let waited_since = self.reader.borrow().waited - claim.waited;
-        if waited_since < MAX_TRANSIT {
-            claim.time_since_last_byte
-        } else {
-            Duration::ZERO
-        }
+    /// How far the body has been read.
+    pub fn read_state(&self) -> ReadState {
+        let reader = self.reader.borrow();
+        ReadState { chunk_count: reader.chunk_count, waiting_since: reader.waiting_since }
+    }
+
+    /// Records that no attempt reads the body any more.
+    pub(super) fn stop_reading(&self) {
+        self.reader.borrow_mut().stop_waiting();
     }
 
     /// Whether the body ended before it was complete.
--- a/crates/proxy/src/call_table.rs
+++ b/crates/proxy/src/call_table.rs
@@ -170,6 +170,11 @@
         self.calls.get(&call).is_some_and(Call::is_open)
     }
 
+    /// The request of a call that still waits for its answer.
+    pub fn request(&self, call: CallId) -> Option<&Request> {
+        self.calls.get(&call).filter(|call| call.is_open()).map(|call| &*call.request)
+    }
+
     /// When the earliest timer expires.
     pub fn next_deadline(&self) -> Option<Micros> {
         self.timers.first().map(|&(at, _)| at)
--- /dev/null
+++ b/crates/proxy/src/client_send_queue/tests.rs
@@ -0,0 +1,51 @@
+//! Tests of the send queues of clients, on loopback sockets.
+
+use super::*;
+use std::io::Write;
+use std::net::{TcpListener, TcpStream};
+
+/// More than the buffers of both sides hold.
+const FILLING_BYTES: usize = 64 << 20;
+
+/// A client, and the other end of its connection.
+async fn connection() -> (TcpStream, Socket) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let client = TcpStream::connect(listener.local_addr().expect("an address")).expect("a connection");
+    let (accepted, _) = listener.accept().expect("a connection");
+    accepted.set_nonblocking(true).expect("a socket");
+    (client, Socket::new(tokio::net::TcpStream::from_std(accepted).expect("a socket")))
+}
+
+#[tokio::test]
+async fn bytes_that_wait_in_the_send_buffer_of_a_client_are_counted() {
+    let (mut client, socket) = connection().await;
+    client.set_nonblocking(true).expect("a socket");
+    let mut written_bytes = 0;
+    while let Ok(count) = client.write(&vec![0; FILLING_BYTES]) {
+        written_bytes += count;
+    }
+    let unseen_bytes = ClientSendQueues::default().max_unseen_bytes(&socket);
+    let arrived_bytes = socket.unread_bytes();
+    assert!(arrived_bytes < written_bytes);
+    assert!(unseen_bytes + arrived_bytes as u64 >= written_bytes as u64);
+    assert!(unseen_bytes <= written_bytes as u64);
+}
+
+#[tokio::test]
+async fn a_client_whose_bytes_have_arrived_has_written_no_others() {
+    let (mut client, socket) = connection().await;
+    client.write_all(&[0; 1_000]).expect("a connection");
+    let queues = ClientSendQueues::default();
+    while queues.max_unseen_bytes(&socket) > 0 {
+        tokio::task::yield_now().await;
+    }
+    assert_eq!(socket.unread_bytes(), 1_000);
+}
+
+#[test]
+fn the_limits_of_this_system_bound_a_local_client_only() {
+    let limits = send_buffer_limits().expect("limits");
+    let bound = max_send_buffer_bytes(IpAddr::from([127, 0, 0, 1]));
+    assert!(bound >= limits.max_adapted_bytes as u64 && bound >= limits.max_settable_bytes as u64);
+    assert_eq!(max_send_buffer_bytes(IpAddr::from([10, 0, 0, 1])), u64::MAX);
+}
--- a/crates/proxy/src/descriptor_budget.rs
+++ b/crates/proxy/src/descriptor_budget.rs
@@ -18,7 +18,7 @@
 const RESERVED_DESCRIPTOR_COUNT: usize = 48;
 /// The part of the reserve for client connections beyond the capacity. The other uses are at most 12
 /// connections to the admin endpoint, two polls and a watch of discovery, two listeners, the membership
-/// socket, and ten descriptors of the runtime and the standard streams.
+/// and the netlink socket, and ten descriptors of the runtime and the standard streams.
 pub const RESERVED_CLIENT_DESCRIPTOR_COUNT: usize = 16;
 /// Descriptors that every process may use, however low its limit.
 const MIN_DESCRIPTORS: usize = 8;
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -8,7 +8,7 @@
 use crate::clock::Clock;
 use crate::endpoint_list::{EndpointEntry, EndpointList};
 use crate::metrics::{Metrics, MetricsReport, RejectionReason, RequestOutcome};
-use crate::request::{CallAttributes, Request};
+use crate::request::{CallAttributes, OverdueUpload, Request};
 use crate::request_ids::RequestIds;
 use crate::response::{AttemptResult, FinalResponse, StreamingResponse};
 use crate::upstream::attempt::{attempt, AttemptOwner, IncompleteResponse};
@@ -207,6 +207,15 @@
         }
     }
 
+    /// Records that the final response to a streamed request is due before the request has been read to its end.
+    pub fn record_overdue_upload(&self, call: CallId, upload: &OverdueUpload) {
+        let state = self.state.borrow();
+        if let Some(request) = state.calls.request(call) {
+            state.metrics.count_overdue_upload();
+            state.log_overdue_upload(request.id(), upload);
+        }
+    }
+
     /// Records that the client of this call has disconnected, and cancels its attempts whatever the balancer
     /// decides.
     pub fn record_client_disconnect(&self, call: CallId) {
--- a/crates/proxy/src/dispatcher/state.rs
+++ b/crates/proxy/src/dispatcher/state.rs
@@ -5,6 +5,7 @@
 use crate::endpoint_list::EndpointEntry;
 use crate::endpoints::{EndpointUpdate, Endpoints};
 use crate::metrics::{Gauges, Metrics, MetricsReport};
+use crate::request::OverdueUpload;
 use crate::request_ids::RequestIds;
 use crate::start_times::StartTimes;
 use crate::upstream::attempt::IncompleteResponse;
@@ -128,6 +129,19 @@
         );
     }
 
+    /// Logs why a request is answered before it has been read to its end.
+    pub fn log_overdue_upload(&self, request_id: &str, upload: &OverdueUpload) {
+        warn!(
+            request_id,
+            received_chunks = upload.received_chunks,
+            read_bytes = upload.read_bytes,
+            unread_bytes = upload.unread_bytes,
+            max_unseen_bytes = upload.max_unseen_bytes,
+            written_ms_ago = upload.time_since_earliest_end.as_millis() as u64,
+            "final response due before the request was read"
+        );
+    }
+
     /// Logs a decision of the balancer, with the names of endpoints and classes.
     pub fn log_decision(&self, decision: DecisionEvent) {
         let name = |endpoint| self.endpoints.name(endpoint);
--- a/crates/proxy/src/downstream/arrivals.rs
+++ b/crates/proxy/src/downstream/arrivals.rs
@@ -21,6 +21,8 @@
 pub struct Arrivals {
     /// Number of bytes that the HTTP parser has read.
     read_bytes: Cell<u64>,
+    /// Where the HTTP parser's latest read began.
+    latest_read_position: Cell<u64>,
     /// The earliest known time of each number of arrived bytes, without those that have been read.
     samples: RefCell<VecDeque<Sample>>,
     /// When the latest byte is known to have arrived.
@@ -30,7 +32,12 @@
 impl Arrivals {
     /// For a connection on which no bytes have arrived yet.
     pub fn new(now: Instant) -> Self {
-        Arrivals { read_bytes: Cell::new(0), samples: RefCell::default(), latest: Cell::new(now) }
+        Arrivals {
+            read_bytes: Cell::new(0),
+            latest_read_position: Cell::new(0),
+            samples: RefCell::default(),
+            latest: Cell::new(now),
+        }
     }
 
     /// Number of bytes that the HTTP parser has read.
@@ -38,9 +45,15 @@
         self.read_bytes.get()
     }
 
+    /// The position at which the HTTP parser's latest read began.
+    pub fn latest_read_position(&self) -> u64 {
+        self.latest_read_position.get()
+    }
+
     /// Records that the HTTP parser has read `count` further bytes.
     pub fn record_read(&self, now: Instant, count: usize) {
         let arrived_before = self.arrived_bytes();
+        self.latest_read_position.set(self.read_bytes.get());
         let read_bytes = self.read_bytes.get() + count as u64;
         self.read_bytes.set(read_bytes);
         if read_bytes > arrived_before {
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -339,11 +339,6 @@
         self.arrivals.record_unread(Instant::now(), unread_bytes);
     }
 
-    /// Whether bytes of the client have arrived that the HTTP parser has not read.
-    pub(super) fn has_unread_bytes(&self) -> bool {
-        self.read_ahead.len() + self.socket.unread_bytes() > 0
-    }
-
     /// Ready once the bytes up to `position` have arrived, the system has no room for more, or the client has
     /// closed. The low watermark stays set until [`Self::stop_awaiting_arrival`].
     pub(super) fn poll_arrival(&self, cx: &mut Context<'_>, position: u64) -> Poll<()> {
--- a/crates/proxy/src/downstream/open_request.rs
+++ b/crates/proxy/src/downstream/open_request.rs
@@ -2,8 +2,7 @@
 
 use super::connection::ClientConnection;
 use crate::body::{ByteArrivals, DetachRequest, DetachedBody};
-use crate::system_limits::send_buffer_limits;
-use std::cell::Cell;
+use crate::client_send_queue::ClientSendQueues;
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -14,29 +13,19 @@
 /// How often the arrival of bytes is observed that the proxy does not read yet.
 const ARRIVAL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
-/// How much later than the client's timeout a final response may be given, with a margin to the 0.5 s that are permitted
-/// (STANDING).
-const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(300);
-
 /// Keeps a request open until its response has been received completely and the request is no longer read.
 pub struct OpenRequest {
     connection: Rc<ClientConnection>,
     /// Number of the request on its connection, from 1: a remainder of an earlier request must not end a
     /// later one.
     number: u64,
-    /// Since when the client may have written its last byte, although it waits in the client's own send buffer.
-    possibly_written_since: Cell<Option<Instant>>,
 }
 
 impl OpenRequest {
     /// Begins a request on a connection.
     pub fn begin(connection: &Rc<ClientConnection>) -> Rc<Self> {
         let number = connection.begin_request();
-        Rc::new(OpenRequest {
-            connection: Rc::clone(connection),
-            number,
-            possibly_written_since: Cell::default(),
-        })
+        Rc::new(OpenRequest { connection: Rc::clone(connection), number })
     }
 
     /// Whether this is the first request of its connection.
@@ -72,30 +61,15 @@
         }
     }
 
-    /// Resolves once the bytes up to `position`, the end of the request, have arrived, whether or not they have been
-    /// read; or once the client may have written them for so long that its final response is due.
-    pub async fn end_at(&self, position: u64, client_timeout: Duration) {
-        let max_unseen_bytes = send_buffer_limits().map_or(0, |limits| limits.max_adapted_bytes as u64);
-        let mut checked_at = Instant::now();
-        while !self.has_arrived(position) {
-            let missing_bytes = position.saturating_sub(self.connection.arrivals().arrived_bytes());
-            // While bytes wait to be read, what follows them may wait in the client's send buffer.
-            let may_be_written = missing_bytes <= max_unseen_bytes && self.connection.has_unread_bytes();
-            let since = self.possibly_written_since.get().unwrap_or(checked_at);
-            self.possibly_written_since.set(may_be_written.then_some(since));
-            if self.time_since_possible_end() >= client_timeout {
-                return;
-            }
-            checked_at = Instant::now();
-            tokio::time::sleep(ARRIVAL_CHECK_INTERVAL).await;
-        }
+    /// At most how many bytes the client has written that have not arrived; see
+    /// [`ClientSendQueues::max_unseen_bytes`].
+    pub fn max_unseen_bytes(&self, queues: &ClientSendQueues) -> u64 {
+        queues.max_unseen_bytes(&self.connection.socket)
     }
 
-    /// How long ago the client may have written its last byte at the earliest, less the time by which a final response
-    /// may be late. Zero while that cannot be.
-    pub fn time_since_possible_end(&self) -> Duration {
-        let since = self.possibly_written_since.get().map(|since| since.elapsed());
-        since.unwrap_or_default().saturating_sub(MAX_RESPONSE_DELAY)
+    /// The position at which the HTTP parser's latest read began.
+    pub fn latest_read_position(&self) -> u64 {
+        self.connection.arrivals().latest_read_position()
     }
 
     /// Records that the response begins. `detach_request`, if any, detaches it later.
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -2,6 +2,7 @@
 
 use super::connection::ClientPresence;
 use super::open_request::OpenRequest;
+use super::request_end::{EndOfWait, RequestEnd};
 use super::request_head::{class_id, is_health_check, RequestHead};
 use super::response::{final_response, rejected, text_response, RequestError, CAPACITY_RETRY_AFTER_US};
 use super::shutdown::{completion_deadline, is_past_latest_completion, ShutdownSignal};
@@ -9,6 +10,7 @@
     reserve_while_arriving, AbortCondition, ByteArrivals, MemoryLimit, MemoryReservation, RequestBodyReader,
     ResponseStream, Upload, UploadPrefix, STREAMED_BODY_BYTES,
 };
+use crate::client_send_queue::ClientSendQueues;
 use crate::dispatcher::Dispatcher;
 use crate::metrics::RejectionReason;
 use crate::request::{unshared_head, Request, REQUEST_ID_HEADER};
@@ -23,6 +25,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
+use tokio::time::Instant;
 
 /// A body may wait for memory for `1 / MEMORY_WAIT_DIVISOR` of the client's timeout, which does not include
 /// that wait.
@@ -35,6 +38,7 @@
 pub struct RequestHandler {
     pub dispatcher: Dispatcher,
     pub memory: Rc<MemoryLimit>,
+    pub send_queues: ClientSendQueues,
 }
 
 /// The connection that a request arrived on.
@@ -52,6 +56,8 @@
     position: Option<u64>,
     /// How long the client waits for its response from then on.
     client_timeout: Duration,
+    /// The client had not written its last byte before this time.
+    not_before: Instant,
 }
 
 /// A request's body: complete, or an upload.
@@ -63,8 +69,8 @@
     length: Option<u64>,
     /// Position on the connection at which the body ends, where its head declares its length.
     end_position: Option<u64>,
-    /// How long ago the last byte of a complete body arrived.
-    time_since_arrival: Duration,
+    /// When the latest byte of the body that has been read arrived.
+    arrived_at: Instant,
     /// Reservation of a complete body, until its request is answered.
     _reservation: MemoryReservation,
 }
@@ -72,7 +78,10 @@
 impl ReceivedBody {
     /// The request that an attempt sends, with this body.
     fn request(&self, parts: Parts, head: &RequestHead, client: ClientPresence) -> Request {
-        let time_since_arrival_us = self.time_since_arrival.as_micros() as Micros;
+        // The time of a request whose body is streamed begins later.
+        let is_complete = self.upload.is_none();
+        let time_since_arrival = if is_complete { self.arrived_at.elapsed() } else { Duration::ZERO };
+        let time_since_arrival_us = time_since_arrival.as_micros() as Micros;
         Request {
             method: parts.method,
             uri: parts.uri,
@@ -134,7 +143,7 @@
             () = completion_deadline.as_mut() => return Err(self.reject_late(&head)),
             never = open.observe_arrivals() => match never {},
         };
-        let end_position = body.end_position;
+        let ReceivedBody { end_position, arrived_at, .. } = body;
         let started = self.dispatcher.start_call(head.call_attributes(), body.request(parts, &head, client));
         let (call, response) = match started {
             Ok(started) => started,
@@ -146,7 +155,7 @@
         let _guard = CallGuard { dispatcher: &self.dispatcher, call };
         let Some(upload) = body.upload else { return Ok(final_response(response.await.ok())) };
         let client_timeout = Duration::from_micros(head.client_timeout_us);
-        let expected_end = ExpectedEnd { position: end_position, client_timeout };
+        let expected_end = ExpectedEnd { position: end_position, client_timeout, not_before: arrived_at };
         let response = self
             .await_streamed(call, &upload, expected_end, response, &open, completion_deadline.as_mut())
             .await;
@@ -192,15 +201,18 @@
         if prefix.is_complete {
             open.complete();
             let time_since_arrival = open.time_since_arrival(open.read_bytes()).unwrap_or_default();
+            let arrived_at = Instant::now() - time_since_arrival;
             return Ok(ReceivedBody {
                 buffered: prefix.bytes,
                 upload: None,
                 length,
                 end_position: None,
-                time_since_arrival,
+                arrived_at,
                 _reservation: reservation,
             });
         }
+        // The beginning is read at the client's pace.
+        let arrived_at = open.latest_arrival();
         let end_position = prefix.end_position;
         let prefix = UploadPrefix::new(prefix, reservation);
         let mut reservation = MemoryReservation::default();
@@ -219,7 +231,7 @@
             upload: Some(upload),
             length,
             end_position,
-            time_since_arrival: Duration::ZERO,
+            arrived_at,
             _reservation: MemoryReservation::default(),
         })
     }
@@ -238,28 +250,37 @@
         completion_deadline: impl Future<Output = ()>,
     ) -> Result<Option<FinalResponse>, RequestError> {
         let mut response = pin!(response);
-        let end_position = expected_end.position;
-        let mut arrival = pin!(arrival(open, expected_end));
+        let mut end = RequestEnd::new(
+            open,
+            upload,
+            &self.send_queues,
+            expected_end.position,
+            expected_end.client_timeout,
+            expected_end.not_before,
+        );
         let mut completion_deadline = pin!(completion_deadline);
         let mut delayed = pin!(tokio::time::sleep(DELAYED_REQUEST_TIME));
         let mut is_delayed = false;
-        loop {
+        let end_of_wait = loop {
             tokio::select! {
                 biased;
                 response = response.as_mut() => return Ok(response.ok()),
-                end = upload.ended() => break end.map_err(RequestError::Body)?,
-                () = arrival.as_mut() => break,
+                end = upload.ended() => {
+                    end.map_err(RequestError::Body)?;
+                    break EndOfWait::Arrived;
+                }
+                end_of_wait = end.wait() => break end_of_wait,
                 () = completion_deadline.as_mut() => return Err(RequestError::ShuttingDown),
                 () = delayed.as_mut(), if !is_delayed => {
                     is_delayed = true;
                     self.dispatcher.record_delayed_request(call);
                 }
             }
+        };
+        if end_of_wait == EndOfWait::ResponseDue {
+            self.dispatcher.record_overdue_upload(call, &end.overdue_upload());
         }
-        let time_since_arrival = open.time_since_arrival(end_position.unwrap_or(open.read_bytes()));
-        let time_since_arrival = time_since_arrival.unwrap_or_default().max(upload.delay_before_claim());
-        let time_since_arrival = time_since_arrival.max(open.time_since_possible_end());
-        self.dispatcher.complete_request(call, time_since_arrival);
+        self.dispatcher.complete_request(call, end.time_since_end(end_of_wait));
         tokio::select! {
             biased;
             response = response.as_mut() => return Ok(response.ok()),
@@ -270,15 +291,6 @@
     }
 }
 
-/// Resolves once the request has ended at `end_position`; see [`OpenRequest::end_at`]. Never where the end is not known,
-/// but then still observes when bytes arrive.
-async fn arrival(open: &OpenRequest, expected_end: ExpectedEnd) {
-    match expected_end.position {
-        Some(position) => open.end_at(position, expected_end.client_timeout).await,
-        None => match open.observe_arrivals().await {},
-    }
-}
-
 /// Resolves to true at the deadline if the request has not arrived completely by then. Otherwise completes
 /// the request once it has been read.
 fn incomplete_after(
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -91,6 +91,7 @@
     connections_opened: Cell<u64>,
     cooldown_waits: Cell<u64>,
     unsolicited_data: Cell<u64>,
+    overdue_uploads: Cell<u64>,
     reloads_succeeded: Cell<u64>,
     reloads_failed: Cell<u64>,
 }
@@ -124,6 +125,9 @@
     /// Connections to endpoints.
     #[serde(default)]
     pub connections: ConnectionCounts,
+    /// Requests that were not read to their end by the time of their final response.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub overdue_uploads: u64,
     /// Endpoints in the list.
     #[serde(rename = "hosts_listed")]
     pub endpoints_listed: usize,
@@ -187,6 +191,11 @@
         increment(&self.unsolicited_data);
     }
 
+    /// Counts a request that was not read to its end by the time of its final response.
+    pub fn count_overdue_upload(&self) {
+        increment(&self.overdue_uploads);
+    }
+
     /// Counts a configuration file that was applied or rejected at SIGHUP.
     pub fn count_reload(&self, succeeded: bool) {
         increment(if succeeded { &self.reloads_succeeded } else { &self.reloads_failed });
@@ -209,6 +218,7 @@
                 cooldown_waits: self.cooldown_waits.get(),
                 unsolicited: self.unsolicited_data.get(),
             },
+            overdue_uploads: self.overdue_uploads.get(),
             endpoints_listed: gauges.endpoints_listed,
             endpoints_unavailable: gauges.endpoints_unavailable,
             reloads_succeeded: self.reloads_succeeded.get(),
@@ -219,6 +229,10 @@
     }
 }
 
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
 fn increment(counter: &Cell<u64>) {
     counter.set(counter.get() + 1);
 }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -2,6 +2,7 @@
 
 use crate::admin;
 use crate::body::MemoryLimit;
+use crate::client_send_queue::ClientSendQueues;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::descriptor_budget::{
@@ -245,7 +246,11 @@
         handover_listener: Option<HandoverListener>,
     ) -> Downstream {
         let capacity = client_capacity(self.budget.max_sockets);
-        let handler = RequestHandler { dispatcher: self.dispatcher.clone(), memory: Rc::clone(&self.memory) };
+        let handler = RequestHandler {
+            dispatcher: self.dispatcher.clone(),
+            memory: Rc::clone(&self.memory),
+            send_queues: ClientSendQueues::default(),
+        };
         Downstream {
             handler: Rc::new(handler),
             pool: Rc::clone(&self.pool),
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -8,6 +8,7 @@
 use hyper::http::{HeaderMap, HeaderValue, Method, Uri};
 use oakport_core::{ClassId, Micros};
 use std::rc::Rc;
+use std::time::Duration;
 
 /// Identifies a request; a retry by the client has a new id.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -42,6 +43,21 @@
     }
 }
 
+/// A request that has not been read to its end although its final response is due.
+#[derive(Clone, Copy, Debug)]
+pub struct OverdueUpload {
+    /// Number of chunks of the body that have been received.
+    pub received_chunks: u64,
+    /// Number of bytes that have been read from the connection.
+    pub read_bytes: u64,
+    /// Number of bytes that have arrived and have not been read.
+    pub unread_bytes: u64,
+    /// At most how many bytes wait in the client's own send buffer.
+    pub max_unseen_bytes: u64,
+    /// How long ago the client can have written its last byte.
+    pub time_since_earliest_end: Duration,
+}
+
 /// A copy of a header value that does not keep the buffer allocated that it was read into.
 pub fn unshared(value: &HeaderValue) -> HeaderValue {
     HeaderValue::from_bytes(value.as_bytes()).unwrap_or_else(|_| value.clone())
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -5,7 +5,7 @@
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use std::io::{self, IoSlice};
 use std::mem::MaybeUninit;
-use std::net::Shutdown;
+use std::net::{Shutdown, SocketAddr};
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
@@ -137,6 +137,11 @@
         Poll::Ready(())
     }
 
+    /// The addresses of this side and of its peer.
+    pub fn addresses(&self) -> io::Result<(SocketAddr, SocketAddr)> {
+        Ok((self.0.local_addr()?, self.0.peer_addr()?))
+    }
+
     /// Shuts down the writing side.
     pub fn shutdown_write(&self) -> io::Result<()> {
         socket2::SockRef::from(&*self.0).shutdown(Shutdown::Write)
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -1,9 +1,8 @@
 //! Executes one attempt: obtains a connection, sends the request, and reads or streams the response.
 
 use crate::body::{
-    CountedBytes, DetachRequest, MemoryReservation, RequestStream, Upload, WriteProgress, STREAMED_BODY_BYTES,
+    CountedBytes, DetachRequest, MemoryReservation, RequestStream, WriteProgress, STREAMED_BODY_BYTES,
 };
-use crate::downstream::connection::ClientPresence;
 use crate::request::{unshared, Request};
 use crate::response::{AttemptResult, CompleteResponse, StreamingResponse};
 use crate::socket::Socket;
@@ -131,7 +130,7 @@
             pool.return_unused(&target, connection).await;
             return Outcome::NotSent.into();
         }
-        if request.upload.as_ref().is_some_and(|upload| !claim(upload, &request.client)) {
+        if request.upload.as_ref().is_some_and(|upload| !upload.try_claim()) {
             return Outcome::NotSent.into();
         }
         let remaining_time = owner.remaining_time();
@@ -165,11 +164,6 @@
     }
 }
 
-/// Claims an upload for one attempt. False if an attempt has already claimed it.
-fn claim(upload: &Upload, client: &ClientPresence) -> bool {
-    upload.try_claim(client.time_since_last_byte())
-}
-
 /// Delivers a response, complete or as a stream, and returns its connection to the pool.
 async fn finish(
     pool: &Rc<ConnectionPool>,
