Count the time of pipelined requests from the read that brought them

The time at which bytes arrived was kept only for bytes that were still unread. The parser reads several small requests with one read, and for each but the first the time began when it came to it.

Now a read is a sample of what has arrived like any other, and bytes that are read ahead of the parser, or wait unread for the memory of a head, are sampled when that begins.

--- a/crates/cli/tests/request_completion.rs
+++ b/crates/cli/tests/request_completion.rs
@@ -227,3 +227,37 @@
         assert!(received == test_pattern(sending.length), "{sending:?}: other bytes than the client sent");
     }
 }
+
+/// How many of these requests, sent at once on one connection, are answered after their time. Each is served in 80 ms.
+fn late_answers_to_pipelined_requests(count: usize) -> usize {
+    let timeout = Duration::from_secs(1);
+    let discovery = Discovery::start();
+    let serving = endpoint(|head, stream| {
+        let _ = body(head, stream);
+        thread::sleep(Duration::from_millis(80));
+        write_response(stream, "length", b"ok");
+    });
+    let proxy = start(&discovery, &[serving]);
+    let mut client = proxy.client();
+    let timeout_text = format!("{}m", timeout.as_millis());
+    let requests: String =
+        (0..count).map(|_| request_head("safe", &timeout_text, "Content-Length: 2\r\n") + "ok").collect();
+    client.write(&requests);
+    let sent_at = Instant::now();
+    let mut late_count = 0;
+    for number in 0..count {
+        let status = client.answer().map(|answer| answer.status());
+        assert!(status.is_some(), "request {number} of {count} got no answer");
+        let is_late = sent_at.elapsed() > timeout + RESPONSE_GRACE;
+        late_count += usize::from(is_late);
+    }
+    late_count
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_time_although_they_are_forwarded_one_by_one() {
+    // Guards against a client timeout that begins when the parser comes to a request that it read long before.
+    for count in [40, 200] {
+        assert_eq!(late_answers_to_pipelined_requests(count), 0, "late of {count}");
+    }
+}
--- a/crates/proxy/src/downstream/arrivals.rs
+++ b/crates/proxy/src/downstream/arrivals.rs
@@ -1,5 +1,5 @@
-//! When the bytes of a connection arrived, as far as the proxy has left them unread: the client's timeout
-//! counts from the arrival of a request's last byte, not from the moment at which the proxy reads it.
+//! When the bytes of a connection arrived: the client's timeout counts from the arrival of a request's last byte, not from
+//! the moment at which the proxy reads it or comes to the request.
 
 #[cfg(test)]
 mod tests;
@@ -23,7 +23,7 @@
     read_bytes: Cell<u64>,
     /// Where the HTTP parser's latest read began.
     latest_read_position: Cell<u64>,
-    /// The earliest known time of each number of arrived bytes, without those that have been read.
+    /// The earliest known time of each number of arrived bytes, from the last byte that has been read on.
     samples: RefCell<VecDeque<Sample>>,
     /// When the latest byte is known to have arrived.
     latest: Cell<Instant>,
@@ -56,11 +56,12 @@
         self.latest_read_position.set(self.read_bytes.get());
         let read_bytes = self.read_bytes.get() + count as u64;
         self.read_bytes.set(read_bytes);
+        let mut samples = self.samples.borrow_mut();
         if read_bytes > arrived_before {
+            samples.push_back(Sample { at: now, arrived_bytes: read_bytes });
             self.latest.set(now);
         }
-        // The last sample is kept: the byte before the current position may be the last one of a request.
-        let mut samples = self.samples.borrow_mut();
+        // The byte before the current position may be the last one of a request, or of several that were read at once.
         while samples.front().is_some_and(|sample| sample.arrived_bytes < read_bytes) {
             samples.pop_front();
         }
@@ -81,8 +82,8 @@
         sampled.max(self.read_bytes.get())
     }
 
-    /// The earliest time by which the bytes up to `position` are known to have arrived. `None` if they have
-    /// not arrived, or were first seen when they were read.
+    /// The earliest time by which the bytes up to `position` are known to have arrived, for those that have not been read
+    /// and the last one that has. `None` if they have not arrived.
     pub fn arrived_at(&self, position: u64) -> Option<Instant> {
         let samples = self.samples.borrow();
         samples.iter().find(|sample| sample.arrived_bytes >= position).map(|sample| sample.at)
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -149,6 +149,7 @@
                 let was_waiting = self.head_memory.wait_deadline().is_some();
                 let readable_bytes = self.head_memory.poll_readable_bytes(cx);
                 if readable_bytes.is_pending() && !was_waiting {
+                    self.observe_arrivals();
                     self.state_changed.notify_one();
                 }
                 readable_bytes
@@ -395,6 +396,7 @@
             self.record_client_close();
         } else {
             self.read_ahead.push(bytes);
+            self.observe_arrivals();
         }
         bytes.len()
     }
