--- a/crates/proxy/src/call_table.rs
+++ b/crates/proxy/src/call_table.rs
@@ -333,11 +333,6 @@
         overdue
     }
 
-    /// The deadline of a call. `None` while its request is still arriving.
-    pub fn deadline_of(&self, id: CallId) -> Option<Micros> {
-        self.calls.get(&id).map(|call| call.deadline).filter(|&deadline| deadline < NEVER_US)
-    }
-
     fn set_timeout(&mut self, id: AttemptId, timeout_at: Micros) {
         let Some(attempt) = self.attempt_mut(id) else { return };
         let previous = std::mem::replace(&mut attempt.timeout_at, timeout_at);
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -23,7 +23,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{oneshot, Notify};
-use tokio::time::Instant;
 use tracing::{info, warn};
 
 /// The least remaining time that an attempt states while its request is still arriving.
@@ -470,11 +469,6 @@
         overdue
     }
 
-    fn deadline(&self) -> Option<Instant> {
-        let deadline = self.dispatcher.state.borrow().calls.deadline_of(self.outgoing.id.call);
-        deadline.map(|at| self.dispatcher.clock.instant(at))
-    }
-
     fn start_response(&self, response: StreamingResponse) -> bool {
         let event = self.dispatcher.state.borrow_mut().calls.start_response(self.outgoing.id, response);
         let Some(event) = event else { return false };
--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -19,7 +19,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, Notify};
-use tokio::time::Instant;
 use tracing::warn;
 
 /// The upload of a streamed request that makes no progress counts as stalled after the time left to the client
@@ -60,9 +59,6 @@
     /// The result is notified when the answer must be passed on, even if its body has yet to begin.
     fn record_answer_head(&self) -> Rc<Notify>;
 
-    /// The deadline of the call. `None` while its request is still arriving.
-    fn deadline(&self) -> Option<Instant>;
-
     /// Starts streaming a response to the client. Returns false if the call has ended and the response is not
     /// used.
     fn start_response(&self, response: StreamingResponse) -> bool;
@@ -283,7 +279,6 @@
     let detach_request = DetachRequest::default();
     let first_bytes = body.first_chunk.len() as u64;
     let mut forwarder = ResponseForwarder::new(sender, &pool.memory, detach_request.clone(), first_bytes);
-    forwarder.set_body_due(owner.deadline().map(|deadline| deadline + MAX_STALL_AFTER_TIMEOUT));
     let first_chunk = CountedBytes::new(body.first_chunk, memory);
     let response = StreamingResponse { first_chunk, chunks, length, content_type, detach_request };
     if !owner.start_response(response) {
--- a/crates/proxy/src/upstream/attempt/tests.rs
+++ b/crates/proxy/src/upstream/attempt/tests.rs
@@ -28,10 +28,6 @@
         Rc::default()
     }
 
-    fn deadline(&self) -> Option<Instant> {
-        None
-    }
-
     fn start_response(&self, _: StreamingResponse) -> bool {
         false
     }
--- a/crates/proxy/src/upstream/response_forwarder.rs
+++ b/crates/proxy/src/upstream/response_forwarder.rs
@@ -37,9 +37,6 @@
     Broken(#[from] hyper::Error),
     #[error("endpoint stalled: no data for {} s", MAX_STALL.as_secs())]
     Stalled,
-    /// Only the head of the response arrived in the time of its call.
-    #[error("endpoint sent no byte of the body in time")]
-    NoBody,
     #[error("client disconnected")]
     ClientDisconnected,
 }
@@ -52,7 +49,7 @@
     fn from(interruption: &Interruption) -> Self {
         match interruption {
             Interruption::Broken(_) => Outcome::Reset,
-            Interruption::Stalled | Interruption::NoBody => Outcome::TimedOut,
+            Interruption::Stalled => Outcome::TimedOut,
             Interruption::ClientDisconnected => Outcome::Cancelled,
         }
     }
@@ -115,8 +112,6 @@
     /// The last pause in reading for a reason other than the endpoint.
     last_read_pause: Option<ReadPause>,
     detach_request: DetachRequest,
-    /// When the response ends if no byte of its body has arrived.
-    body_due: Option<Instant>,
     received_bytes: u64,
     forwarded_bytes: u64,
 }
@@ -135,35 +130,11 @@
             is_outdated: false,
             last_read_pause: None,
             detach_request,
-            body_due: None,
             received_bytes: first_bytes,
             forwarded_bytes: first_bytes,
         }
     }
 
-    /// Sets when the response ends if no byte of its body has arrived.
-    pub fn set_body_due(&mut self, body_due: Option<Instant>) {
-        self.body_due = body_due;
-    }
-
-    /// Why the response ends when its endpoint has been silent for too long.
-    fn stall(&self) -> Interruption {
-        if self.received_bytes == 0 {
-            Interruption::NoBody
-        } else {
-            Interruption::Stalled
-        }
-    }
-
-    /// When the endpoint counts as stalled if it is silent from `reading_since` on.
-    fn stalls_at(&self, reading_since: Instant) -> Instant {
-        let stalls_at = reading_since + MAX_STALL;
-        match self.body_due {
-            Some(body_due) if self.received_bytes == 0 => stalls_at.min(body_due),
-            _ => stalls_at,
-        }
-    }
-
     /// The number of body bytes read from the endpoint.
     pub fn received_bytes(&self) -> u64 {
         self.received_bytes
@@ -230,7 +201,7 @@
                     reading_since = None;
                 }
                 StreamEvent::Received(None) => return Ok(ReceiveOutcome::Complete),
-                StreamEvent::Stalled => return Err(self.stall()),
+                StreamEvent::Stalled => return Err(Interruption::Stalled),
                 StreamEvent::Forwarded | StreamEvent::MemoryReturned => {}
                 StreamEvent::ClientDisconnected => return Err(Interruption::ClientDisconnected),
                 StreamEvent::DetachRequested => return Ok(ReceiveOutcome::DetachRequested),
@@ -264,7 +235,7 @@
         let has_chunk = !self.buffer.is_empty();
         // After the last byte, a disconnect of the client no longer matters.
         let needs_client = has_chunk || !body.is_end_stream();
-        let stalled_at = self.stalls_at(reading_since.unwrap_or_else(Instant::now));
+        let stalled_at = reading_since.unwrap_or_else(Instant::now) + MAX_STALL;
         tokio::select! {
             biased;
             permit = self.client.reserve(), if has_chunk || awaits_channel => {
