Count the time that a request waited for its connection to be accepted

A request that arrives while the proxy accepts no connection (no slot or memory for another, or the process is held up) had the whole of its client's timeout from the accept on, and its final answer came late by the wait.

Now a connection that is accepted with bytes in its queue counts these from the arrival of the latest, which the kernel reports (tcp(7), TCP_INFO).

--- a/crates/cli/tests/request_completion.rs
+++ b/crates/cli/tests/request_completion.rs
@@ -261,3 +261,20 @@
         assert_eq!(late_answers_to_pipelined_requests(count), 0, "late of {count}");
     }
 }
+
+#[test]
+fn a_request_that_waits_to_be_accepted_is_answered_in_time() {
+    // Guards against a client timeout that begins when the proxy accepts the connection.
+    let timeout = Duration::from_millis(600);
+    let (endpoints, _receipts) = hanging_endpoints(1);
+    let discovery = Discovery::start();
+    let proxy = start(&discovery, &endpoints);
+    proxy.signal("-STOP");
+    let mut client = proxy.client();
+    let sending = Sending { length: 1_000, framing: "length", in_pieces: false };
+    let sent_at = sending.send(1, timeout, &mut client);
+    thread::sleep(Duration::from_millis(900));
+    proxy.signal("-CONT");
+    assert!(client.answer().is_some(), "a final answer");
+    assert!(sent_at.elapsed() < timeout + RESPONSE_GRACE, "answered after {:?}", sent_at.elapsed());
+}
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -54,7 +54,7 @@
 }
 
 impl ClientConnection {
-    /// A connection that has just been accepted, on which no bytes have arrived yet.
+    /// A connection that has just been accepted.
     pub fn new(
         socket: Socket,
         idle_connections: Rc<IdleConnections>,
@@ -83,6 +83,7 @@
             detachment: Detachment::default(),
             state_changed: Notify::new(),
         };
+        connection.observe_arrivals_before_accept();
         connection.become_idle();
         Rc::new(connection)
     }
@@ -334,6 +335,13 @@
         self.read_ahead.has_overflowed()
     }
 
+    /// Observes bytes that arrived while the connection waited to be accepted.
+    fn observe_arrivals_before_accept(&self) {
+        let Some(age) = self.socket.time_since_latest_arrival() else { return };
+        let arrived_at = Instant::now().checked_sub(age).unwrap_or(self.accepted_at);
+        self.arrivals.record_unread(arrived_at, self.socket.unread_bytes());
+    }
+
     /// Observes how many bytes have arrived, which the HTTP parser may have left unread.
     pub(super) fn observe_arrivals(&self) {
         let unread_bytes = self.read_ahead.len() + self.socket.unread_bytes();
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -9,6 +9,7 @@
 use std::os::fd::{AsFd, AsRawFd, BorrowedFd, OwnedFd};
 use std::rc::Rc;
 use std::task::{ready, Context, Poll};
+use std::time::Duration;
 use tokio::io::{Interest, ReadBuf};
 use tokio::net::TcpStream;
 
@@ -213,6 +214,26 @@
         self.queued_bytes(nix::libc::FIONREAD)
     }
 
+    /// How long ago the latest segment with bytes arrived. `None` if the system does not report it.
+    #[allow(unsafe_code)]
+    pub fn time_since_latest_arrival(&self) -> Option<Duration> {
+        let mut info = MaybeUninit::<nix::libc::tcp_info>::zeroed();
+        let mut length = size_of::<nix::libc::tcp_info>() as nix::libc::socklen_t;
+        // SAFETY: the descriptor stays open during the call, which writes at most `length` bytes to `info` and keeps no
+        // pointer. `tcp_info` consists of integers, for which any bytes are valid.
+        let (result, info) = unsafe {
+            let result = nix::libc::getsockopt(
+                self.0.as_raw_fd(),
+                nix::libc::IPPROTO_TCP,
+                nix::libc::TCP_INFO,
+                info.as_mut_ptr().cast(),
+                &raw mut length,
+            );
+            (result, info.assume_init())
+        };
+        (result == 0).then(|| Duration::from_millis(u64::from(info.tcpi_last_data_recv)))
+    }
+
     /// Number of bytes in a queue of the system, which `request` selects.
     #[allow(unsafe_code)]
     fn queued_bytes(&self, request: nix::libc::Ioctl) -> usize {
