Drop the second bound on a stalled upload, which the end of the request now gives

An attempt whose endpoint accepted nothing for the time left to the client and 0.3 s was ended, because the client may have written its last byte when the stall began.

--- a/crates/proxy/src/upstream/attempt.rs
+++ b/crates/proxy/src/upstream/attempt.rs
@@ -24,9 +24,6 @@
 /// The upload of a streamed request that makes no progress counts as stalled after the time left to the client
 /// or, if longer, after this time.
 const MIN_UPLOAD_STALL: Duration = Duration::from_secs(1);
-/// An upload counts as stalled at the latest this long after the time left to the client: a final response is due 0.5 s
-/// after it (STANDING), and the last byte of the request may have arrived when the stall began.
-const MAX_STALL_AFTER_TIMEOUT: Duration = Duration::from_millis(300);
 /// How often the progress of a streamed request is checked.
 const STALL_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -327,8 +324,7 @@
         return std::future::pending().await;
     }
     let remaining_time = Duration::from_micros(remaining_time);
-    let max_stall =
-        remaining_time.clamp(MIN_UPLOAD_STALL, MAX_STALL).min(remaining_time + MAX_STALL_AFTER_TIMEOUT);
+    let max_stall = remaining_time.clamp(MIN_UPLOAD_STALL, MAX_STALL);
     let mut unacknowledged_bytes = socket.unacknowledged_bytes();
     while write_progress.stalled_for() < max_stall {
         tokio::time::sleep(STALL_CHECK_INTERVAL).await;
