See the pauses of a slow client whatever its intervals, where its send queue cannot be read

Cause: where the kernel does not show a client's send queue, only its pauses show that it is still writing. They were looked for every 25 ms and must have lasted 20 ms, so a client that writes every 25 to 27 ms could have them unseen for as long as its intervals and the observations fell together. Its request was then answered 502 although it was not late. A client that writes more often than every 20 ms showed no pause at all.

Change: the next observation is at the moment at which the present pause shows that nothing is under way; one that finds bytes just arrived is repeated after 5 ms. While the receive window is open, what arrives within a transit bounds what had been written (open_window.rs). Whether the queue is shown is known by connection, no longer by process: the kernel does not show clients of other machines or network namespaces.

--- a/crates/cli/tests/upload_deadlines.rs
+++ b/crates/cli/tests/upload_deadlines.rs
@@ -288,6 +288,15 @@
     ])
 }
 
+/// A request that its client writes for `duration_us`, a piece in each interval. The proxy cannot read its send queue.
+fn written_in_intervals(interval_us: usize, duration_us: usize) -> Play {
+    Play {
+        client_bytes_per_s: Some(PIECE_BYTES * 1_000_000 / interval_us),
+        is_netlink_refused: true,
+        ..slow_endpoint(PIECE_BYTES * duration_us / interval_us, 100_000_000, 600)
+    }
+}
+
 #[test]
 fn a_request_that_waits_in_buffers_for_its_endpoint_has_its_final_answer_in_time() {
     // Guards against time that counts from the moment at which the proxy reads the end of a request.
@@ -326,6 +335,20 @@
     assert_served(&plays_of_slow_clients().into_iter().map(refused).collect::<Vec<_>>());
 }
 
+#[test]
+fn a_client_that_writes_in_regular_intervals_is_served_where_the_system_refuses_netlink() {
+    // Guards against pauses of a client that go unseen since they have the period of the observations.
+    let play = |interval_us: usize| written_in_intervals(interval_us, 2_500_000);
+    assert_served(&in_both_framings((24_500..28_500).step_by(250).map(play)));
+}
+
+#[test]
+fn a_client_that_hardly_pauses_is_served_where_the_system_refuses_netlink() {
+    // Guards against pauses as the only proof that a client has not written its last byte.
+    let play = |interval_us: usize| written_in_intervals(interval_us, 2_500_000);
+    assert_served(&in_both_framings([10_000, 12_500, 16_000, 19_000].map(play)));
+}
+
 #[test]
 fn a_request_whose_endpoint_stops_reading_has_its_final_answer_in_time() {
     // Guards against progress that an endpoint made before it stopped as a reason to wait longer.
@@ -350,7 +373,8 @@
         paced(slow_endpoint(2_000_000, 400_000, 700), 1_000_000),
         Play { buffers: Buffers::small(), ..paced(slow_endpoint(600_000, 100_000, 600), 300_000) },
     ];
-    assert_answered_in_time(&in_both_framings(plays));
+    let refused = plays.map(|play| Play { is_netlink_refused: true, ..play });
+    assert_answered_in_time(&in_both_framings(plays.into_iter().chain(refused)));
 }
 
 #[test]
--- a/crates/proxy/src/client_send_queue.rs
+++ b/crates/proxy/src/client_send_queue.rs
@@ -26,23 +26,34 @@
     netlink: OnceCell<Option<Netlink>>,
 }
 
-impl ClientSendQueues {
-    /// Whether the kernel shows the send queues of local clients.
-    pub fn is_readable(&self) -> bool {
-        self.netlink().is_some()
+/// How many bytes a client has written that have not arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum UnseenBytes {
+    /// Read from the kernel. Bytes that arrive meanwhile may be counted.
+    Exactly(u64),
+    /// The kernel does not show the client's socket. `u64::MAX` if no bound is known.
+    AtMost(u64),
+}
+
+impl UnseenBytes {
+    /// The largest possible number.
+    pub fn max(self) -> u64 {
+        match self {
+            UnseenBytes::Exactly(bytes) | UnseenBytes::AtMost(bytes) => bytes,
+        }
     }
+}
 
+impl ClientSendQueues {
     fn netlink(&self) -> Option<&Netlink> {
         self.netlink.get_or_init(open_netlink).as_ref()
     }
 
-    /// At most how many bytes the client of this connection has written that had not arrived when this was called. Bytes
-    /// that arrive meanwhile may be counted. `u64::MAX` if no bound is known.
-    pub fn max_unseen_bytes(&self, socket: &Socket) -> u64 {
-        let Ok((local, client)) = socket.addresses() else { return u64::MAX };
-        self.netlink()
-            .and_then(|netlink| netlink.send_queue_bytes(client, local).ok())
-            .unwrap_or_else(|| max_send_buffer_bytes(client.ip()))
+    /// How many bytes the client of this connection has written that had not arrived when this was called.
+    pub fn unseen_bytes(&self, socket: &Socket) -> UnseenBytes {
+        let Ok((local, client)) = socket.addresses() else { return UnseenBytes::AtMost(u64::MAX) };
+        let queue = self.netlink().and_then(|netlink| netlink.send_queue_bytes(client, local).ok());
+        queue.map_or_else(|| UnseenBytes::AtMost(max_send_buffer_bytes(client.ip())), UnseenBytes::Exactly)
     }
 }
 
--- a/crates/proxy/src/client_send_queue/tests.rs
+++ b/crates/proxy/src/client_send_queue/tests.rs
@@ -24,7 +24,7 @@
     while let Ok(count) = client.write(&vec![0; FILLING_BYTES]) {
         written_bytes += count;
     }
-    let unseen_bytes = ClientSendQueues::default().max_unseen_bytes(&socket);
+    let unseen_bytes = ClientSendQueues::default().unseen_bytes(&socket).max();
     let arrived_bytes = socket.unread_bytes();
     assert!(arrived_bytes < written_bytes);
     assert!(unseen_bytes + arrived_bytes as u64 >= written_bytes as u64);
@@ -36,7 +36,7 @@
     let (mut client, socket) = connection().await;
     client.write_all(&[0; 1_000]).expect("a connection");
     let queues = ClientSendQueues::default();
-    while queues.max_unseen_bytes(&socket) > 0 {
+    while queues.unseen_bytes(&socket) != UnseenBytes::Exactly(0) {
         tokio::task::yield_now().await;
     }
     assert_eq!(socket.unread_bytes(), 1_000);
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -14,6 +14,7 @@
 mod listener;
 pub mod open_connections;
 mod open_request;
+mod open_window;
 mod read_ahead;
 mod rejection;
 mod request;
--- a/crates/proxy/src/downstream/open_request.rs
+++ b/crates/proxy/src/downstream/open_request.rs
@@ -2,7 +2,7 @@
 
 use super::connection::ClientConnection;
 use crate::body::{ByteArrivals, DetachRequest, DetachedBody};
-use crate::client_send_queue::ClientSendQueues;
+use crate::client_send_queue::{ClientSendQueues, UnseenBytes};
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -61,10 +61,14 @@
         }
     }
 
-    /// At most how many bytes the client has written that have not arrived; see
-    /// [`ClientSendQueues::max_unseen_bytes`].
-    pub fn max_unseen_bytes(&self, queues: &ClientSendQueues) -> u64 {
-        queues.max_unseen_bytes(&self.connection.socket)
+    /// How many bytes the client has written that have not arrived; see [`ClientSendQueues::unseen_bytes`].
+    pub fn unseen_bytes(&self, queues: &ClientSendQueues) -> UnseenBytes {
+        queues.unseen_bytes(&self.connection.socket)
+    }
+
+    /// Size of the system's receive buffer in bytes, including its overhead. 0 if the system does not report it.
+    pub fn receive_buffer_bytes(&self) -> u64 {
+        self.connection.socket.receive_buffer_bytes().map_or(0, |size| size as u64)
     }
 
     /// The position at which the HTTP parser's latest read began.
--- a/crates/proxy/src/downstream/request_end.rs
+++ b/crates/proxy/src/downstream/request_end.rs
@@ -3,21 +3,22 @@
 
 use super::end_bound::EndBound;
 use super::open_request::OpenRequest;
+use super::open_window::{Arrived, OpenWindow, MAX_TRANSIT};
 use crate::body::{ByteArrivals, ReadState, Upload};
-use crate::client_send_queue::ClientSendQueues;
+use crate::client_send_queue::{ClientSendQueues, UnseenBytes};
 use crate::request::OverdueUpload;
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
 
 /// How often the client is observed.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(100);
-/// How often it is observed if only its pauses show how much it has written.
-const PAUSE_OBSERVATION_INTERVAL: Duration = Duration::from_millis(25);
+/// How often it is observed if only what arrives shows how much it has written.
+const ARRIVAL_OBSERVATION_INTERVAL: Duration = Duration::from_millis(25);
 /// How much later than the client's timeout a final response may be given, with a margin to the 0.5 s that are permitted
 /// (STANDING).
 const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(300);
-/// Bytes that a client writes arrive within this time while the receive window has room.
-const MAX_TRANSIT: Duration = Duration::from_millis(20);
+/// Bytes that arrive just before an observation are read within this time if the endpoint accepts them.
+const MAX_READ_DELAY: Duration = Duration::from_millis(5);
 /// The HTTP parser parses at most one chunk ahead of the reader. So the second chunk after a read was parsed after it.
 const CHUNKS_AFTER_READ: u64 = 2;
 
@@ -25,6 +26,7 @@
 #[derive(Clone, Copy, Debug)]
 struct Observation {
     at: Instant,
+    arrived_bytes: u64,
     unread_bytes: u64,
     /// When the latest byte arrived.
     latest_arrival: Instant,
@@ -33,9 +35,11 @@
 
 impl Observation {
     fn take(open: &OpenRequest, upload: &Upload) -> Self {
+        let arrived_bytes = open.arrived_bytes();
         Observation {
             at: Instant::now(),
-            unread_bytes: open.arrived_bytes() - open.read_bytes(),
+            arrived_bytes,
+            unread_bytes: arrived_bytes - open.read_bytes(),
             latest_arrival: open.latest_arrival(),
             read_state: upload.read_state(),
         }
@@ -46,6 +50,15 @@
         let since = self.read_state.waiting_since.filter(|_| self.unread_bytes == 0);
         since.map(|since| since.max(self.latest_arrival))
     }
+
+    /// Since when bytes that the client had written by then would have arrived, if the proxy still waits for it.
+    fn pause_shown_at(&self) -> Option<Instant> {
+        self.waiting_since().map(|since| since + MAX_TRANSIT)
+    }
+
+    fn arrived(&self) -> Arrived {
+        Arrived { at: self.at, arrived_bytes: self.arrived_bytes, unread_bytes: self.unread_bytes }
+    }
 }
 
 /// A position before which the request does not end, once further chunks have been received.
@@ -74,7 +87,12 @@
     /// How long the client waits for its response from then on.
     client_timeout: Duration,
     bound: EndBound,
+    window: OpenWindow,
     previous: Observation,
+    /// The kernel shows how much the client has written.
+    is_queue_shown: bool,
+    /// Bytes were unread at the previous observation, and none at the one before.
+    has_new_unread_bytes: bool,
     read_position: ReadPosition,
 }
 
@@ -90,8 +108,19 @@
     ) -> Self {
         let previous = Observation::take(open, upload);
         let read_position = read_position(open, &previous);
-        let bound = EndBound::new(not_before);
-        RequestEnd { open, upload, queues, position, client_timeout, bound, previous, read_position }
+        RequestEnd {
+            open,
+            upload,
+            queues,
+            position,
+            client_timeout,
+            bound: EndBound::new(not_before),
+            window: OpenWindow::default(),
+            previous,
+            is_queue_shown: false,
+            has_new_unread_bytes: false,
+            read_position,
+        }
     }
 
     /// Waits until the last byte has arrived, or the final response is due although it has not.
@@ -102,11 +131,10 @@
                 return EndOfWait::Arrived;
             }
             let due = self.bound.not_before() + self.client_timeout + MAX_RESPONSE_DELAY;
-            let now = Instant::now();
-            if due <= now {
+            if due <= Instant::now() {
                 return EndOfWait::ResponseDue;
             }
-            sleep_until(due.min(now + self.observation_interval())).await;
+            sleep_until(due.min(self.next_observation())).await;
         }
     }
 
@@ -131,32 +159,47 @@
             received_chunks: self.previous.read_state.chunk_count,
             read_bytes: self.open.read_bytes(),
             unread_bytes: self.previous.unread_bytes,
-            max_unseen_bytes: self.open.max_unseen_bytes(self.queues),
+            max_unseen_bytes: self.open.unseen_bytes(self.queues).max(),
             time_since_earliest_end: self.bound.not_before().elapsed(),
         }
     }
 
+    /// When to observe the client again: at the latest when its present pause, if any, shows that nothing is under way.
+    fn next_observation(&self) -> Instant {
+        let pause_shown_at = self.previous.pause_shown_at().filter(|at| *at > self.previous.at);
+        let next = self.previous.at + self.observation_interval();
+        pause_shown_at.map_or(next, |at| at.min(next))
+    }
+
+    /// Without the retry, the intervals of a client could be those of the observations, which would all find bytes unread.
     fn observation_interval(&self) -> Duration {
-        if self.queues.is_readable() {
+        if self.is_queue_shown {
             OBSERVATION_INTERVAL
+        } else if self.has_new_unread_bytes {
+            MAX_READ_DELAY
         } else {
-            PAUSE_OBSERVATION_INTERVAL
+            ARRIVAL_OBSERVATION_INTERVAL
         }
     }
 
     fn observe(&mut self) {
         let current = Observation::take(self.open, self.upload);
-        if current.waiting_since().is_some_and(|since| since + MAX_TRANSIT <= current.at) {
+        if let Some(written) = self.window.observe(current.arrived(), self.open.receive_buffer_bytes()) {
+            self.bound.record_written(written.at, written.max_position);
+        }
+        if current.pause_shown_at().is_some_and(|at| at <= current.at) {
             // What the client had written by then would have arrived by now.
             self.bound.record_incomplete(current.at - MAX_TRANSIT);
         } else {
             // In this order: bytes that arrive in between count twice instead of never.
-            let unseen_bytes = self.open.max_unseen_bytes(self.queues);
+            let unseen_bytes = self.open.unseen_bytes(self.queues);
             let arrived_bytes = self.open.arrived_bytes();
-            self.bound.record_written(current.at, arrived_bytes.saturating_add(unseen_bytes));
+            self.bound.record_written(current.at, arrived_bytes.saturating_add(unseen_bytes.max()));
+            self.is_queue_shown = matches!(unseen_bytes, UnseenBytes::Exactly(_));
         }
         let excluded_position = self.excluded_position(&current);
         self.bound.exclude_end_up_to(excluded_position);
+        self.has_new_unread_bytes = self.previous.unread_bytes == 0 && current.unread_bytes > 0;
         self.previous = current;
     }
 
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -100,6 +100,11 @@
         socket2::SockRef::from(&*self.0).send_buffer_size()
     }
 
+    /// Size of the system's receive buffer in bytes, including its overhead.
+    pub fn receive_buffer_bytes(&self) -> io::Result<usize> {
+        socket2::SockRef::from(&*self.0).recv_buffer_size()
+    }
+
     /// Enlarges the system's send buffer, after which the system no longer adapts its size. False if it has
     /// not grown.
     pub fn enlarge_send_buffer(&self, size_bytes: usize) -> bool {
