Leave pipelined requests in the system's buffer instead of discarding them

While a response is awaited the proxy reads on, as a close is visible only behind the bytes before it; beyond 256 KiB, or without memory, it discarded what it read and closed the connection with the response.

Change: bytes without room stay in the system's buffer. That the client has left, and what it has written but not sent, is read from its own socket (sock_diag), so that requests of clients that have left are not forwarded and the time of a request counts from when it waits in the client's send buffer.

--- a/crates/proxy/src/client_send_queue.rs
+++ b/crates/proxy/src/client_send_queue.rs
@@ -1,10 +1,12 @@
-//! How many bytes a client may have written that have not arrived: while the receive window is full, they wait in the
-//! send buffer of the client's own socket, which the kernel shows for sockets of the same machine (sock_diag(7)).
+//! How many bytes a client may have written that have not arrived, and whether it has closed its connection: while the
+//! receive window is full, both wait in the client's own socket, which the kernel shows for sockets of the same machine
+//! (sock_diag(7)).
 
 use crate::socket::Socket;
 use crate::system_limits::send_buffer_limits;
 use netlink_packet_core::{NetlinkHeader, NetlinkMessage, NetlinkPayload, NLM_F_REQUEST};
-use netlink_packet_sock_diag::constants::{AF_INET, AF_INET6, IPPROTO_TCP};
+use netlink_packet_sock_diag::constants::{AF_INET, AF_INET6, IPPROTO_TCP, TCP_CLOSE_WAIT, TCP_ESTABLISHED};
+use netlink_packet_sock_diag::inet::nlas::Nla;
 use netlink_packet_sock_diag::inet::{ExtensionFlags, InetRequest, SocketId, StateFlags};
 use netlink_packet_sock_diag::SockDiagMessage;
 use nix::libc;
@@ -19,6 +21,17 @@
 /// In place of the cookie of a socket, matches any (inet_diag.h, `INET_DIAG_NOCOOKIE`).
 const ANY_COOKIE: [u8; 8] = [0xff; 8];
 
+/// What the kernel shows of a client's socket.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ClientSocket {
+    /// Bytes that were written to it and that its peer has not acknowledged.
+    send_queue_bytes: u64,
+    /// Those of them that wait for room in the receive window. 0 if it was not asked for them.
+    pub unsent_bytes: u64,
+    /// The client has closed it, or its sending side.
+    pub is_closed: bool,
+}
+
 /// Reads the send queues of clients from the kernel.
 #[derive(Default)]
 pub struct ClientSendQueues {
@@ -49,10 +62,18 @@
         self.netlink.get_or_init(open_netlink).as_ref()
     }
 
+    /// The socket of the client of this connection. `None` if the kernel does not show it.
+    pub fn client_socket(&self, socket: &Socket) -> Option<ClientSocket> {
+        let (local, client) = socket.addresses().ok()?;
+        self.netlink()?.client_socket(client, local, ExtensionFlags::INFO).ok()
+    }
+
     /// How many bytes the client of this connection has written that had not arrived when this was called.
     pub fn unseen_bytes(&self, socket: &Socket) -> UnseenBytes {
         let Ok((local, client)) = socket.addresses() else { return UnseenBytes::AtMost(u64::MAX) };
-        let queue = self.netlink().and_then(|netlink| netlink.send_queue_bytes(client, local).ok());
+        let extensions = ExtensionFlags::empty();
+        let shown = self.netlink().and_then(|netlink| netlink.client_socket(client, local, extensions).ok());
+        let queue = shown.map(|socket| socket.send_queue_bytes);
         queue.map_or_else(|| UnseenBytes::AtMost(max_send_buffer_bytes(client.ip())), UnseenBytes::Exactly)
     }
 }
@@ -86,16 +107,22 @@
         Ok(Netlink { socket, next_sequence_number: Cell::new(1) })
     }
 
-    /// Number of bytes that were written to the socket with these addresses and that its peer has not acknowledged.
-    fn send_queue_bytes(&self, source: SocketAddr, destination: SocketAddr) -> io::Result<u64> {
+    /// The socket with these addresses.
+    fn client_socket(
+        &self,
+        source: SocketAddr,
+        destination: SocketAddr,
+        extensions: ExtensionFlags,
+    ) -> io::Result<ClientSocket> {
         let sequence_number = self.next_sequence_number.get();
         self.next_sequence_number.set(sequence_number.wrapping_add(1));
-        self.socket.send(&request_message(source, destination, sequence_number))?;
+        let request = request_message(source, destination, extensions, sequence_number);
+        self.socket.send(&request)?;
         loop {
             // The kernel has replied before the request is sent; earlier replies may be left.
             let reply = self.receive()?;
             if reply.header.sequence_number == sequence_number {
-                return queue_in_reply(reply.payload);
+                return socket_in_reply(reply.payload);
             }
         }
     }
@@ -108,11 +135,16 @@
 }
 
 /// A request for the socket with these addresses, encoded.
-fn request_message(source: SocketAddr, destination: SocketAddr, sequence_number: u32) -> Vec<u8> {
+fn request_message(
+    source: SocketAddr,
+    destination: SocketAddr,
+    extensions: ExtensionFlags,
+    sequence_number: u32,
+) -> Vec<u8> {
     let request = InetRequest {
         family: if source.is_ipv4() { AF_INET } else { AF_INET6 },
         protocol: IPPROTO_TCP,
-        extensions: ExtensionFlags::empty(),
+        extensions,
         states: StateFlags::all(),
         socket_id: SocketId {
             source_port: source.port(),
@@ -133,10 +165,18 @@
     bytes
 }
 
-fn queue_in_reply(payload: NetlinkPayload<SockDiagMessage>) -> io::Result<u64> {
+fn socket_in_reply(payload: NetlinkPayload<SockDiagMessage>) -> io::Result<ClientSocket> {
     match payload {
         NetlinkPayload::InnerMessage(SockDiagMessage::InetResponse(response)) => {
-            Ok(u64::from(response.header.send_queue))
+            let unsent_bytes = response.nlas.iter().find_map(|attribute| match attribute {
+                Nla::TcpInfo(info) => Some(u64::from(info.notsent_bytes)),
+                _ => None,
+            });
+            Ok(ClientSocket {
+                send_queue_bytes: u64::from(response.header.send_queue),
+                unsent_bytes: unsent_bytes.unwrap_or_default(),
+                is_closed: !matches!(response.header.state, TCP_ESTABLISHED | TCP_CLOSE_WAIT),
+            })
         }
         NetlinkPayload::Error(error) => Err(error.to_io()),
         _ => Err(io::ErrorKind::InvalidData.into()),
--- a/crates/proxy/src/client_send_queue/tests.rs
+++ b/crates/proxy/src/client_send_queue/tests.rs
@@ -42,6 +42,33 @@
     assert_eq!(socket.unread_bytes(), 1_000);
 }
 
+#[tokio::test]
+async fn no_byte_that_has_arrived_counts_as_unsent() {
+    let (mut client, socket) = connection().await;
+    client.set_nonblocking(true).expect("a socket");
+    let mut written_bytes = 0;
+    while let Ok(count) = client.write(&vec![0; FILLING_BYTES]) {
+        written_bytes += count;
+        let arrived_bytes = socket.unread_bytes();
+        let shown = ClientSendQueues::default().client_socket(&socket).expect("a local client");
+        assert!(arrived_bytes as u64 + shown.unsent_bytes <= written_bytes as u64);
+    }
+    assert!(ClientSendQueues::default().client_socket(&socket).expect("a local client").unsent_bytes > 0);
+}
+
+#[tokio::test]
+async fn a_close_behind_bytes_that_stay_unread_is_detected() {
+    let (mut client, socket) = connection().await;
+    client.set_nonblocking(true).expect("a socket");
+    while client.write(&vec![0; FILLING_BYTES]).is_ok() {}
+    let queues = ClientSendQueues::default();
+    let is_closed = || queues.client_socket(&socket).expect("a local client").is_closed;
+    assert!(!is_closed());
+    drop(client);
+    assert!(!socket.is_peer_closed(), "the receive window is full");
+    assert!(is_closed());
+}
+
 #[test]
 fn the_limits_of_this_system_bound_a_local_client_only() {
     let limits = send_buffer_limits().expect("limits");
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -9,7 +9,8 @@
 use super::open_connections::{Activity, OpenConnection};
 use super::read_ahead::ReadAhead;
 use crate::body::{DetachRequest, DetachedBody, MemoryLimit};
-use crate::socket::Socket;
+use crate::client_send_queue::ClientSendQueues;
+use crate::socket::{Socket, READ_BUFFER_BYTES};
 use std::cell::Cell;
 use std::rc::{Rc, Weak};
 use std::task::{Context, Poll, Waker};
@@ -20,6 +21,8 @@
 /// Maximum number of bytes read in one check whether the client has closed: unread bytes hide a close. The
 /// bound keeps a client that sends without end from stalling the proxy.
 const MAX_CLOSE_SEARCH_BYTES: usize = 1 << 20;
+/// Interval between checks whether the client has closed behind bytes that stay unread.
+const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// One client connection.
 pub struct ClientConnection {
@@ -47,6 +50,7 @@
     /// The client has closed its side: it counts as disconnected, even if some of its bytes are still unread.
     client_closed: Cell<bool>,
     read_ahead: ReadAhead,
+    send_queues: Rc<ClientSendQueues>,
     head_memory: HeadMemory,
     arrivals: Arrivals,
     detachment: Detachment,
@@ -59,6 +63,7 @@
         socket: Socket,
         idle_connections: Rc<IdleConnections>,
         memory: Rc<MemoryLimit>,
+        send_queues: Rc<ClientSendQueues>,
         open_connection: OpenConnection,
     ) -> Rc<Self> {
         let connection = ClientConnection {
@@ -78,6 +83,7 @@
             flush_waker: Cell::default(),
             client_closed: Cell::default(),
             read_ahead: ReadAhead::new(Rc::clone(&memory)),
+            send_queues,
             head_memory: HeadMemory::new(memory),
             arrivals: Arrivals::new(Instant::now()),
             detachment: Detachment::default(),
@@ -330,11 +336,6 @@
         matches!(self.phase.get(), Phase::AwaitingResponse)
     }
 
-    /// Whether more bytes arrived after a request than are buffered; see [`ReadAhead::has_overflowed`].
-    pub fn read_ahead_overflowed(&self) -> bool {
-        self.read_ahead.has_overflowed()
-    }
-
     /// Observes bytes that arrived while the connection waited to be accepted.
     fn observe_arrivals_before_accept(&self) {
         let Some(age) = self.socket.time_since_latest_arrival() else { return };
@@ -380,20 +381,54 @@
         &self.read_ahead
     }
 
-    /// Reads bytes that arrive after a request that awaits its response.
+    /// Reads bytes that arrive after a request that awaits its response, as far as there is room for them.
     pub async fn read_ahead(&self) {
-        self.socket.read_with(|bytes| self.record_read_ahead(bytes)).await;
+        self.socket.arrival().await;
+        if self.try_read_ahead() == ReadAheadStep::NoRoom {
+            self.observe_client_socket();
+            if !self.client_closed.get() {
+                tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
+            }
+        }
         // A client that sends without end must not starve other tasks.
         tokio::task::yield_now().await;
     }
 
+    /// Reads bytes that have arrived, if there is room for them.
+    fn try_read_ahead(&self) -> ReadAheadStep {
+        let max_bytes = self.socket.unread_bytes().min(READ_BUFFER_BYTES);
+        if !self.read_ahead.try_reserve(max_bytes) {
+            return ReadAheadStep::NoRoom;
+        }
+        // The end of the stream is read into a buffer of any size but 0.
+        let read = self.socket.try_read_at_most_with(max_bytes.max(1), |bytes| self.record_read_ahead(bytes));
+        read.map_or(ReadAheadStep::NoBytes, ReadAheadStep::Read)
+    }
+
+    /// Observes what the client has written, and whether it has closed, behind bytes that are not read for lack of room.
+    fn observe_client_socket(&self) {
+        // In this order, no byte counts twice.
+        let unread_bytes = self.read_ahead.len() + self.socket.unread_bytes();
+        let Some(client_socket) = self.send_queues.client_socket(&self.socket) else { return };
+        if client_socket.is_closed {
+            self.record_client_close();
+        }
+        self.arrivals.record_unread(Instant::now(), unread_bytes + client_socket.unsent_bytes as usize);
+    }
+
     /// Whether the client is known to have closed its side. Unread bytes hide a close, so they are read
     /// first.
     fn has_client_closed(&self) -> bool {
         let mut budget_bytes = MAX_CLOSE_SEARCH_BYTES;
         while self.awaits_response() && !self.client_closed.get() && budget_bytes > 0 {
-            let Some(count) = self.socket.try_read_with(|bytes| self.record_read_ahead(bytes)) else { break };
-            budget_bytes = budget_bytes.saturating_sub(count.max(1));
+            match self.try_read_ahead() {
+                ReadAheadStep::Read(count) => budget_bytes = budget_bytes.saturating_sub(count.max(1)),
+                ReadAheadStep::NoBytes => break,
+                ReadAheadStep::NoRoom => {
+                    self.observe_client_socket();
+                    break;
+                }
+            }
         }
         self.client_closed.get() || self.socket.is_peer_closed()
     }
@@ -427,6 +462,16 @@
     }
 }
 
+/// What an attempt to read ahead has found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ReadAheadStep {
+    /// So many bytes were read; 0 at the end of the stream.
+    Read(usize),
+    NoBytes,
+    /// Bytes have arrived, for which there is no room.
+    NoRoom,
+}
+
 /// The activity under which a connection is counted in this phase. A streamed response begins long before its
 /// request ends.
 fn activity(phase: Phase, response_begun: bool) -> Activity {
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -167,7 +167,7 @@
             };
             self.handler.handle(request, context).await
         };
-        if self.shutdown.borrow().is_some() || self.connection.read_ahead_overflowed() {
+        if self.shutdown.borrow().is_some() {
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
         }
         response.map(|body| TrackedBody::new(body, open))
@@ -207,8 +207,7 @@
                     close_seen = true;
                     connection.record_client_close();
                 }
-                // Once unread bytes fill the system's receive buffer, the client's close behind them cannot
-                // arrive.
+                // Unread bytes hide the client's close.
                 () = connection.read_ahead(), if connection.awaits_response() => {}
                 () = connection.check_delivery(), if connection.is_delivering() => {}
                 () = sleep_until(deadline) => {
--- a/crates/proxy/src/downstream/read_ahead.rs
+++ b/crates/proxy/src/downstream/read_ahead.rs
@@ -2,7 +2,7 @@
 
 use crate::body::{buffer_bytes, MemoryLimit, MemoryReservation, MAX_BUFFERED_BODY_BYTES};
 use bytes::BytesMut;
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::rc::Rc;
 use tokio::io::ReadBuf;
 
@@ -14,7 +14,6 @@
 pub struct ReadAhead {
     buffer: RefCell<Buffer>,
     memory: Rc<MemoryLimit>,
-    overflowed: Cell<bool>,
 }
 
 #[derive(Default)]
@@ -25,27 +24,20 @@
 
 impl ReadAhead {
     pub fn new(memory: Rc<MemoryLimit>) -> Self {
-        ReadAhead { buffer: RefCell::default(), memory, overflowed: Cell::new(false) }
+        ReadAhead { buffer: RefCell::default(), memory }
     }
 
-    /// Whether more bytes arrived than are buffered: the connection then closes with the response, and all
-    /// further bytes are discarded.
-    pub fn has_overflowed(&self) -> bool {
-        self.overflowed.get()
+    /// Reserves room for so many more bytes. False if there is none: they must stay in the system's buffer.
+    pub fn try_reserve(&self, additional_bytes: usize) -> bool {
+        let buffer = &mut *self.buffer.borrow_mut();
+        let size = buffer.bytes.len() + additional_bytes;
+        size <= MAX_READ_AHEAD_BYTES
+            && self.memory.try_reserve_unread(&mut buffer.reservation, buffer_bytes(size))
     }
 
-    /// Appends bytes, or discards them if they exceed the limit or an earlier call did.
+    /// Appends bytes, for which there must be room.
     pub fn push(&self, bytes: &[u8]) {
-        let buffer = &mut *self.buffer.borrow_mut();
-        let size = buffer.bytes.len() + bytes.len();
-        if self.overflowed.get()
-            || size > MAX_READ_AHEAD_BYTES
-            || !self.memory.try_reserve_unread(&mut buffer.reservation, buffer_bytes(size))
-        {
-            self.overflowed.set(true);
-        } else {
-            buffer.bytes.extend_from_slice(bytes);
-        }
+        self.buffer.borrow_mut().bytes.extend_from_slice(bytes);
     }
 
     /// Number of bytes that are buffered.
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -38,7 +38,7 @@
 pub struct RequestHandler {
     pub dispatcher: Dispatcher,
     pub memory: Rc<MemoryLimit>,
-    pub send_queues: ClientSendQueues,
+    pub send_queues: Rc<ClientSendQueues>,
 }
 
 /// The connection that a request arrived on.
--- a/crates/proxy/src/downstream/stream.rs
+++ b/crates/proxy/src/downstream/stream.rs
@@ -52,8 +52,6 @@
         let max_bytes = ready!(self.connection.poll_readable_bytes(cx));
         let read = match self.connection.buffered_read_ahead().take(buf, max_bytes) {
             Some(count) => Poll::Ready(Ok(count)),
-            // The bytes that would follow have been discarded.
-            None if self.connection.read_ahead_overflowed() => Poll::Pending,
             None => self.connection.socket.poll_read_at_most(cx, buf, max_bytes),
         };
         read.map_ok(|count| {
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -2,7 +2,6 @@
 
 use crate::admin;
 use crate::body::MemoryLimit;
-use crate::client_send_queue::ClientSendQueues;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::descriptor_budget::{
@@ -249,7 +248,7 @@
         let handler = RequestHandler {
             dispatcher: self.dispatcher.clone(),
             memory: Rc::clone(&self.memory),
-            send_queues: ClientSendQueues::default(),
+            send_queues: Rc::default(),
         };
         Downstream {
             handler: Rc::new(handler),
--- a/crates/proxy/src/socket.rs
+++ b/crates/proxy/src/socket.rs
@@ -156,8 +156,14 @@
     /// Passes the bytes that have arrived to `consume`: 0 bytes at the end of the stream, or if the
     /// connection has failed. `None` if no bytes have arrived.
     pub fn try_read_with<T>(&self, consume: impl Fn(&[u8]) -> T) -> Option<T> {
+        self.try_read_at_most_with(READ_BUFFER_BYTES, consume)
+    }
+
+    /// Like [`Self::try_read_with`], for at most `max_bytes`, which must not be 0.
+    pub fn try_read_at_most_with<T>(&self, max_bytes: usize, consume: impl Fn(&[u8]) -> T) -> Option<T> {
         let mut buffer = [0; READ_BUFFER_BYTES];
-        match self.0.try_read(&mut buffer) {
+        let max_bytes = max_bytes.min(READ_BUFFER_BYTES);
+        match self.0.try_read(&mut buffer[..max_bytes]) {
             Ok(count) => Some(consume(&buffer[..count])),
             Err(error) if is_temporary(&error) => None,
             Err(_) => Some(consume(&[])),
