--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -1,5 +1,7 @@
 //! One client connection: its phase, its time limits and whether the client is still connected.
 
+mod reading_ahead;
+
 use super::arrivals::Arrivals;
 use super::deadline::{body_slack, ConnectionTimes, Phase};
 use super::delivery::{PendingDelivery, DELIVERY_CHECK_INTERVAL};
@@ -10,20 +12,14 @@
 use super::read_ahead::ReadAhead;
 use crate::body::{DetachRequest, DetachedBody, MemoryLimit};
 use crate::client_send_queue::ClientSendQueues;
-use crate::socket::{Socket, READ_BUFFER_BYTES};
+use crate::socket::Socket;
 use std::cell::Cell;
-use std::rc::{Rc, Weak};
+use std::rc::Rc;
 use std::task::{Context, Poll, Waker};
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Maximum number of bytes read in one check whether the client has closed: unread bytes hide a close. The
-/// bound keeps a client that sends without end from stalling the proxy.
-const MAX_CLOSE_SEARCH_BYTES: usize = 1 << 20;
-/// Interval between checks whether the client has closed behind bytes that stay unread.
-const CLOSE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
-
 /// One client connection.
 pub struct ClientConnection {
     pub socket: Socket,
@@ -381,69 +377,6 @@
         &self.read_ahead
     }
 
-    /// Reads bytes that arrive after a request that awaits its response, as far as there is room for them.
-    pub async fn read_ahead(&self) {
-        self.socket.arrival().await;
-        if self.try_read_ahead() == ReadAheadStep::NoRoom {
-            self.observe_client_socket();
-            if !self.client_closed.get() {
-                tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
-            }
-        }
-        // A client that sends without end must not starve other tasks.
-        tokio::task::yield_now().await;
-    }
-
-    /// Reads bytes that have arrived, if there is room for them.
-    fn try_read_ahead(&self) -> ReadAheadStep {
-        let max_bytes = self.socket.unread_bytes().min(READ_BUFFER_BYTES);
-        if !self.read_ahead.try_reserve(max_bytes) {
-            return ReadAheadStep::NoRoom;
-        }
-        // The end of the stream is read into a buffer of any size but 0.
-        let read = self.socket.try_read_at_most_with(max_bytes.max(1), |bytes| self.record_read_ahead(bytes));
-        read.map_or(ReadAheadStep::NoBytes, ReadAheadStep::Read)
-    }
-
-    /// Observes what the client has written, and whether it has closed, behind bytes that are not read for lack of room.
-    fn observe_client_socket(&self) {
-        // In this order, no byte counts twice.
-        let unread_bytes = self.read_ahead.len() + self.socket.unread_bytes();
-        let Some(client_socket) = self.send_queues.client_socket(&self.socket) else { return };
-        if client_socket.is_closed {
-            self.record_client_close();
-        }
-        self.arrivals.record_unread(Instant::now(), unread_bytes + client_socket.unsent_bytes as usize);
-    }
-
-    /// Whether the client is known to have closed its side. Unread bytes hide a close, so they are read
-    /// first.
-    fn has_client_closed(&self) -> bool {
-        let mut budget_bytes = MAX_CLOSE_SEARCH_BYTES;
-        while self.awaits_response() && !self.client_closed.get() && budget_bytes > 0 {
-            match self.try_read_ahead() {
-                ReadAheadStep::Read(count) => budget_bytes = budget_bytes.saturating_sub(count.max(1)),
-                ReadAheadStep::NoBytes => break,
-                ReadAheadStep::NoRoom => {
-                    self.observe_client_socket();
-                    break;
-                }
-            }
-        }
-        self.client_closed.get() || self.socket.is_peer_closed()
-    }
-
-    /// Buffers bytes that were read ahead and returns their number. No bytes mark the end of the stream.
-    fn record_read_ahead(&self, bytes: &[u8]) -> usize {
-        if bytes.is_empty() {
-            self.record_client_close();
-        } else {
-            self.read_ahead.push(bytes);
-            self.observe_arrivals();
-        }
-        bytes.len()
-    }
-
     /// When the connection must close if no more bytes arrive; see [`ConnectionTimes::deadline`].
     pub fn deadline(&self, at_capacity: bool, shutdown_began: Option<Instant>) -> Option<Instant> {
         let times = ConnectionTimes {
@@ -462,16 +395,6 @@
     }
 }
 
-/// What an attempt to read ahead has found.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum ReadAheadStep {
-    /// So many bytes were read; 0 at the end of the stream.
-    Read(usize),
-    NoBytes,
-    /// Bytes have arrived, for which there is no room.
-    NoRoom,
-}
-
 /// The activity under which a connection is counted in this phase. A streamed response begins long before its
 /// request ends.
 fn activity(phase: Phase, response_begun: bool) -> Activity {
@@ -482,28 +405,3 @@
         Phase::AwaitingResponse | Phase::WritingResponse => Activity::WritingResponse,
     }
 }
-
-/// Tells whether the client of a request is still connected, without keeping its connection open.
-#[derive(Clone, Default)]
-pub struct ClientPresence(Option<Weak<ClientConnection>>);
-
-impl ClientPresence {
-    pub fn of(connection: &Rc<ClientConnection>) -> Self {
-        ClientPresence(Some(Rc::downgrade(connection)))
-    }
-
-    /// Whether the client has disconnected. False where no connection is known.
-    pub fn is_disconnected(&self) -> bool {
-        let Some(connection) = &self.0 else { return false };
-        connection.upgrade().is_none_or(|connection| connection.has_client_closed())
-    }
-
-    /// How long ago the latest byte of the client arrived. Zero where no connection is known.
-    pub fn time_since_last_byte(&self) -> Duration {
-        let connection = self.0.as_ref().and_then(Weak::upgrade);
-        connection.map_or(Duration::ZERO, |connection| {
-            connection.observe_arrivals();
-            connection.arrivals.latest().elapsed()
-        })
-    }
-}
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -1,7 +1,8 @@
 //! Serves HTTP/1.1 on one client connection until it must close.
 
+use super::client_presence::ClientPresence;
 use super::close::{close_gracefully, EVICTION_LINGER_TIMEOUT, LINGER_TIMEOUT};
-use super::connection::{ClientConnection, ClientPresence};
+use super::connection::ClientConnection;
 use super::detached_response::{deliver, deliver_for, DeliveryError, DeliveryState};
 use super::head_memory::MAX_HEAD_BYTES;
 use super::open_request::OpenRequest;
--- a/crates/proxy/src/downstream/mod.rs
+++ b/crates/proxy/src/downstream/mod.rs
@@ -1,6 +1,7 @@
 //! The client side: accepts connections, reads requests and writes the final responses.
 
 mod arrivals;
+pub mod client_presence;
 mod close;
 pub mod connection;
 mod deadline;
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -1,6 +1,6 @@
 //! Reads a client's request, starts its call and waits for the final response.
 
-use super::connection::ClientPresence;
+use super::client_presence::ClientPresence;
 use super::open_request::OpenRequest;
 use super::request_end::{EndOfWait, RequestEnd};
 use super::request_head::{class_id, is_health_check, RequestHead};
--- a/crates/proxy/src/request.rs
+++ b/crates/proxy/src/request.rs
@@ -1,7 +1,7 @@
 //! A client's request, as passed from the downstream to the upstream side of the proxy.
 
 use crate::body::Upload;
-use crate::downstream::connection::ClientPresence;
+use crate::downstream::client_presence::ClientPresence;
 use crate::request_id_table::RequestDigest;
 use bytes::Bytes;
 use hyper::http::request::Parts;
--- a/crates/proxy/src/upstream/test_support.rs
+++ b/crates/proxy/src/upstream/test_support.rs
@@ -3,7 +3,7 @@
 use crate::body::MemoryLimit;
 use crate::clock::Clock;
 use crate::descriptors::Descriptors;
-use crate::downstream::connection::ClientPresence;
+use crate::downstream::client_presence::ClientPresence;
 use crate::metrics::Metrics;
 use crate::request::Request;
 use crate::upstream::pool::ConnectionPool;
