Hold no early response where response times are short

Found by reading, while a test of the reuse of connections was traced (it held none). From 10 ms on the rule stands.

--- a/crates/proxy/src/upstream/response_times.rs
+++ b/crates/proxy/src/upstream/response_times.rs
@@ -7,6 +7,8 @@
 const RESPONSES_PER_RANGE: u32 = 256;
 /// Nothing is known of a class with fewer responses.
 const MIN_RESPONSES: u32 = 64;
+/// No response is early in a class with a shorter response time, which varies too much from one request to the next.
+const MIN_SHORTEST_US: Micros = 10_000;
 /// A response is early if it takes less than this part of the shortest response time.
 const EARLY_PART: Micros = 2;
 /// An endpoint reads a request only after it has sent an extra response to the one before, and may take longer for it than
@@ -80,7 +82,8 @@
     pub fn confirmation_time_if_early(&self, class: ClassId, time: Micros) -> Option<Micros> {
         let times = self.classes.get(class.0)?;
         let range = times.previous.merge(times.current);
-        let is_early = range.count >= MIN_RESPONSES && time < range.shortest / EARLY_PART;
+        let is_known = range.count >= MIN_RESPONSES && range.shortest >= MIN_SHORTEST_US;
+        let is_early = is_known && time < range.shortest / EARLY_PART;
         is_early.then_some(range.longest * CONFIRMATION_FACTOR)
     }
 }
