Name what is read of a client's socket, and what is early of a response, as a newcomer would

ClientSendQueues also shows whether a client has closed, so it is ClientSockets; bytes that were not requested are None instead of 0. OpenWindow and the tests of client sockets lose what they said twice.

--- a/crates/proxy/src/client_send_queue.rs
+++ b/crates/proxy/src/client_sockets.rs
@@ -26,15 +26,15 @@
 pub struct ClientSocket {
     /// Bytes that were written to it and that its peer has not acknowledged.
     send_queue_bytes: u64,
-    /// Those of them that wait for room in the receive window. 0 if it was not asked for them.
-    pub unsent_bytes: u64,
+    /// Those of them that have not been sent, as the receive window is full. `None` if they were not requested.
+    pub unsent_bytes: Option<u64>,
     /// The client has closed it, or its sending side.
     pub is_closed: bool,
 }
 
-/// Reads the send queues of clients from the kernel.
+/// Reads the sockets of clients on this machine from the kernel.
 #[derive(Default)]
-pub struct ClientSendQueues {
+pub struct ClientSockets {
     /// Opened at the first query. `None` if the system does not permit it.
     netlink: OnceCell<Option<Netlink>>,
 }
@@ -57,7 +57,7 @@
     }
 }
 
-impl ClientSendQueues {
+impl ClientSockets {
     fn netlink(&self) -> Option<&Netlink> {
         self.netlink.get_or_init(open_netlink).as_ref()
     }
@@ -174,7 +174,7 @@
             });
             Ok(ClientSocket {
                 send_queue_bytes: u64::from(response.header.send_queue),
-                unsent_bytes: unsent_bytes.unwrap_or_default(),
+                unsent_bytes,
                 is_closed: !matches!(response.header.state, TCP_ESTABLISHED | TCP_CLOSE_WAIT),
             })
         }
--- a/crates/proxy/src/client_send_queue/tests.rs
+++ b/crates/proxy/src/client_sockets/tests.rs
@@ -1,4 +1,4 @@
-//! Tests of the send queues of clients, on loopback sockets.
+//! Tests of what the kernel shows of clients, on loopback sockets.
 
 use super::*;
 use std::io::Write;
@@ -16,15 +16,21 @@
     (client, Socket::new(tokio::net::TcpStream::from_std(accepted).expect("a socket")))
 }
 
-#[tokio::test]
-async fn bytes_that_wait_in_the_send_buffer_of_a_client_are_counted() {
-    let (mut client, socket) = connection().await;
+/// Writes until no more bytes fit in the buffers of both sides. Returns their number.
+fn fill(client: &mut TcpStream) -> usize {
     client.set_nonblocking(true).expect("a socket");
     let mut written_bytes = 0;
     while let Ok(count) = client.write(&vec![0; FILLING_BYTES]) {
         written_bytes += count;
     }
-    let unseen_bytes = ClientSendQueues::default().unseen_bytes(&socket).max();
+    written_bytes
+}
+
+#[tokio::test]
+async fn bytes_that_wait_in_the_send_buffer_of_a_client_are_counted() {
+    let (mut client, socket) = connection().await;
+    let written_bytes = fill(&mut client);
+    let unseen_bytes = ClientSockets::default().unseen_bytes(&socket).max();
     let arrived_bytes = socket.unread_bytes();
     assert!(arrived_bytes < written_bytes);
     assert!(unseen_bytes + arrived_bytes as u64 >= written_bytes as u64);
@@ -35,8 +41,8 @@
 async fn a_client_whose_bytes_have_arrived_has_written_no_others() {
     let (mut client, socket) = connection().await;
     client.write_all(&[0; 1_000]).expect("a connection");
-    let queues = ClientSendQueues::default();
-    while queues.unseen_bytes(&socket) != UnseenBytes::Exactly(0) {
+    let sockets = ClientSockets::default();
+    while sockets.unseen_bytes(&socket) != UnseenBytes::Exactly(0) {
         tokio::task::yield_now().await;
     }
     assert_eq!(socket.unread_bytes(), 1_000);
@@ -45,24 +51,27 @@
 #[tokio::test]
 async fn no_byte_that_has_arrived_counts_as_unsent() {
     let (mut client, socket) = connection().await;
-    client.set_nonblocking(true).expect("a socket");
+    let sockets = ClientSockets::default();
+    let unsent_bytes =
+        || sockets.client_socket(&socket).expect("a local client").unsent_bytes.expect("a number of bytes");
     let mut written_bytes = 0;
-    while let Ok(count) = client.write(&vec![0; FILLING_BYTES]) {
-        written_bytes += count;
-        let arrived_bytes = socket.unread_bytes();
-        let shown = ClientSendQueues::default().client_socket(&socket).expect("a local client");
-        assert!(arrived_bytes as u64 + shown.unsent_bytes <= written_bytes as u64);
+    for size in [1_000, 60_000, 200_000] {
+        client.write_all(&vec![0; size]).expect("a connection");
+        written_bytes += size as u64;
+        let arrived_bytes = socket.unread_bytes() as u64;
+        assert!(arrived_bytes + unsent_bytes() <= written_bytes);
     }
-    assert!(ClientSendQueues::default().client_socket(&socket).expect("a local client").unsent_bytes > 0);
+    written_bytes += fill(&mut client) as u64;
+    let arrived_bytes = socket.unread_bytes() as u64;
+    assert!((1..=written_bytes - arrived_bytes).contains(&unsent_bytes()));
 }
 
 #[tokio::test]
 async fn a_close_behind_bytes_that_stay_unread_is_detected() {
     let (mut client, socket) = connection().await;
-    client.set_nonblocking(true).expect("a socket");
-    while client.write(&vec![0; FILLING_BYTES]).is_ok() {}
-    let queues = ClientSendQueues::default();
-    let is_closed = || queues.client_socket(&socket).expect("a local client").is_closed;
+    fill(&mut client);
+    let sockets = ClientSockets::default();
+    let is_closed = || sockets.client_socket(&socket).expect("a local client").is_closed;
     assert!(!is_closed());
     drop(client);
     assert!(!socket.is_peer_closed(), "the receive window is full");
--- a/crates/proxy/src/downstream/arrivals.rs
+++ b/crates/proxy/src/downstream/arrivals.rs
@@ -67,8 +67,8 @@
         }
     }
 
-    /// Records that `unread_bytes` behind those that were read have arrived, or wait in the client's socket for room to
-    /// arrive.
+    /// Records that `unread_bytes` behind those that were read have arrived, or wait in the client's socket while
+    /// the receive window is full.
     pub fn record_unread(&self, now: Instant, unread_bytes: usize) {
         let arrived_bytes = self.read_bytes.get() + unread_bytes as u64;
         if arrived_bytes > self.arrived_bytes() {
--- a/crates/proxy/src/downstream/connection.rs
+++ b/crates/proxy/src/downstream/connection.rs
@@ -11,7 +11,7 @@
 use super::open_connections::{Activity, OpenConnection};
 use super::read_ahead::ReadAhead;
 use crate::body::{DetachRequest, DetachedBody, MemoryLimit};
-use crate::client_send_queue::ClientSendQueues;
+use crate::client_sockets::ClientSockets;
 use crate::socket::Socket;
 use std::cell::Cell;
 use std::rc::Rc;
@@ -46,7 +46,7 @@
     /// The client has closed its side: it counts as disconnected, even if some of its bytes are still unread.
     client_closed: Cell<bool>,
     read_ahead: ReadAhead,
-    send_queues: Rc<ClientSendQueues>,
+    client_sockets: Rc<ClientSockets>,
     head_memory: HeadMemory,
     arrivals: Arrivals,
     detachment: Detachment,
@@ -59,7 +59,7 @@
         socket: Socket,
         idle_connections: Rc<IdleConnections>,
         memory: Rc<MemoryLimit>,
-        send_queues: Rc<ClientSendQueues>,
+        client_sockets: Rc<ClientSockets>,
         open_connection: OpenConnection,
     ) -> Rc<Self> {
         let connection = ClientConnection {
@@ -79,7 +79,7 @@
             flush_waker: Cell::default(),
             client_closed: Cell::default(),
             read_ahead: ReadAhead::new(Rc::clone(&memory)),
-            send_queues,
+            client_sockets,
             head_memory: HeadMemory::new(memory),
             arrivals: Arrivals::new(Instant::now()),
             detachment: Detachment::default(),
--- a/crates/proxy/src/downstream/connection/reading_ahead.rs
+++ b/crates/proxy/src/downstream/connection/reading_ahead.rs
@@ -17,15 +17,15 @@
     /// So many bytes were read; 0 at the end of the stream.
     Read(usize),
     NoBytes,
-    /// Bytes have arrived, for which there is no room.
-    NoRoom,
+    /// Bytes have arrived that cannot be buffered.
+    NoCapacity,
 }
 
 impl ClientConnection {
-    /// Reads bytes that arrive after a request that awaits its response, as far as there is room for them.
+    /// Reads bytes that arrive after a request that awaits its response, as far as they can be buffered.
     pub async fn read_ahead(&self) {
         self.socket.arrival().await;
-        if self.try_read_ahead() == ReadAheadStep::NoRoom {
+        if self.try_read_ahead() == ReadAheadStep::NoCapacity {
             self.observe_client_socket();
             if !self.client_closed.get() {
                 tokio::time::sleep(CLOSE_CHECK_INTERVAL).await;
@@ -35,26 +35,30 @@
         tokio::task::yield_now().await;
     }
 
-    /// Reads bytes that have arrived, if there is room for them.
+    /// Reads bytes that have arrived, if they can be buffered.
     fn try_read_ahead(&self) -> ReadAheadStep {
         let max_bytes = self.socket.unread_bytes().min(READ_BUFFER_BYTES);
         if !self.read_ahead.try_reserve(max_bytes) {
-            return ReadAheadStep::NoRoom;
+            return ReadAheadStep::NoCapacity;
         }
         // The end of the stream is read into a buffer of any size but 0.
         let read = self.socket.try_read_at_most_with(max_bytes.max(1), |bytes| self.record_read_ahead(bytes));
         read.map_or(ReadAheadStep::NoBytes, ReadAheadStep::Read)
     }
 
-    /// Observes what the client has written, and whether it has closed, behind bytes that are not read for lack of room.
+    /// Observes at the client's own socket what it has written, and whether it has closed, behind bytes that cannot be
+    /// buffered.
     fn observe_client_socket(&self) {
         // In this order, no byte counts twice.
         let unread_bytes = self.read_ahead.len() + self.socket.unread_bytes();
-        let Some(client_socket) = self.send_queues.client_socket(&self.socket) else { return };
+        let Some(client_socket) = self.client_sockets.client_socket(&self.socket) else { return };
         if client_socket.is_closed {
             self.record_client_close();
         }
-        self.arrivals.record_unread(Instant::now(), unread_bytes + client_socket.unsent_bytes as usize);
+        self.arrivals.record_unread(
+            Instant::now(),
+            unread_bytes + client_socket.unsent_bytes.unwrap_or_default() as usize,
+        );
     }
 
     /// Whether the client is known to have closed its side. Unread bytes hide a close, so they are read
@@ -65,7 +69,7 @@
             match self.try_read_ahead() {
                 ReadAheadStep::Read(count) => budget_bytes = budget_bytes.saturating_sub(count.max(1)),
                 ReadAheadStep::NoBytes => break,
-                ReadAheadStep::NoRoom => {
+                ReadAheadStep::NoCapacity => {
                     self.observe_client_socket();
                     break;
                 }
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -271,7 +271,7 @@
                 Socket::new(stream),
                 Rc::clone(&downstream.idle_connections),
                 Rc::clone(&downstream.handler.memory),
-                Rc::clone(&downstream.handler.send_queues),
+                Rc::clone(&downstream.handler.client_sockets),
                 downstream.open_connections.open(),
             ),
             handler: Rc::clone(&downstream.handler),
--- a/crates/proxy/src/downstream/open_request.rs
+++ b/crates/proxy/src/downstream/open_request.rs
@@ -2,7 +2,7 @@
 
 use super::connection::ClientConnection;
 use crate::body::{ByteArrivals, DetachRequest, DetachedBody};
-use crate::client_send_queue::{ClientSendQueues, UnseenBytes};
+use crate::client_sockets::{ClientSockets, UnseenBytes};
 use std::convert::Infallible;
 use std::future::poll_fn;
 use std::rc::Rc;
@@ -61,9 +61,9 @@
         }
     }
 
-    /// How many bytes the client has written that have not arrived; see [`ClientSendQueues::unseen_bytes`].
-    pub fn unseen_bytes(&self, queues: &ClientSendQueues) -> UnseenBytes {
-        queues.unseen_bytes(&self.connection.socket)
+    /// How many bytes the client has written that have not arrived; see [`ClientSockets::unseen_bytes`].
+    pub fn unseen_bytes(&self, sockets: &ClientSockets) -> UnseenBytes {
+        sockets.unseen_bytes(&self.connection.socket)
     }
 
     /// Size of the system's receive buffer in bytes, including its overhead. 0 if the system does not report it.
--- a/crates/proxy/src/downstream/open_window.rs
+++ b/crates/proxy/src/downstream/open_window.rs
@@ -9,8 +9,8 @@
 
 /// Bytes that a client writes arrive within this time while the receive window has room.
 pub const MAX_TRANSIT: Duration = Duration::from_millis(20);
-/// The system gives at least this part of its receive buffer to the window when it is empty.
-const MIN_WINDOW_PART: u64 = 4;
+/// The system's receive buffer is at most so many times as large as the window that is open while the buffer is empty.
+const MAX_BUFFER_TO_WINDOW_RATIO: u64 = 4;
 
 /// What had arrived, and what of it had not been read, at some time.
 #[derive(Clone, Copy, Debug)]
@@ -35,15 +35,17 @@
 }
 
 impl OpenWindow {
-    /// Observes a connection whose receive buffer has `buffer_bytes`. Returns what the client can have written at most when
-    /// the buffer was empty, if less than the window has arrived since: what had not, would have.
+    /// Observes a connection with a receive buffer of `buffer_bytes`. Returns what the client had written at most at the time
+    /// when the buffer was empty, if less has arrived since than the window had room for: all of it would have arrived.
     pub fn observe(&mut self, current: Arrived, buffer_bytes: u64) -> Option<Written> {
-        let due = self.empty.filter(|empty| empty.at + MAX_TRANSIT <= current.at);
-        if due.is_some() || self.empty.is_none() {
-            self.empty = Some(current).filter(|current| current.unread_bytes == 0);
+        if self.empty.is_some_and(|empty| current.at < empty.at + MAX_TRANSIT) {
+            return None;
         }
-        let written = due.map(|empty| (empty, current.arrived_bytes - empty.arrived_bytes));
-        let (empty, _) = written.filter(|(_, new_bytes)| *new_bytes < buffer_bytes / MIN_WINDOW_PART)?;
-        Some(Written { at: empty.at, max_position: current.arrived_bytes })
+        let is_empty = current.unread_bytes == 0;
+        let previous = std::mem::replace(&mut self.empty, is_empty.then_some(current));
+        let empty = previous?;
+        let new_bytes = current.arrived_bytes - empty.arrived_bytes;
+        let had_room = new_bytes < buffer_bytes / MAX_BUFFER_TO_WINDOW_RATIO;
+        had_room.then_some(Written { at: empty.at, max_position: current.arrived_bytes })
     }
 }
--- a/crates/proxy/src/downstream/open_window/tests.rs
+++ b/crates/proxy/src/downstream/open_window/tests.rs
@@ -34,7 +34,7 @@
 #[test]
 fn as_much_as_fits_in_the_window_shows_nothing() {
     // Guards against a buffer that was empty for a moment while more waited in the client's send buffer.
-    let window = BUFFER_BYTES / MIN_WINDOW_PART;
+    let window = BUFFER_BYTES / MAX_BUFFER_TO_WINDOW_RATIO;
     assert_eq!(observe(&[(0, 1_000, 0), (25, 1_000 + window, window)]), [None, None]);
     assert_eq!(observe(&[(0, 1_000, 0), (25, window, 0)])[1], Some((0, window)));
 }
--- a/crates/proxy/src/downstream/read_ahead.rs
+++ b/crates/proxy/src/downstream/read_ahead.rs
@@ -27,7 +27,7 @@
         ReadAhead { buffer: RefCell::default(), memory }
     }
 
-    /// Reserves room for so many more bytes. False if there is none: they must stay in the system's buffer.
+    /// Reserves capacity for so many more bytes. False if there is none: they must stay in the system's buffer.
     pub fn try_reserve(&self, additional_bytes: usize) -> bool {
         let buffer = &mut *self.buffer.borrow_mut();
         let size = buffer.bytes.len() + additional_bytes;
@@ -35,7 +35,7 @@
             && self.memory.try_reserve_unread(&mut buffer.reservation, buffer_bytes(size))
     }
 
-    /// Appends bytes, for which there must be room.
+    /// Appends bytes, for which [`Self::try_reserve`] has reserved capacity.
     pub fn push(&self, bytes: &[u8]) {
         self.buffer.borrow_mut().bytes.extend_from_slice(bytes);
     }
--- a/crates/proxy/src/downstream/request.rs
+++ b/crates/proxy/src/downstream/request.rs
@@ -10,7 +10,7 @@
     reserve_while_arriving, AbortCondition, ByteArrivals, MemoryLimit, MemoryReservation, RequestBodyReader,
     ResponseStream, Upload, UploadPrefix, STREAMED_BODY_BYTES,
 };
-use crate::client_send_queue::ClientSendQueues;
+use crate::client_sockets::ClientSockets;
 use crate::dispatcher::Dispatcher;
 use crate::metrics::RejectionReason;
 use crate::request::{unshared_head, Request, REQUEST_ID_HEADER};
@@ -38,7 +38,7 @@
 pub struct RequestHandler {
     pub dispatcher: Dispatcher,
     pub memory: Rc<MemoryLimit>,
-    pub send_queues: Rc<ClientSendQueues>,
+    pub client_sockets: Rc<ClientSockets>,
 }
 
 /// The connection that a request arrived on.
@@ -253,7 +253,7 @@
         let mut end = RequestEnd::new(
             open,
             upload,
-            &self.send_queues,
+            &self.client_sockets,
             expected_end.position,
             expected_end.client_timeout,
             expected_end.not_before,
--- a/crates/proxy/src/downstream/request_end.rs
+++ b/crates/proxy/src/downstream/request_end.rs
@@ -5,20 +5,20 @@
 use super::open_request::OpenRequest;
 use super::open_window::{Arrived, OpenWindow, MAX_TRANSIT};
 use crate::body::{ByteArrivals, ReadState, Upload};
-use crate::client_send_queue::{ClientSendQueues, UnseenBytes};
+use crate::client_sockets::{ClientSockets, UnseenBytes};
 use crate::request::OverdueUpload;
 use std::time::Duration;
 use tokio::time::{sleep_until, Instant};
 
 /// How often the client is observed.
 const OBSERVATION_INTERVAL: Duration = Duration::from_millis(100);
-/// How often it is observed if only what arrives shows how much it has written.
+/// How often it is observed if the kernel does not show its socket: only what arrives shows how much it has written.
 const ARRIVAL_OBSERVATION_INTERVAL: Duration = Duration::from_millis(25);
 /// How much later than the client's timeout a final response may be given, with a margin to the 0.5 s that are permitted
 /// (STANDING).
 const MAX_RESPONSE_DELAY: Duration = Duration::from_millis(300);
-/// Bytes that arrive just before an observation are read within this time if the endpoint accepts them.
-const MAX_READ_DELAY: Duration = Duration::from_millis(5);
+/// How soon an observation is repeated that finds unread bytes, which the proxy may be about to read.
+const REPEATED_OBSERVATION_DELAY: Duration = Duration::from_millis(5);
 /// The HTTP parser parses at most one chunk ahead of the reader. So the second chunk after a read was parsed after it.
 const CHUNKS_AFTER_READ: u64 = 2;
 
@@ -51,7 +51,8 @@
         since.map(|since| since.max(self.latest_arrival))
     }
 
-    /// Since when bytes that the client had written by then would have arrived, if the proxy still waits for it.
+    /// From when on the pause of the client, which has sent nothing since it was waited for, shows that no byte is in
+    /// transit.
     fn pause_shown_at(&self) -> Option<Instant> {
         self.waiting_since().map(|since| since + MAX_TRANSIT)
     }
@@ -81,7 +82,7 @@
 pub struct RequestEnd<'a> {
     open: &'a OpenRequest,
     upload: &'a Upload,
-    queues: &'a ClientSendQueues,
+    sockets: &'a ClientSockets,
     /// Position on the connection, where the head declares the length of the body.
     position: Option<u64>,
     /// How long the client waits for its response from then on.
@@ -90,7 +91,7 @@
     window: OpenWindow,
     previous: Observation,
     /// The kernel shows how much the client has written.
-    is_queue_shown: bool,
+    is_client_socket_shown: bool,
     /// Bytes were unread at the previous observation, and none at the one before.
     has_new_unread_bytes: bool,
     read_position: ReadPosition,
@@ -101,7 +102,7 @@
     pub fn new(
         open: &'a OpenRequest,
         upload: &'a Upload,
-        queues: &'a ClientSendQueues,
+        sockets: &'a ClientSockets,
         position: Option<u64>,
         client_timeout: Duration,
         not_before: Instant,
@@ -111,13 +112,13 @@
         RequestEnd {
             open,
             upload,
-            queues,
+            sockets,
             position,
             client_timeout,
             bound: EndBound::new(not_before),
             window: OpenWindow::default(),
             previous,
-            is_queue_shown: false,
+            is_client_socket_shown: false,
             has_new_unread_bytes: false,
             read_position,
         }
@@ -159,7 +160,7 @@
             received_chunks: self.previous.read_state.chunk_count,
             read_bytes: self.open.read_bytes(),
             unread_bytes: self.previous.unread_bytes,
-            max_unseen_bytes: self.open.unseen_bytes(self.queues).max(),
+            max_unseen_bytes: self.open.unseen_bytes(self.sockets).max(),
             time_since_earliest_end: self.bound.not_before().elapsed(),
         }
     }
@@ -171,12 +172,13 @@
         pause_shown_at.map_or(next, |at| at.min(next))
     }
 
-    /// Without the retry, the intervals of a client could be those of the observations, which would all find bytes unread.
+    /// Without the repetition, a client could write at just the interval of the observations, which would all find unread
+    /// bytes.
     fn observation_interval(&self) -> Duration {
-        if self.is_queue_shown {
+        if self.is_client_socket_shown {
             OBSERVATION_INTERVAL
         } else if self.has_new_unread_bytes {
-            MAX_READ_DELAY
+            REPEATED_OBSERVATION_DELAY
         } else {
             ARRIVAL_OBSERVATION_INTERVAL
         }
@@ -192,10 +194,10 @@
             self.bound.record_incomplete(current.at - MAX_TRANSIT);
         } else {
             // In this order: bytes that arrive in between count twice instead of never.
-            let unseen_bytes = self.open.unseen_bytes(self.queues);
+            let unseen_bytes = self.open.unseen_bytes(self.sockets);
             let arrived_bytes = self.open.arrived_bytes();
             self.bound.record_written(current.at, arrived_bytes.saturating_add(unseen_bytes.max()));
-            self.is_queue_shown = matches!(unseen_bytes, UnseenBytes::Exactly(_));
+            self.is_client_socket_shown = matches!(unseen_bytes, UnseenBytes::Exactly(_));
         }
         let excluded_position = self.excluded_position(&current);
         self.bound.exclude_end_up_to(excluded_position);
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,7 +8,7 @@
 mod body;
 mod call_table;
 mod classes;
-mod client_send_queue;
+mod client_sockets;
 mod clock;
 mod config;
 mod descriptor_budget;
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -56,9 +56,9 @@
     /// Connections on which an endpoint sent data that no request asked for.
     #[serde(default)]
     pub unsolicited: u64,
-    /// Responses that were held because they came sooner than their requests are usually answered.
+    /// Responses that came much sooner than usual on a reused connection, and were delayed until none followed.
     #[serde(default)]
-    pub held_responses: u64,
+    pub early_responses: u64,
 }
 
 /// Client connections and their open requests. Each request is counted in exactly one of the three states; a connection
@@ -94,7 +94,7 @@
     connections_opened: Cell<u64>,
     cooldown_waits: Cell<u64>,
     unsolicited_data: Cell<u64>,
-    held_responses: Cell<u64>,
+    early_responses: Cell<u64>,
     overdue_uploads: Cell<u64>,
     reloads_succeeded: Cell<u64>,
     reloads_failed: Cell<u64>,
@@ -195,9 +195,9 @@
         increment(&self.unsolicited_data);
     }
 
-    /// Counts a response that is held because it came sooner than its request is usually answered.
-    pub fn count_held_response(&self) {
-        increment(&self.held_responses);
+    /// Counts a response that came much sooner than usual on a reused connection.
+    pub fn count_early_response(&self) {
+        increment(&self.early_responses);
     }
 
     /// Counts a request that was not read to its end by the time of its final response.
@@ -226,7 +226,7 @@
                 opened: self.connections_opened.get(),
                 cooldown_waits: self.cooldown_waits.get(),
                 unsolicited: self.unsolicited_data.get(),
-                held_responses: self.held_responses.get(),
+                early_responses: self.early_responses.get(),
             },
             overdue_uploads: self.overdue_uploads.get(),
             endpoints_listed: gauges.endpoints_listed,
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -248,7 +248,7 @@
         let handler = RequestHandler {
             dispatcher: self.dispatcher.clone(),
             memory: Rc::clone(&self.memory),
-            send_queues: Rc::default(),
+            client_sockets: Rc::default(),
         };
         Downstream {
             handler: Rc::new(handler),
--- a/crates/proxy/src/upstream/early_response.rs
+++ b/crates/proxy/src/upstream/early_response.rs
@@ -1,5 +1,5 @@
-//! Holds responses that come sooner than their requests can have been answered, until their connections show whether they
-//! are extra responses to earlier requests.
+//! Delays responses that come sooner than their requests can have been answered, until their connections show whether
+//! they are extra responses to earlier requests.
 
 use crate::upstream::connection::UpstreamConnection;
 use crate::upstream::pool::ConnectionPool;
@@ -8,8 +8,8 @@
 use tokio::time::sleep;
 use tracing::warn;
 
-/// A response is held for at most this part of the time left to its attempt.
-const MAX_HOLD_PART: Micros = 2;
+/// The time left to an attempt is at least this many times the delay of its response.
+const MIN_REMAINING_TIME_TO_DELAY_RATIO: Micros = 2;
 
 /// A request that has been sent to an endpoint.
 #[derive(Clone, Copy, Debug)]
@@ -24,17 +24,17 @@
 }
 
 impl SentRequest {
-    /// Whether the complete response that has arrived is the one to this request. An early one is if nothing follows it in
-    /// the time that such requests take: the endpoint would send the response to this request as well.
+    /// Whether the complete response that has arrived answers this request. Waits in the case of an early one: if it answers
+    /// an earlier request, the response to this one follows.
     pub async fn is_confirmed(&self, pool: &ConnectionPool, connection: &mut UpstreamConnection) -> bool {
         let response_time = pool.clock.now().saturating_sub(self.at);
-        if let Some(hold) = self.hold_time(pool, response_time) {
-            pool.metrics.count_held_response();
+        if let Some(delay) = self.confirmation_time(pool, response_time) {
+            pool.metrics.count_early_response();
             connection.end_exchange();
             if connection.is_alive().await {
                 tokio::select! {
                     () = connection.socket().arrival() => {}
-                    () = sleep(hold) => {}
+                    () = sleep(delay) => {}
                 }
             }
             if connection.has_unsolicited_data() {
@@ -46,13 +46,14 @@
         true
     }
 
-    /// How long to hold the response. `None` if it is not early, or the first on its connection.
-    fn hold_time(&self, pool: &ConnectionPool, response_time: Micros) -> Option<Duration> {
+    /// How long to wait whether another response follows. `None` if this one is not early, or the first on its connection.
+    fn confirmation_time(&self, pool: &ConnectionPool, response_time: Micros) -> Option<Duration> {
         let times = pool.response_times.borrow();
         let confirmation_time = times
             .confirmation_time_if_early(self.class, response_time)
             .filter(|_| self.is_connection_reused)?;
-        let max_hold = self.remaining_time.saturating_sub(response_time) / MAX_HOLD_PART;
-        Some(Duration::from_micros(confirmation_time.min(max_hold)))
+        let remaining_time = self.remaining_time.saturating_sub(response_time);
+        let max_delay = remaining_time / MIN_REMAINING_TIME_TO_DELAY_RATIO;
+        Some(Duration::from_micros(confirmation_time.min(max_delay)))
     }
 }
--- a/crates/proxy/src/upstream/response_times.rs
+++ b/crates/proxy/src/upstream/response_times.rs
@@ -3,14 +3,14 @@
 
 use oakport_core::{ClassId, Micros};
 
-/// The range covers at least this many of the latest responses, and at most twice as many.
+/// At least this many of the latest responses are taken into account, and at most twice as many.
 const RESPONSES_PER_RANGE: u32 = 256;
-/// Nothing is known of a class with fewer responses.
+/// No response is early in a class with fewer responses.
 const MIN_RESPONSES: u32 = 64;
 /// No response is early in a class with a shorter response time, which varies too much from one request to the next.
 const MIN_SHORTEST_US: Micros = 10_000;
-/// A response is early if it takes less than this part of the shortest response time.
-const EARLY_PART: Micros = 2;
+/// A response is early if so many times its response time is shorter than the shortest.
+const EARLY_RESPONSE_FACTOR: Micros = 2;
 /// An endpoint reads a request only after it has sent an extra response to the one before, and may take longer for it than
 /// for others.
 const CONFIRMATION_FACTOR: Micros = 2;
@@ -78,12 +78,13 @@
         self.classes[class.0].record(time);
     }
 
-    /// If a response that took `time` is early: in which time another one follows if it is not the one to this request.
+    /// If a response that took `time` is early, how long to wait for another response on the connection. One follows if the
+    /// early one answers an earlier request.
     pub fn confirmation_time_if_early(&self, class: ClassId, time: Micros) -> Option<Micros> {
         let times = self.classes.get(class.0)?;
         let range = times.previous.merge(times.current);
         let is_known = range.count >= MIN_RESPONSES && range.shortest >= MIN_SHORTEST_US;
-        let is_early = is_known && time < range.shortest / EARLY_PART;
+        let is_early = is_known && time * EARLY_RESPONSE_FACTOR < range.shortest;
         is_early.then_some(range.longest * CONFIRMATION_FACTOR)
     }
 }
