--- a/crates/proxy/src/body/memory_limit/tests.rs
+++ b/crates/proxy/src/body/memory_limit/tests.rs
@@ -104,7 +104,8 @@
 fn handed_over_bytes_are_counted_beside_bodies_until_they_are_dropped() {
     let memory = MemoryLimit::new(MEMORY_MB);
     memory.set_handover_limit((MEMORY_MB / 2) << 10);
-    let (available_bytes, used_kib) = (memory.available_bytes(), memory.used_kib());
+    let available_bytes = memory.available_bytes();
+    let used_kib = memory.used_kib();
     for declined_bytes in [usize::MAX, MEMORY_MB << 20, (MEMORY_MB / 2 + 1) << 20] {
         assert!(memory.try_take_over(declined_bytes).is_none(), "{declined_bytes}");
     }
--- a/crates/proxy/src/process_memory.rs
+++ b/crates/proxy/src/process_memory.rs
@@ -40,7 +40,8 @@
 fn resident_kib(process: &str) -> Option<usize> {
     let text = std::fs::read_to_string(format!("/proc/{process}/statm")).ok()?;
     let mut pages = text.split_whitespace().skip(1).map_while(|count| count.parse::<usize>().ok());
-    let (resident, of_files) = (pages.next()?, pages.next()?);
+    let resident = pages.next()?;
+    let of_files = pages.next()?;
     let page_bytes = nix::unistd::sysconf(nix::unistd::SysconfVar::PAGE_SIZE).ok()??;
     Some(resident.saturating_sub(of_files) * page_bytes as usize / BYTES_PER_KIB)
 }
--- a/crates/proxy/src/upstream/attempt/tests.rs
+++ b/crates/proxy/src/upstream/attempt/tests.rs
@@ -102,7 +102,8 @@
     let counter = Arc::clone(&request_count);
     thread::spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (response, counter) = (response.clone(), Arc::clone(&counter));
+            let response = response.clone();
+            let counter = Arc::clone(&counter);
             thread::spawn(move || serve_with_extra_responses(stream, &response, &counter));
         }
     });
--- a/crates/simulator/src/arrivals.rs
+++ b/crates/simulator/src/arrivals.rs
@@ -68,7 +68,8 @@
     /// Generates all arrivals of a scenario in order of time.
     pub fn generate_all(scenario: &Scenario, seed: u64) -> Vec<Arrival> {
         let mut generator = Arrivals::new(scenario, seed, &mut random::stream(seed, StreamId::Fleet));
-        let (mut at, mut arrivals) = (0, Vec::new());
+        let mut at = 0;
+        let mut arrivals = Vec::new();
         loop {
             let surges = scenario.events.iter().filter(|e| e.kind == FaultKind::Surge);
             let surge_factor: f64 =
--- a/crates/simulator/src/judge.rs
+++ b/crates/simulator/src/judge.rs
@@ -185,7 +185,8 @@
     ) {
         self.violation_count += 1;
         if self.violations.len() < MAX_STORED_VIOLATIONS {
-            let (call, server) = (call.map(|c| c.0), server.map(|s| s.0));
+            let call = call.map(|c| c.0);
+            let server = server.map(|s| s.0);
             self.violations.push(Violation { at, proxy, call, server, rule });
         }
     }
@@ -247,7 +248,8 @@
         let recovery_time = surges().map(|e| e.at + e.duration).max().and_then(|end| {
             let first_surge = surges().map(|e| second(e.at)).min().unwrap_or(0);
             let required_share = share(&self.seconds[..first_surge]) * RECOVERED_RATIO;
-            let (from, end) = (second(end), second(scenario.duration));
+            let from = second(end);
+            let end = second(scenario.duration);
             let recovered_after =
                 self.seconds[from..end].windows(3).position(|three| share(three) >= required_share)?;
             Some(recovered_after as Micros * 1_000_000)
@@ -264,8 +266,8 @@
         let per_request = |count: f64| count / (requests.max(1) as f64);
         let goal = &scenario.goal;
         let wasted_work_share = self.wasted_work / self.requested_work.max(1.0);
-        let (cross_zone_per_request, handshakes_per_request) =
-            (per_request(self.cross_zone_attempts as f64), per_request(self.handshakes as f64));
+        let cross_zone_per_request = per_request(self.cross_zone_attempts as f64);
+        let handshakes_per_request = per_request(self.handshakes as f64);
         let late_failure_share =
             self.late_failure_weight / sum(&self.seconds, |w| w.requested_weight).max(f64::MIN_POSITIVE);
         let weighted_share = goal.overall * served_share
--- a/crates/simulator/src/policy.rs
+++ b/crates/simulator/src/policy.rs
@@ -137,7 +137,8 @@
 
 impl BaselinePolicy {
     fn new(kind: PolicyKind, seed: u64, settings: Settings) -> Self {
-        let (servers, calls) = (BTreeMap::new(), HashMap::new());
+        let servers = BTreeMap::new();
+        let calls = HashMap::new();
         BaselinePolicy {
             kind,
             settings,
@@ -170,7 +171,8 @@
                 Some(*fewest[self.random.gen_range(0..fewest.len())])
             }
             PolicyKind::TwoChoices => {
-                let (first, second) = (pick_random(&mut self.random)?, pick_random(&mut self.random)?);
+                let first = pick_random(&mut self.random)?;
+                let second = pick_random(&mut self.random)?;
                 Some(if second.in_flight < first.in_flight { second } else { first })
             }
             PolicyKind::Ceiling | PolicyKind::CeilingLate => {
--- a/crates/simulator/src/server.rs
+++ b/crates/simulator/src/server.rs
@@ -194,7 +194,8 @@
     /// Enters or leaves congestion once its condition has held for the configured time. Evaluated on each event here.
     fn update_congestion(&mut self, now: Micros) {
         let Some(spec) = &self.spec.congestion else { return };
-        let (waiting, accepted) = (self.waiting.len() as f64, (self.active + self.waiting.len()) as f64);
+        let waiting = self.waiting.len() as f64;
+        let accepted = (self.active + self.waiting.len()) as f64;
         let (condition_holds, required_time) = match self.congestion.congested_since {
             None => (waiting > spec.onset_waiting_per_core * self.spec.cores, spec.onset_time),
             Some(_) => (accepted < spec.recovery_load_per_core * self.spec.cores, spec.recovery_time),
@@ -459,7 +460,9 @@
 
     #[test]
     fn a_congested_server_recovers_after_low_load_or_after_the_maximum_duration() {
-        let (onset_time, recovery_time, max_duration) = (100_000, 50_000, 400_000);
+        let onset_time = 100_000;
+        let recovery_time = 50_000;
+        let max_duration = 400_000;
         let congestion = CongestionSpec {
             onset_waiting_per_core: 2.0,
             onset_time,
--- a/crates/simulator/src/simulation/clients.rs
+++ b/crates/simulator/src/simulation/clients.rs
@@ -33,7 +33,8 @@
         }
         self.requests[request].tries += 1;
         self.judge.tries += 1;
-        let (call, deadline) = (self.calls.len(), now + remaining_time);
+        let call = self.calls.len();
+        let deadline = now + remaining_time;
         self.calls.push(Call { request, proxy, deadline, open: true, attempts: Vec::new() });
         self.queue.schedule_at(deadline + ANSWER_SLACK_US, SimEvent::AnswerDeadline { call });
         let event = Event::Request {
--- a/crates/simulator/src/simulation/proxies.rs
+++ b/crates/simulator/src/simulation/proxies.rs
@@ -113,7 +113,8 @@
         let at = self.now() - START_US;
         let open_call = &mut self.calls[call];
         if std::mem::replace(&mut open_call.open, false) {
-            let (proxy, request) = (open_call.proxy, open_call.request);
+            let proxy = open_call.proxy;
+            let request = open_call.request;
             self.judge.record_violation(
                 "call not answered by its deadline",
                 at,
@@ -126,10 +127,12 @@
     }
 
     pub(super) fn send(&mut self, proxy: usize, id: CallId, server: EndpointId, timeout_at: Option<Micros>) {
-        let (now, server_index) = (self.now(), server.0 as usize);
+        let now = self.now();
+        let server_index = server.0 as usize;
         let at = now - START_US;
         let Some(call) = self.calls.get(id.0 as usize).filter(|c| c.proxy == proxy) else { return };
-        let (open, deadline) = (call.open, call.deadline);
+        let open = call.open;
+        let deadline = call.deadline;
         let class = self.requests[call.request].class;
         let mut outcomes = call.attempts.iter().map(|&a| self.attempts[a].outcome);
         let repeat_is_safe = self.judge.repeat_is_safe(class, &mut outcomes);
@@ -150,7 +153,9 @@
         let timeout_at = timeout_at.unwrap_or(Micros::MAX).min(deadline);
         let attempt_index = self.attempts.len();
         let call = &mut self.calls[id.0 as usize];
-        let (sent_at, reached_server, has_connection) = (now, false, false);
+        let sent_at = now;
+        let reached_server = false;
+        let has_connection = false;
         let attempt = Attempt {
             call: id.0 as usize,
             number: call.attempts.len() as u32,
@@ -174,7 +179,8 @@
     }
 
     pub(super) fn connect(&mut self, attempt: usize, proxy: usize, server: usize) {
-        let (now, delay) = (self.now(), self.one_way_delay(proxy, server));
+        let now = self.now();
+        let delay = self.one_way_delay(proxy, server);
         let process = &mut self.servers[server];
         if process.health.unreachable {
             // The connection is never established.
@@ -254,8 +260,11 @@
             return;
         }
         attempt.outcome = Some(outcome);
-        let (id, elapsed, server) = (attempt.call, now - attempt.sent_at, attempt.server);
-        let (attempt_number, has_connection) = (attempt.number, attempt.has_connection);
+        let id = attempt.call;
+        let elapsed = now - attempt.sent_at;
+        let server = attempt.server;
+        let attempt_number = attempt.number;
+        let has_connection = attempt.has_connection;
         let Call { proxy, request, open, .. } = self.calls[id];
         if has_connection {
             let keep = matches!(outcome, Outcome::Served | Outcome::Error | Outcome::Rejected);
--- a/crates/simulator/src/simulation/servers.rs
+++ b/crates/simulator/src/simulation/servers.rs
@@ -6,7 +6,8 @@
     pub(super) fn request_arrives(&mut self, attempt: usize) {
         let now = self.now();
         let Attempt { server, call, outcome, timeout_at, .. } = self.attempts[attempt];
-        let (work, proxy) = (self.requests[self.calls[call].request].work, self.calls[call].proxy);
+        let work = self.requests[self.calls[call].request].work;
+        let proxy = self.calls[call].proxy;
         let process = &mut self.servers[server];
         if process.health.unreachable {
             return;
@@ -31,7 +32,8 @@
         if outcome.is_some() || timeout_at <= now {
             return;
         }
-        let (errors, resets) = (process.health.errors, process.health.resets);
+        let errors = process.health.errors;
+        let resets = process.health.resets;
         if process.draining {
             return self.reply(attempt, Outcome::Rejected, 0);
         }
@@ -74,7 +76,8 @@
     }
 
     pub(super) fn cancel_arrives(&mut self, attempt: usize) {
-        let (now, server) = (self.now(), self.attempts[attempt].server);
+        let now = self.now();
+        let server = self.attempts[attempt].server;
         if self.servers[server].health.unreachable {
             return;
         }
--- a/crates/simulator/src/simulation/site.rs
+++ b/crates/simulator/src/simulation/site.rs
@@ -18,7 +18,9 @@
         },
         active: true,
     });
-    let (base, goal, server) = (Settings::default(), &scenario.goal, &scenario.server);
+    let base = Settings::default();
+    let goal = &scenario.goal;
+    let server = &scenario.server;
     Settings {
         proxy_count: scenario.balancers as u32,
         zone: ZoneId(zone as u32),
--- a/crates/testbed/src/cluster/calls.rs
+++ b/crates/testbed/src/cluster/calls.rs
@@ -33,7 +33,8 @@
             figures.entry(name).and_modify(|worst: &mut f64| *worst = worst.max(value)).or_insert(value);
         };
         for event in shared.scenario.events.iter().filter(is_long_failure) {
-            let (from, to) = (shared.at(event.at) + WATCH_END_US, shared.at(event.at + event.duration));
+            let from = shared.at(event.at) + WATCH_END_US;
+            let to = shared.at(event.at + event.duration);
             let mut per_second = vec![0_u32; ((to - from) / SECOND_US) as usize];
             for (_, at) in self.requests.iter().filter(|(_, at)| *at >= from) {
                 if let Some(count) = per_second.get_mut(((at - from) / SECOND_US) as usize) {
--- a/crates/testbed/src/cluster/chain.rs
+++ b/crates/testbed/src/cluster/chain.rs
@@ -231,7 +231,8 @@
             CallPath::Proxies => &hop.proxy,
             CallPath::Direct => &hop.servers[self.selected_server(id)],
         };
-        let (request_id, time) = (id.text(), time_left.as_micros());
+        let request_id = id.text();
+        let time = time_left.as_micros();
         let text = format!(
             "POST /checkout HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: {request_id}\r\n\
              X-Timeout: {time}u\r\nContent-Length: 1\r\n\r\n1"
@@ -338,7 +339,9 @@
     let setup_error = |e: std::io::Error| format!("cannot set up the test cluster: {e}");
     let scenario = Scenario::parse(SCENARIO).map_err(|e| e.to_string())?;
     let shared = Arc::new(Shared::new(scenario, seed));
-    let (mut hop_clients, mut proxies, mut listeners) = (Vec::new(), Vec::new(), Vec::new());
+    let mut hop_clients = Vec::new();
+    let mut proxies = Vec::new();
+    let mut listeners = Vec::new();
     for hop in 0..hops {
         let agent = Agent::start(&shared, hop).await.map_err(setup_error)?;
         let mut servers = Vec::new();
@@ -379,7 +382,8 @@
     let mut outcomes = Vec::new();
     for (number, step) in (0..).zip([WARM_UP].iter().chain(steps)) {
         let calls = plan_calls(&shared.scenario, seed, step);
-        let (cpu_before, begin) = (mean(cpu), Instant::now());
+        let cpu_before = mean(cpu);
+        let begin = Instant::now();
         let (paths, late) = send_calls(&chain, number, calls).await;
         let cpu_share = (mean(cpu) - cpu_before) / begin.elapsed().as_secs_f64();
         let [proxies, direct] =
@@ -433,8 +437,8 @@
         }
     });
     let micros = |span: Duration| (span.as_micros() as u64).max(1);
-    let (mut paths, mut late) =
-        ([CallPath::Proxies, CallPath::Direct].map(|path| (path, 0, histogram())), histogram());
+    let mut paths = [CallPath::Proxies, CallPath::Direct].map(|path| (path, 0, histogram()));
+    let mut late = histogram();
     let mut calls = JoinSet::new();
     while let Some((planned, path, call)) = due.recv().await {
         late.saturating_record(micros(planned.elapsed()));
--- a/crates/testbed/src/cluster/clients.rs
+++ b/crates/testbed/src/cluster/clients.rs
@@ -56,7 +56,9 @@
 impl App {
     /// Creates the application of the proxy that listens at `address`.
     pub fn new(shared: &Arc<Shared>, proxy: usize, address: SocketAddr) -> Arc<Self> {
-        let (pool, large_pool, paused) = (Pool::default(), Pool::default(), watch::Sender::new(false));
+        let pool = Pool::default();
+        let large_pool = Pool::default();
+        let paused = watch::Sender::new(false);
         let connects_disabled = AtomicBool::new(false);
         Arc::new(App {
             proxy,
@@ -121,8 +123,8 @@
     /// Sends a request, with retries, until it is served or given up.
     pub async fn send_request(self: Arc<Self>, request: usize) {
         let shared = &self.shared;
-        let (class, clients) =
-            (&shared.scenario.classes[shared.arrivals[request].class], &shared.scenario.clients);
+        let class = &shared.scenario.classes[shared.arrivals[request].class];
+        let clients = &shared.scenario.clients;
         let first = shared.at(shared.arrivals[request].at);
         let last = first + class.client_timeout;
         let mut random = random::stream(shared.seed, StreamId::Policy(2_000_000 + request));
--- a/crates/testbed/src/cluster/discovery.rs
+++ b/crates/testbed/src/cluster/discovery.rs
@@ -230,7 +230,8 @@
             Some(since) => *version > since,
             None => listed.state != EndpointState::Removed,
         };
-        let (mut endpoints, mut notified) = (Vec::new(), Vec::new());
+        let mut endpoints = Vec::new();
+        let mut notified = Vec::new();
         for (&server, entry) in list_state.servers.iter().filter(|(_, entry)| is_included(entry)) {
             let listed = &entry.0;
             let status = match listed.state {
@@ -293,7 +294,8 @@
             if let Some(since) = since {
                 self.acknowledged.send_replace(Some(since));
                 let wait = Duration::from_millis(parameter("wait").unwrap_or(0).min(MAX_WAIT_MS));
-                let (mut version, mut silencings) = (self.version.subscribe(), self.silencings.subscribe());
+                let mut version = self.version.subscribe();
+                let mut silencings = self.silencings.subscribe();
                 let _watch = Watch::open(&self, wait);
                 let silent = tokio::select! {
                     _ = tokio::time::timeout(wait, version.wait_for(|v| *v > since)) => false,
--- a/crates/testbed/src/cluster/events.rs
+++ b/crates/testbed/src/cluster/events.rs
@@ -42,7 +42,8 @@
     /// Runs one event from its start to its end.
     pub async fn run_event(self: Arc<Self>, number: usize) {
         let event = self.site.shared.scenario.events[number].clone();
-        let (begin, end) = (self.site.shared.at(event.at), self.site.shared.at(event.at + event.duration));
+        let begin = self.site.shared.at(event.at);
+        let end = self.site.shared.at(event.at + event.duration);
         self.site.shared.sleep_until(begin).await;
         match event.kind {
             // Already included in the arrivals.
--- a/crates/testbed/src/cluster/forwarder.rs
+++ b/crates/testbed/src/cluster/forwarder.rs
@@ -157,7 +157,8 @@
             else {
                 continue;
             };
-            let (up, since_ms) = (entry["status"] == "up", entry["since_ms"].as_u64().unwrap_or(0));
+            let up = entry["status"] == "up";
+            let since_ms = entry["since_ms"].as_u64().unwrap_or(0);
             list.insert(name.to_owned(), ListedServer { address, up, since_ms });
         }
     }
@@ -171,7 +172,8 @@
     }
 
     async fn watch_once(&self, discovery: SocketAddr) -> std::io::Result<()> {
-        let (mut stream, mut buffer) = (TcpStream::connect(discovery).await?, BytesMut::new());
+        let mut stream = TcpStream::connect(discovery).await?;
+        let mut buffer = BytesMut::new();
         loop {
             let index = self.index.get();
             let text = format!(
--- a/crates/testbed/src/cluster/hops.rs
+++ b/crates/testbed/src/cluster/hops.rs
@@ -246,16 +246,20 @@
     let address = proxy.address;
     let idle = Arc::new(Mutex::new(Vec::new()));
     let mut random = random::stream(1, StreamId::Arrivals);
-    let (mut due, mut calls, mut before) = (Instant::now(), JoinSet::new(), None);
+    let mut due = Instant::now();
+    let mut calls = JoinSet::new();
+    let mut before = None;
     let (measured, warm_up) = STEADY_AND_WARM_UP_S;
-    let (all, first) = ((rate * (measured + warm_up)) as usize, (rate * warm_up) as usize);
+    let all = (rate * (measured + warm_up)) as usize;
+    let first = (rate * warm_up) as usize;
     for number in 0..all {
         due += Duration::from_secs_f64(-(1.0 - random.gen::<f64>()).ln() / rate);
         tokio::time::sleep_until(due).await;
         if number == first {
             before = admin.counts().await;
         }
-        let (idle, id) = (Arc::clone(&idle), Shared::id(number, 0));
+        let idle = Arc::clone(&idle);
+        let id = Shared::id(number, 0);
         calls.spawn(async move {
             let reusable: Option<(Instant, _)> = idle.lock().unwrap_or_else(PoisonError::into_inner).pop();
             let mut open = match reusable {
@@ -298,7 +302,8 @@
         request(&mut open, &id()).await.map_err(request_error)?;
         times.saturating_record((sent.elapsed().as_nanos() as u64).max(1));
     }
-    let (cpu_before, begin) = (pid.map_or(0.0, cpu), Instant::now());
+    let cpu_before = pid.map_or(0.0, cpu);
+    let begin = Instant::now();
     let mut connections = JoinSet::new();
     for _ in 0..THROUGHPUT_CONNECTIONS {
         let id = id.clone();
--- a/crates/testbed/src/cluster/judge.rs
+++ b/crates/testbed/src/cluster/judge.rs
@@ -201,7 +201,8 @@
     evidence.check_cold_servers();
     let (figures, seconds) = evidence.figures(servers);
     let transfers = evidence.transfers();
-    let (rules, violations) = (evidence.rules, evidence.violations);
+    let rules = evidence.rules;
+    let violations = evidence.violations;
     let mut expect = Vec::new();
     for expectation in &shared.scenario.expectations {
         let value = figures.get(&expectation.figure).copied();
@@ -211,7 +212,8 @@
         let bound =
             |relation: &str, bound: Option<f64>| bound.map_or(String::new(), |b| format!(" {relation} {b}"));
         let value = value.map_or("no such figure".to_owned(), |value| format!("{value:.4}"));
-        let (min, max) = (bound("at least", expectation.min), bound("at most", expectation.max));
+        let min = bound("at least", expectation.min);
+        let max = bound("at most", expectation.max);
         expect.push((format!("{}{min}{max}: {value}", expectation.figure), is_met));
     }
     Verdict { figures, rules, violations, expect, seconds, transfers }
@@ -309,7 +311,8 @@
     /// Time within this span in which the process of a proxy was stopped, or had been resumed less than
     /// `RESUME_GRACE_US` before.
     fn stalled(&self, proxy: usize, from: Micros, to: Micros) -> Micros {
-        let (mut since, mut sum) = (None, 0);
+        let mut since = None;
+        let mut sum = 0;
         let mut count = |a: Micros, b: Micros| sum += b.min(to).saturating_sub(a.max(from));
         for (at, event) in self.process_events.get(&proxy).into_iter().flatten() {
             match event {
@@ -516,7 +519,8 @@
     fn check_cold_servers(&mut self) {
         /// An overload is a violation if more than this share of the requests came from notified proxies.
         const MIN_NOTIFIED_SHARE: f64 = 2.0 / 3.0;
-        let (span, mut found) = (self.shared.scenario.server.cold_overload_window, Vec::new());
+        let span = self.shared.scenario.server.cold_overload_window;
+        let mut found = Vec::new();
         for ((server, started), all) in &self.cold_arrivals {
             let mut window = Window::default();
             for ColdArrival { at, attempt, bound } in all {
@@ -529,7 +533,8 @@
                     window.push(*at, is_notified, span).fold((0, 0), |(all, notified), is_notified| {
                         (all + 1, notified + u32::from(*is_notified))
                     });
-                let (arrived, by_notified) = (f64::from(arrived), f64::from(by_notified));
+                let arrived = f64::from(arrived);
+                let by_notified = f64::from(by_notified);
                 self.cold_load.max_notified_ratio =
                     self.cold_load.max_notified_ratio.max(by_notified / bound);
                 if arrived <= *bound {
@@ -553,13 +558,15 @@
     }
 
     fn figures(&self, servers: &[(usize, String)]) -> (BTreeMap<String, f64>, Vec<Second>) {
-        let (scenario, arrivals) = (&self.shared.scenario, &self.shared.arrivals);
+        let scenario = &self.shared.scenario;
+        let arrivals = &self.shared.arrivals;
         let start = self.shared.at(0);
         let count = scenario.duration.div_ceil(1_000_000) as usize;
         let mut seconds = vec![Second::default(); count];
         let second_of = |at: Micros| ((at / 1_000_000) as usize).min(count - 1);
         for arrival in arrivals {
-            let (class, second) = (&scenario.classes[arrival.class], &mut seconds[second_of(arrival.at)]);
+            let class = &scenario.classes[arrival.class];
+            let second = &mut seconds[second_of(arrival.at)];
             second.requests += 1;
             second.requested_weight += class.priority_weight;
             let zone = scenario.zones[self.shared.zone(arrival.proxy)].clone();
@@ -567,11 +574,13 @@
             second.by_proxy.entry(arrival.proxy).or_default()[0] += class.priority_weight;
             second.by_class.entry(class.name.clone()).or_default()[0] += class.priority_weight;
         }
-        let (mut latency, mut latency_by_second) = (histogram(), vec![histogram(); count]);
+        let mut latency = histogram();
+        let mut latency_by_second = vec![histogram(); count];
         let mut ends = [0u64; 4];
         for &(request, at, end) in &self.ended_requests {
             let arrival = &arrivals[request];
-            let (class, second) = (&scenario.classes[arrival.class], &mut seconds[second_of(arrival.at)]);
+            let class = &scenario.classes[arrival.class];
+            let second = &mut seconds[second_of(arrival.at)];
             let took = at.saturating_sub(start + arrival.at).max(1);
             match end {
                 TryEnd::Served(server) => {
--- a/crates/testbed/src/cluster/links.rs
+++ b/crates/testbed/src/cluster/links.rs
@@ -184,7 +184,8 @@
     /// # Errors
     /// Fails if a socket cannot be opened.
     pub async fn start(seed: u64, parties: Vec<SocketAddr>) -> Result<Self> {
-        let (mut sockets, mut addresses) = (Vec::new(), Vec::new());
+        let mut sockets = Vec::new();
+        let mut addresses = Vec::new();
         for _ in &parties {
             let socket =
                 UdpSocket::bind(address(Role::Relay, RELAY_COUNT.fetch_add(1, Ordering::Relaxed))).await?;
@@ -230,8 +231,9 @@
         let spec = faults.borrow().get(&(from, to)).copied().unwrap_or_default();
         let link_seed = seed ^ ((from as u64) << 16 | to as u64);
         for after in delivery_delays(&spec, link_seed, numbers[from]) {
-            let (datagram, socket, party) =
-                (buffer[..length].to_vec(), Arc::clone(&relay_sockets[from]), parties[to]);
+            let datagram = buffer[..length].to_vec();
+            let socket = Arc::clone(&relay_sockets[from]);
+            let party = parties[to];
             let at = Instant::now() + Duration::from_micros(after);
             if after == 0 {
                 // Send errors are ignored: datagrams may be lost.
--- a/crates/testbed/src/cluster/mod.rs
+++ b/crates/testbed/src/cluster/mod.rs
@@ -67,7 +67,8 @@
     for program in [&mut config.program, &mut config.replacement] {
         program.environment.push((forwarder::DECOY.to_owned(), decoy.address.to_string()));
     }
-    let (mut peers, mut datagrams) = (Vec::new(), None);
+    let mut peers = Vec::new();
+    let mut datagrams = None;
     if scenario.peers {
         peers = Peer::all(scenario.balancers, SEED_PEERS).map_err(setup_error)?;
         // Without faults between proxies, they reach each other directly.
--- a/crates/testbed/src/cluster/processes.rs
+++ b/crates/testbed/src/cluster/processes.rs
@@ -398,7 +398,8 @@
             "idempotency": if c.idempotency == IdempotencySpec::Idempotent { "free" } else { "single_shot" },
         })
     });
-    let (server, goal) = (&scenario.server, &scenario.goal);
+    let server = &scenario.server;
+    let goal = &scenario.goal;
     json!({
         "balancers": scenario.balancers, "tick_us": 1000,
         "discovery": if scenario.discovery.poll_interval.is_some() { "ask" } else { "push" },
--- a/crates/testbed/src/cluster/record.rs
+++ b/crates/testbed/src/cluster/record.rs
@@ -328,7 +328,8 @@
 
     /// Parses a request ID into the numbers of its request and try.
     pub fn parse_id(&self, id: &str) -> Option<(usize, u32)> {
-        let (request, number) = (id.get(..8)?, id.get(8..)?);
+        let request = id.get(..8)?;
+        let number = id.get(8..)?;
         let request = usize::from_str_radix(request, 16).ok().filter(|r| *r < self.arrivals.len())?;
         Some((request, u32::from_str_radix(number, 16).ok()?))
     }
--- a/crates/testbed/src/cluster/servers.rs
+++ b/crates/testbed/src/cluster/servers.rs
@@ -207,7 +207,8 @@
     async fn run_work(self: Arc<Self>) {
         loop {
             let next = {
-                let (mut inner, now) = (self.inner(), self.shared.now());
+                let mut inner = self.inner();
+                let now = self.shared.now();
                 while let Some(attempt) = inner.server.pop_finished(now) {
                     // A connection that has closed needs no response.
                     let _ = inner.waiting.remove(&attempt).map(|sender| sender.send(()));
@@ -262,7 +263,8 @@
                 continue;
             };
             let attempt = NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed);
-            let (server, complete) = (self.number, self.shared.now());
+            let server = self.number;
+            let complete = self.shared.now();
             self.shared.record(Observation::AttemptArrived {
                 attempt,
                 request,
@@ -294,7 +296,8 @@
                     return http::reset(stream);
                 }
             };
-            let (at, length) = (self.shared.now(), text.len());
+            let at = self.shared.now();
+            let length = text.len();
             self.shared.record(Observation::ResponseWritten { attempt, at, bytes: written, length });
             if written < length || self.repeat_response(&mut stream, &text).await.is_err() {
                 return;
@@ -329,7 +332,8 @@
 
     /// Executes an attempt; returns its outcome and the work done for a response that nobody receives.
     async fn serve(&self, stream: &mut TcpStream, attempt: u64, request: usize) -> (Outcome, f64) {
-        let (work, proxy) = (self.shared.arrivals[request].work, self.shared.arrivals[request].proxy);
+        let work = self.shared.arrivals[request].work;
+        let proxy = self.shared.arrivals[request].proxy;
         wait_until_not_silent(self.listener.watch()).await;
         let network = &self.shared.scenario.network;
         let delay = if self.shared.zone(proxy) == self.zone {
@@ -380,7 +384,8 @@
         let scenario = &self.shared.scenario;
         let bound = cold::bound(scenario, warm_up_ratio);
         let arrived = inner.cold_arrivals.push(now, (), scenario.server.cold_overload_window).len();
-        let (server, started) = (self.number, inner.server.started);
+        let server = self.number;
+        let started = inner.server.started;
         self.shared.record(Observation::ColdArrival {
             attempt: attempt as u64,
             server,
--- a/crates/testbed/src/cluster/site.rs
+++ b/crates/testbed/src/cluster/site.rs
@@ -82,7 +82,9 @@
     /// Starts all parties and lists all servers with the agents.
     pub async fn start(shared: &Arc<Shared>) -> std::io::Result<Self> {
         let scenario = &shared.scenario;
-        let (mut servers, mut agents, mut relays) = (Vec::new(), Vec::new(), BTreeMap::new());
+        let mut servers = Vec::new();
+        let mut agents = Vec::new();
+        let mut relays = BTreeMap::new();
         for number in 0..scenario.servers {
             servers.push(TestServer::start(shared, number, shared.zone(number), "first", 0)?);
         }
@@ -155,8 +157,8 @@
         let delay = self.shared.scenario.discovery.delay;
         for proxy in 0..self.agents.len() {
             let after = random::jitter(delay, 0.5, &mut *self.random());
-            let (agent, listed_server) =
-                (Arc::clone(&self.agents[proxy]), self.listed_server(proxy, server, state));
+            let agent = Arc::clone(&self.agents[proxy]);
+            let listed_server = self.listed_server(proxy, server, state);
             let number = server.number;
             tokio::spawn(async move {
                 sleep(Duration::from_micros(after)).await;
--- a/crates/testbed/src/cluster/transfers.rs
+++ b/crates/testbed/src/cluster/transfers.rs
@@ -146,7 +146,8 @@
         is_closed: bool,
     ) -> bool {
         let shared = &self.shared;
-        let (sent, number) = (shared.now(), Shared::pipelined(first.number));
+        let sent = shared.now();
+        let number = Shared::pipelined(first.number);
         let class = &shared.scenario.classes[shared.arrivals[first.request].class];
         let deadline = sent + class.client_timeout;
         let pipelined = Try {
--- a/crates/testbed/src/fleet.rs
+++ b/crates/testbed/src/fleet.rs
@@ -135,10 +135,12 @@
             std::fs::create_dir_all(folder)
                 .map_err(|e| RunError::Failed(format!("{}: {e}", folder.display())))?;
         }
-        let (mut status, mut all) = (RunStatus::Passed, Vec::new());
+        let mut status = RunStatus::Passed;
+        let mut all = Vec::new();
         for (name, scenario) in scenarios {
             println!("{name} (seed {}): {}", self.seed, scenario.purpose);
-            let (program, replacement) = (program.clone(), replacement.clone());
+            let program = program.clone();
+            let replacement = replacement.clone();
             let config =
                 RunConfig { scenario, seed: self.seed, program, replacement, logs: self.logs.clone() };
             let verdict = run_with_progress_bar(&config, UNLIMITED)?;
--- a/crates/testbed/src/overhead.rs
+++ b/crates/testbed/src/overhead.rs
@@ -42,7 +42,8 @@
         let testbed =
             std::env::current_exe().map_err(|e| RunError::Failed(format!("path of this program: {e}")))?;
         let oakport = self.oakport.clone().unwrap_or_else(|| testbed.with_file_name("oakport"));
-        let (oakport, forwarder) = (Program::oakport(&testbed, &oakport), Program::forwarder(&testbed, None));
+        let oakport = Program::oakport(&testbed, &oakport);
+        let forwarder = Program::forwarder(&testbed, None);
         let other = self.other.as_ref().map(|other| Program::oakport(&testbed, other));
         let runtime = tokio::runtime::Builder::new_multi_thread().enable_all().build();
         let runtime = runtime.map_err(|e| RunError::Failed(format!("runtime: {e}")))?;
--- a/crates/testbed/src/scale/decisions.rs
+++ b/crates/testbed/src/scale/decisions.rs
@@ -274,7 +274,8 @@
     for servers in SERVICE_SIZES {
         let simulate =
             |disturbance| simulate_service(point.size, servers, disturbance, point.seed, point.deadline);
-        let (burst, release) = (simulate(Disturbance::Burst)?, simulate(Disturbance::Release)?);
+        let burst = simulate(Disturbance::Burst)?;
+        let release = simulate(Disturbance::Release)?;
         let (before, from_burst) = burst.verdict.windows.split_at(WINDOWS_BEFORE);
         let (during, rest) = from_burst.split_at(BURST_WINDOWS);
         let mut add = |name: &str, value: f64| figures.insert(format!("of_{servers}.{name}"), value);
--- a/crates/testbed/src/scale/fit.rs
+++ b/crates/testbed/src/scale/fit.rs
@@ -21,7 +21,8 @@
         let logs: Vec<(f64, f64)> = points.iter().map(|(size, figure)| (size.ln(), figure.ln())).collect();
         let count = logs.len() as f64;
         let mean = |part: fn(&(f64, f64)) -> f64| logs.iter().map(part).sum::<f64>() / count;
-        let (x, y) = (mean(|p| p.0), mean(|p| p.1));
+        let x = mean(|p| p.0);
+        let y = mean(|p| p.1);
         let spread: f64 = logs.iter().map(|p| (p.0 - x).powi(2)).sum();
         if spread <= f64::EPSILON {
             return None;
--- a/crates/testbed/src/scale/list.rs
+++ b/crates/testbed/src/scale/list.rs
@@ -296,7 +296,8 @@
                 usages.push(returned);
             }
         }
-        let (mut slowest, mut changed) = (0.0_f64, 0.0);
+        let mut slowest = 0.0_f64;
+        let mut changed = 0.0;
         for _ in 0..times {
             let begin = Instant::now();
             remove();
@@ -327,7 +328,8 @@
 
     // Full list to an empty process: half of the processes are polled for the time, the others measured
     // undisturbed.
-    let (mut usages, mut slowest) = (Vec::new(), 0.0_f64);
+    let mut usages = Vec::new();
+    let mut slowest = 0.0_f64;
     let mut last: Option<Process> = None;
     for start in 0..extent.starts.max(2) {
         if let Some(mut before) = last.take() {
--- a/crates/testbed/src/scale/mod.rs
+++ b/crates/testbed/src/scale/mod.rs
@@ -112,7 +112,9 @@
         }
         let [program, _] = self.programs.resolve()?;
         let roles = if self.roles.is_empty() { Role::value_variants() } else { &self.roles };
-        let (mut expectations_held, mut all, mut measured_roles) = (true, Map::new(), Vec::new());
+        let mut expectations_held = true;
+        let mut all = Map::new();
+        let mut measured_roles = Vec::new();
         for spec in roles.iter().map(|role| role.spec(self.scopes)) {
             let sizes = if self.sizes.is_empty() { spec.sizes } else { &self.sizes };
             let mut results = ResultsBySize::new();
@@ -151,8 +153,8 @@
             let error = match (spec.measure)(&Point { seed, ..point.clone() }) {
                 Ok(figures) => {
                     results.seeds.push(figures);
-                    let (took, left) =
-                        (start.elapsed(), point.deadline.saturating_duration_since(Instant::now()));
+                    let took = start.elapsed();
+                    let left = point.deadline.saturating_duration_since(Instant::now());
                     if seed < self.seeds && took > left {
                         let reason = format!(
                             "seed {seed} of {} took {took:.0?}, and only {left:.0?} are left for the next",
@@ -238,7 +240,8 @@
             let Some([_, _, max]) = results.spread(bound.figure) else { continue };
             if max > bound.max {
                 let kind = if bound.is_enforced { "expected" } else { "budget" };
-                let (role, figure) = (spec.name, bound.figure);
+                let role = spec.name;
+                let figure = bound.figure;
                 let text = format!(
                     "{role} at {size}: {figure} is {}, {kind} at most {}",
                     format_short(max),
--- a/crates/testbed/src/scale/page.rs
+++ b/crates/testbed/src/scale/page.rs
@@ -175,7 +175,9 @@
     rows.sort_by(|a, b| a.0.size().total_cmp(&b.0.size()));
     let mut text = "| reached at | role | figure | bound |\n| ---: | --- | --- | ---: |\n".to_owned();
     for (reached, spec, bound) in rows {
-        let (reached, size_unit, name) = (reached.describe(), spec.size_unit, spec.name);
+        let reached = reached.describe();
+        let size_unit = spec.size_unit;
+        let name = spec.name;
         text.push_str(&format!(
             "| {reached} {size_unit} | {name} | `{}` | {} |\n",
             bound.figure,
--- a/crates/testbed/src/scale/peers.rs
+++ b/crates/testbed/src/scale/peers.rs
@@ -230,7 +230,8 @@
     timeout: Micros,
     stopped: &[usize],
 ) -> Result<Propagation, MeasureError> {
-    let (size, running) = (network.size(), network.running());
+    let size = network.size();
+    let running = network.running();
     network.run_until_known(timeout, stopped.len(), |node, known| {
         known
             + stopped[known..]
@@ -324,7 +325,8 @@
 fn run_until_settled(network: &mut Network) -> Result<f64, MeasureError> {
     const MAX_SECONDS: f64 = 120.0;
     let span = phase_seconds(network, 5.0, 2.0);
-    let (mut before, mut settled) = (f64::INFINITY, 0.0);
+    let mut before = f64::INFINITY;
+    let mut settled = 0.0;
     while settled < MAX_SECONDS {
         network.start_tally();
         run_to(network, span)?;
--- a/crates/testbed/src/scale/peers/member.rs
+++ b/crates/testbed/src/scale/peers/member.rs
@@ -189,7 +189,8 @@
         act: impl FnOnce(&mut Node),
     ) {
         let Some(node) = &mut self.node else { return };
-        let (mut outbox, mut node_events) = (Vec::new(), Vec::new());
+        let mut outbox = Vec::new();
+        let mut node_events = Vec::new();
         let (allocated_bytes, elapsed) = measured(|| {
             act(node);
             (outbox, node_events) = (node.take_outbox(), node.take_events());
--- a/crates/testbed/src/scale/peers/net.rs
+++ b/crates/testbed/src/scale/peers/net.rs
@@ -285,7 +285,8 @@
         let window_index = (self.now / WINDOW_US) as usize % SCHEDULED_WINDOWS;
         let mut events = std::mem::take(&mut self.due[window_index]);
         events.sort_unstable_by_key(|event| (event.to, event.at, event.from));
-        let (mut rest, mut first) = (self.members.as_mut_slice(), 0);
+        let mut rest = self.members.as_mut_slice();
+        let mut first = 0;
         let mut work = Vec::new();
         for events in events.chunk_by_mut(|a, b| a.to == b.to) {
             let to = events[0].to;
@@ -340,8 +341,8 @@
             return Err(MeasureError::NotRun(format!("the time limit was reached {}", at())));
         }
         if self.windows.is_multiple_of(MEMORY_CHECK_WINDOWS) {
-            let (own, half) =
-                (proc_kb("/proc/self/status", "VmRSS:"), proc_kb("/proc/meminfo", "MemTotal:") / 2);
+            let own = proc_kb("/proc/self/status", "VmRSS:");
+            let half = proc_kb("/proc/meminfo", "MemTotal:") / 2;
             if own > half {
                 return Err(MeasureError::NotRun(format!(
                     "this program used more than half of the machine's memory {}",
--- a/crates/testbed/src/scale/report.rs
+++ b/crates/testbed/src/scale/report.rs
@@ -122,7 +122,8 @@
     let slope = fit.map(slope).unwrap_or_default();
     let values = || points.iter().flat_map(|p| [p.1, p.2, p.3]).chain(slope.iter().map(|p| p.1)).chain(bound);
     let values = || values().filter(|value| *value > 0.0);
-    let (bottom, top) = (values().fold(f64::MAX, f64::min) / 1.5, values().fold(0.0, f64::max) * 1.5);
+    let bottom = values().fold(f64::MAX, f64::min) / 1.5;
+    let top = values().fold(0.0, f64::max) * 1.5;
     let mut svg = String::new();
     {
         let area = SVGBackend::with_string(&mut svg, PLOT_SIZE_PX).into_drawing_area();
--- a/crates/testbed/src/scale/settings.rs
+++ b/crates/testbed/src/scale/settings.rs
@@ -217,8 +217,8 @@
     /// Replaces the settings file and sends SIGHUP; returns the time before that.
     fn change(&self, settings: Settings) -> io::Result<Instant> {
         let begin = Instant::now();
-        let (file, new) =
-            (self.supervisor.config_path(), self.supervisor.config_path().with_extension("new"));
+        let file = self.supervisor.config_path();
+        let new = self.supervisor.config_path().with_extension("new");
         std::fs::write(&new, settings.file(&self.file).to_string())?;
         std::fs::rename(&new, &file)?;
         self.supervisor.reload();
@@ -393,7 +393,8 @@
         while proxies.len() < point.size {
             let mut batch = Vec::new();
             for number in proxies.len()..(proxies.len() + START_BATCH).min(point.size) {
-                let (agent, logs) = (&site.agents[number], logs.path());
+                let agent = &site.agents[number];
+                let logs = logs.path();
                 let mut supervisor =
                     ProxySupervisor::new(&shared, agent, number, agent.address, false, Some(logs))
                         .map_err(failed)?;
@@ -441,7 +442,8 @@
         client.call(CLASS).await.map_err(failed)?;
         sleep(PROBE_PAUSE).await;
         let before = cpu_s()?;
-        let (begin, mut longest) = (proxy.change(settings).map_err(failed)?, Duration::ZERO);
+        let begin = proxy.change(settings).map_err(failed)?;
+        let mut longest = Duration::ZERO;
         while begin.elapsed() < MAX_WAIT {
             let sent_at = Instant::now();
             client.call(CLASS).await.map_err(failed)?;
@@ -480,7 +482,8 @@
 
     /// Waits until each process has rejected this many files; returns the number of processes that have not.
     async fn wait_until_rejected(&self, files: u64) -> Result<usize, MeasureError> {
-        let (begin, mut missing) = (Instant::now(), 0);
+        let begin = Instant::now();
+        let mut missing = 0;
         for proxy in &self.proxies {
             while proxy.count("reconfig_failed").await? < files {
                 if begin.elapsed() > MAX_WAIT {
@@ -501,7 +504,8 @@
 
     /// Lines and bytes added to a log for a rejected file, the maximum over all processes.
     fn log_output_since(&self, before: &[usize]) -> Result<[usize; 2], MeasureError> {
-        let (mut lines, mut bytes) = (0, 0);
+        let mut lines = 0;
+        let mut bytes = 0;
         for (proxy, before) in self.proxies.iter().zip(before) {
             let text = std::fs::read(&proxy.log).map_err(failed)?;
             let since = String::from_utf8_lossy(text.get(*before..).unwrap_or_default()).into_owned();
@@ -517,8 +521,10 @@
 
 async fn measure_fleet(point: &Point, extent: Extent) -> Result<Figures, MeasureError> {
     let mut fleet = Fleet::start(point).await?;
-    let (size, mut figures) = (fleet.proxies.len(), Figures::new());
-    let (mut applications, calls) = (JoinSet::new(), Arc::<Calls>::default());
+    let size = fleet.proxies.len();
+    let mut figures = Figures::new();
+    let mut applications = JoinSet::new();
+    let calls = Arc::<Calls>::default();
     for (number, proxy) in fleet.proxies.iter().enumerate() {
         let client = Client::new(proxy.supervisor.address, &fleet.ids);
         applications.spawn(application(client, number, size, Arc::clone(&calls)));
@@ -554,7 +560,9 @@
         f64::from(u8::from(fleet.reports_without_counters().await? != before)),
     );
 
-    let (mut times, mut since, mut settings) = (Times::default(), Vec::new(), settings);
+    let mut times = Times::default();
+    let mut since = Vec::new();
+    let mut settings = settings;
     let mut ticker = interval(extent.interval);
     for _ in 0..RAPID_CHANGES {
         ticker.tick().await;
@@ -571,7 +579,8 @@
     figures.insert("ten.taken_least".to_owned(), least as f64);
 
     for servers in LIST_SIZES {
-        let (mut cpu_s, mut longest) = (0.0, 0.0_f64);
+        let mut cpu_s = 0.0;
+        let mut longest = 0.0_f64;
         for _ in 0..extent.changes {
             version += 1;
             let [spent_s, call] = fleet.cost(&fleet.proxies[0], Settings::WithList(version, servers)).await?;
@@ -595,7 +604,8 @@
         let before = fleet.log_lengths()?;
         fleet.change(invalid)?;
         let not_rejected = fleet.wait_until_rejected(files).await?;
-        let (in_force, old_lost) = (fleet.serving(invalid).await, size - fleet.serving(settings).await);
+        let in_force = fleet.serving(invalid).await;
+        let old_lost = size - fleet.serving(settings).await;
         let [lines, bytes] = fleet.log_output_since(&before)?;
         let counted = [("not_told", not_rejected), ("in_force", in_force), ("old_lost", old_lost)];
         let logged = [("log_lines", lines), ("log_bytes", bytes)];
--- a/crates/testbed/src/sim.rs
+++ b/crates/testbed/src/sim.rs
@@ -60,7 +60,8 @@
     /// close to compare.
     fn score(&self, verdict: &Verdict) -> Option<f64> {
         const MIN_DIFFERENCE: f64 = 0.02;
-        let (floor, top) = (self.goal_value(PolicyKind::Random), self.goal_value(PolicyKind::Ceiling));
+        let floor = self.goal_value(PolicyKind::Random);
+        let top = self.goal_value(PolicyKind::Ceiling);
         (top - floor >= MIN_DIFFERENCE).then(|| (verdict.goal_value - floor) / (top - floor))
     }
 }
--- a/crates/testbed/src/soak.rs
+++ b/crates/testbed/src/soak.rs
@@ -113,7 +113,8 @@
         let events: Vec<String> =
             scenario.events.iter().map(|e| format!("{:?}", e.kind).to_lowercase()).collect();
         let max_duration = duration(scenario.duration) + MAX_OVERTIME;
-        let (program, replacement) = (program.clone(), replacement.clone());
+        let program = program.clone();
+        let replacement = replacement.clone();
         let config = RunConfig { scenario, seed, program, replacement, logs: Some(folder.clone()) };
         let start = Instant::now();
         let verdict = run_with_progress_bar(&config, max_duration);
