--- a/crates/simulator/src/judge.rs
+++ b/crates/simulator/src/judge.rs
@@ -8,6 +8,10 @@
 
 /// Length of the window that the worst-window score looks at, in seconds.
 const WORST_WINDOW_S: usize = 10;
+/// Seconds that one window of the verdict covers.
+const SECONDS_PER_WINDOW: usize = 5;
+/// Service counts as recovered if it is over this many seconds.
+const RECOVERY_WINDOW_S: usize = 3;
 /// Service counts as recovered at this ratio of the served share before the first surge.
 const RECOVERED_RATIO: f64 = 0.95;
 /// Number of violations that are stored with their details; all are counted.
@@ -68,7 +72,7 @@
     pub class_shares: Vec<(String, f64)>,
     /// Client requests.
     pub requests: u64,
-    /// Tries of clients, including retries.
+    /// Requests that clients sent, including retries.
     pub tries: u64,
     /// Attempts sent to servers.
     pub attempts: u64,
@@ -111,7 +115,7 @@
     pub events: u64,
 }
 
-/// Final outcome of a client request over all its tries.
+/// Final outcome of a client request, including its retries.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum RequestOutcome {
     /// Served, with the time since the first try.
@@ -136,7 +140,7 @@
     pub requested_work: f64,
     /// Work that led to no answer, in microseconds of one core.
     pub wasted_work: f64,
-    /// Tries of clients, including retries.
+    /// Requests that clients sent, including retries.
     pub tries: u64,
     /// Attempts sent to servers.
     pub attempts: u64,
@@ -232,32 +236,27 @@
         }
     }
 
-    /// Computes the verdict.
-    pub fn into_verdict(self, policy: &'static str, scenario: &Scenario, events: u64) -> Verdict {
-        let sum = |seconds: &[Window], field: fn(&Window) -> f64| seconds.iter().map(field).sum::<f64>();
-        let share = |seconds: &[Window]| {
-            let requested = sum(seconds, |w| w.requested_weight);
-            if requested > 0.0 {
-                sum(seconds, |w| w.served_weight) / requested
-            } else {
-                1.0
-            }
-        };
+    /// Time from the end of the last surge until as much is served as before the first one, over three seconds. `None`
+    /// without a surge or a recovery.
+    fn recovery_time(&self, scenario: &Scenario) -> Option<Micros> {
         let surges = || scenario.events.iter().filter(|e| e.kind == FaultKind::Surge);
         let second = |at: Micros| ((at / 1_000_000) as usize).min(self.seconds.len());
-        let recovery_time = surges().map(|e| e.at + e.duration).max().and_then(|end| {
-            let first_surge = surges().map(|e| second(e.at)).min().unwrap_or(0);
-            let required_share = share(&self.seconds[..first_surge]) * RECOVERED_RATIO;
-            let from = second(end);
-            let end = second(scenario.duration);
-            let recovered_after =
-                self.seconds[from..end].windows(3).position(|three| share(three) >= required_share)?;
-            Some(recovered_after as Micros * 1_000_000)
-        });
-        let served_share = share(&self.seconds);
+        let surge_end = second(surges().map(|e| e.at + e.duration).max()?);
+        let surge_begin = surges().map(|e| second(e.at)).min().unwrap_or(0);
+        let required_ratio = served_weight_ratio(&self.seconds[..surge_begin]) * RECOVERED_RATIO;
+        let seconds = &self.seconds[surge_end..second(scenario.duration)];
+        let is_recovered = |window: &[Window]| served_weight_ratio(window) >= required_ratio;
+        let recovered_after = seconds.windows(RECOVERY_WINDOW_S).position(is_recovered)?;
+        Some(recovered_after as Micros * 1_000_000)
+    }
+
+    /// Computes the verdict.
+    pub fn into_verdict(self, policy: &'static str, scenario: &Scenario, events: u64) -> Verdict {
+        let recovery_time = self.recovery_time(scenario);
+        let served_share = served_weight_ratio(&self.seconds);
         // Windows start at every second; only complete windows count.
         let windows = self.seconds.windows(WORST_WINDOW_S.min(self.seconds.len()));
-        let worst_window_share = windows.map(share).fold(1.0, f64::min);
+        let worst_window_share = windows.map(served_weight_ratio).fold(1.0, f64::min);
         let class_share =
             |&(requested, served): &(f64, f64)| if requested > 0.0 { served / requested } else { 1.0 };
         let worst_class_share = self.weights_by_class.iter().map(class_share).fold(1.0, f64::min);
@@ -268,8 +267,8 @@
         let wasted_work_share = self.wasted_work / self.requested_work.max(1.0);
         let cross_zone_per_request = per_request(self.cross_zone_attempts as f64);
         let handshakes_per_request = per_request(self.handshakes as f64);
-        let late_failure_share =
-            self.late_failure_weight / sum(&self.seconds, |w| w.requested_weight).max(f64::MIN_POSITIVE);
+        let requested_weight = merge(&self.seconds).requested_weight;
+        let late_failure_share = self.late_failure_weight / requested_weight.max(f64::MIN_POSITIVE);
         let weighted_share = goal.overall * served_share
             + goal.worst_window * worst_window_share
             + goal.worst_class * worst_class_share;
@@ -278,16 +277,6 @@
             + goal.late_failure * late_failure_share
             + goal.handshake * handshakes_per_request;
         let weight_sum = goal.overall + goal.worst_window + goal.worst_class;
-        let merge = |seconds: &[Window]| {
-            seconds.iter().fold(Window::default(), |a, b| Window {
-                requests: a.requests + b.requests,
-                requested_weight: a.requested_weight + b.requested_weight,
-                served_weight: a.served_weight + b.served_weight,
-                rejected: a.rejected + b.rejected,
-                failed: a.failed + b.failed,
-                late: a.late + b.late,
-            })
-        };
         Verdict {
             policy,
             goal_value: weighted_share / weight_sum.max(f64::MIN_POSITIVE) - charges,
@@ -312,13 +301,35 @@
             cold_overloads: self.cold_overloads,
             violation_count: self.violation_count,
             violations: self.violations,
-            windows: self.seconds.chunks(5).map(merge).collect(),
+            windows: self.seconds.chunks(SECONDS_PER_WINDOW).map(merge).collect(),
             recovery_time,
             events,
         }
     }
 }
 
+/// The sums over these seconds.
+fn merge(seconds: &[Window]) -> Window {
+    seconds.iter().fold(Window::default(), |sum, second| Window {
+        requests: sum.requests + second.requests,
+        requested_weight: sum.requested_weight + second.requested_weight,
+        served_weight: sum.served_weight + second.served_weight,
+        rejected: sum.rejected + second.rejected,
+        failed: sum.failed + second.failed,
+        late: sum.late + second.late,
+    })
+}
+
+/// The served share of the weight that was requested in these seconds; 1 if none was.
+fn served_weight_ratio(seconds: &[Window]) -> f64 {
+    let sum = merge(seconds);
+    if sum.requested_weight > 0.0 {
+        sum.served_weight / sum.requested_weight
+    } else {
+        1.0
+    }
+}
+
 fn histogram() -> Histogram<u64> {
     const MAX_LATENCY_US: u64 = 3_600_000_000;
     // Three significant digits, up to one hour: constants within the limits of the library.
--- a/crates/simulator/src/scenario.rs
+++ b/crates/simulator/src/scenario.rs
@@ -263,7 +263,7 @@
     /// Latency objective: answers within this time earn the priority weight.
     #[serde(rename = "aim", deserialize_with = "duration")]
     pub latency_objective: Micros,
-    /// Time for which a client waits, over all its tries.
+    /// Time for which a client waits, including its retries.
     #[serde(rename = "deadline", deserialize_with = "duration")]
     pub client_timeout: Micros,
     /// Priority weight of an answer in time.
@@ -414,7 +414,7 @@
     /// Signals to send, spread evenly over the duration.
     #[serde(default)]
     pub signals: Vec<SignalSpec>,
-    /// Clients of a process that was told to end keep using their open connections until it is killed.
+    /// Clients of a process that received SIGTERM keep using their open connections until it is killed.
     #[serde(rename = "clients_stay", default)]
     pub clients_keep_connections: bool,
     /// Number of extra connections to each client proxy, for a crowd.
@@ -489,7 +489,7 @@
     Kill,
     /// A share of the client proxies are suspended for the duration.
     Stall,
-    /// A share of the client proxies are told to end, as for a planned restart, and restart.
+    /// A share of the client proxies receive SIGTERM, as for a planned restart, and restart.
     Restart,
     /// A share of the client proxies hand over to a successor process on the same listener.
     Upgrade,
@@ -505,7 +505,7 @@
     Cut,
     /// Traffic between two groups is impaired.
     Link,
-    /// A share of the client proxies get a series of signals; a process that was told to end restarts.
+    /// A share of the client proxies get a series of signals; a process that received SIGTERM restarts.
     Signals,
     /// Idle and slow clients open connections to a share of the client proxies.
     Crowd,
@@ -570,93 +570,111 @@
 
     /// Returns a message on the first invalid value.
     fn validation_error(&self, text: &str) -> Option<String> {
-        let is_ratio = |value: f64| (0.0..=1.0).contains(&value);
-        let positive = |value: f64| value.is_finite() && value > 0.0;
-        let scenario_checks = [
+        self.value_error()
+            .or_else(|| self.class_error())
+            .or_else(|| self.transfer_error())
+            .or_else(|| self.event_error(text))
+            .or_else(|| self.link_error(text))
+            .or_else(|| self.signals_error(text))
+            .or_else(|| self.expectation_error(text))
+    }
+
+    fn value_error(&self) -> Option<String> {
+        let checks = [
             (self.balancers > 0, "balancers: at least 1 is needed"),
             (self.servers > 0, "servers: at least 1 is needed"),
-            (positive(self.rate), "rate: must be above 0 requests a second"),
+            (is_positive(self.rate), "rate: must be above 0 requests a second"),
             (self.duration >= 1_000_000, "length: at least 1s is needed"),
             (!self.zones.is_empty(), "zones: at least one is needed; leave the key out for one zone"),
             (!self.classes.is_empty(), "class: at least one [[class]] is needed"),
             (is_ratio(self.proxy_skew), "uneven: must be from 0 to 1"),
-            (positive(self.server.cores), "server.cores: must be above 0"),
+            (is_positive(self.server.cores), "server.cores: must be above 0"),
             (self.server.slots > 0, "server.slots: at least 1 is needed"),
             (
-                self.server.congestion.as_ref().is_none_or(|c| positive(c.slowdown_factor)),
+                self.server.congestion.as_ref().is_none_or(|c| is_positive(c.slowdown_factor)),
                 "server.choke.slower: must be above 0",
             ),
             (is_ratio(self.server.initial_capacity_ratio), "server.cold_share: must be from 0 to 1"),
             (is_ratio(self.network.jitter), "network.jitter: must be from 0 to 1"),
             (is_ratio(self.clients.min_timeout_ratio), "clients.patience: must be from 0 to 1"),
         ];
-        let message =
-            scenario_checks.into_iter().find(|(valid, _)| !valid).map(|(_, message)| message.to_owned());
-        let class = || {
-            let valid = |c: &&ClassSpec| {
-                c.client_timeout > 0 && positive(c.share) && c.work > 0 && c.priority_weight >= 0.0
-            };
-            let invalid = self.classes.iter().find(|c| !valid(c))?;
-            Some(format!(
-                "class {}: share, work and deadline must be above 0, worth at least 0",
-                invalid.name
-            ))
-        };
-        let transfer = || {
-            let message = |c: &ClassSpec| {
-                c.transfer.as_ref().and_then(|transfer| transfer.validation_error(c.idempotency))
-            };
-            let (class, message) = self.classes.iter().find_map(|c| Some((c, message(c)?)))?;
-            Some(format!("class {}: transfer: {message}", class.name))
-        };
-        let event = || {
-            let valid = |fault: &FaultSpec| {
-                let zone_exists = fault.zone.as_ref().is_none_or(|z| self.zones.contains(z));
-                zone_exists && is_ratio(fault.share) && positive(fault.factor)
-            };
-            let index = self.events.iter().position(|fault| !valid(fault))?;
-            Some(format!(
-                "line {}: event {:?}: its zone must be one of {}, part from 0 to 1, factor above 0",
-                line_of(text, "[[event]]", index),
-                self.events[index].kind,
-                self.zones.join(", ")
-            ))
-        };
-        let link = || {
-            let message = |fault: &FaultSpec| {
-                match fault.kind {
-                FaultKind::Cut | FaultKind::Link if fault.link_groups.len() != 2 => {
-                    Some("cut must name two groups, such as [\"zone:derby\", \"servers\"]".to_owned())
-                }
-                _ => fault.link_groups.iter().find(|group| Group::parse(group, self).is_none()).map(|group| {
-                    let zones = self.zones.join(", ");
-                    format!(
-                        "{group} is no group; use zone:, proxies: or servers: with one of {zones}, or proxies, \
-                         servers, proxy:0 to proxy:{}, server:0 to server:{}, discovery",
-                        self.balancers - 1,
-                        self.servers - 1
-                    )
-                }),
-            }
-            };
-            let found = self.events.iter().enumerate().find_map(|(n, fault)| Some((n, message(fault)?)));
-            found.map(|(n, message)| format!("line {}: event: {message}", line_of(text, "[[event]]", n)))
-        };
-        let expect = || {
-            let index = self.expectations.iter().position(|e| e.min.is_none() && e.max.is_none())?;
-            let line = line_of(text, "[[expect]]", index);
-            Some(format!("line {line}: expect {}: give least, most or both", self.expectations[index].figure))
+        checks.into_iter().find(|(is_valid, _)| !is_valid).map(|(_, message)| message.to_owned())
+    }
+
+    fn class_error(&self) -> Option<String> {
+        let is_valid = |class: &&ClassSpec| {
+            class.client_timeout > 0
+                && is_positive(class.share)
+                && class.work > 0
+                && class.priority_weight >= 0.0
         };
-        let signals = || {
-            let index = self
-                .events
-                .iter()
-                .position(|fault| fault.kind == FaultKind::Signals && fault.signals.is_empty())?;
-            let line = line_of(text, "[[event]]", index);
-            Some(format!("line {line}: event: signals must name at least one of hup, hup_invalid, term"))
+        let invalid = self.classes.iter().find(|class| !is_valid(class))?;
+        let name = &invalid.name;
+        Some(format!("class {name}: share, work and deadline must be above 0, worth at least 0"))
+    }
+
+    fn transfer_error(&self) -> Option<String> {
+        let message = |class: &ClassSpec| class.transfer.as_ref()?.validation_error(class.idempotency);
+        let (class, message) = self.classes.iter().find_map(|class| Some((class, message(class)?)))?;
+        Some(format!("class {}: transfer: {message}", class.name))
+    }
+
+    fn event_error(&self, text: &str) -> Option<String> {
+        let is_valid = |fault: &FaultSpec| {
+            let zone_exists = fault.zone.as_ref().is_none_or(|zone| self.zones.contains(zone));
+            zone_exists && is_ratio(fault.share) && is_positive(fault.factor)
         };
-        message.or_else(class).or_else(transfer).or_else(event).or_else(link).or_else(signals).or_else(expect)
+        let index = self.events.iter().position(|fault| !is_valid(fault))?;
+        Some(format!(
+            "line {}: event {:?}: its zone must be one of {}, part from 0 to 1, factor above 0",
+            line_of(text, "[[event]]", index),
+            self.events[index].kind,
+            self.zones.join(", ")
+        ))
     }
+
+    fn link_error(&self, text: &str) -> Option<String> {
+        let mut faults = self.events.iter().enumerate();
+        let (index, message) = faults.find_map(|(index, fault)| Some((index, self.group_error(fault)?)))?;
+        Some(format!("line {}: event: {message}", line_of(text, "[[event]]", index)))
+    }
+
+    /// Returns a message if the groups that a fault of the network separates are invalid.
+    fn group_error(&self, fault: &FaultSpec) -> Option<String> {
+        let is_link = matches!(fault.kind, FaultKind::Cut | FaultKind::Link);
+        if is_link && fault.link_groups.len() != 2 {
+            return Some("cut must name two groups, such as [\"zone:derby\", \"servers\"]".to_owned());
+        }
+        let group = fault.link_groups.iter().find(|group| Group::parse(group, self).is_none())?;
+        Some(format!(
+            "{group} is no group; use zone:, proxies: or servers: with one of {}, or proxies, \
+             servers, proxy:0 to proxy:{}, server:0 to server:{}, discovery",
+            self.zones.join(", "),
+            self.balancers - 1,
+            self.servers - 1
+        ))
+    }
+
+    fn signals_error(&self, text: &str) -> Option<String> {
+        let is_invalid = |fault: &FaultSpec| fault.kind == FaultKind::Signals && fault.signals.is_empty();
+        let index = self.events.iter().position(is_invalid)?;
+        let line = line_of(text, "[[event]]", index);
+        Some(format!("line {line}: event: signals must name at least one of hup, hup_invalid, term"))
+    }
+
+    fn expectation_error(&self, text: &str) -> Option<String> {
+        let index = self.expectations.iter().position(|e| e.min.is_none() && e.max.is_none())?;
+        let line = line_of(text, "[[expect]]", index);
+        Some(format!("line {line}: expect {}: give least, most or both", self.expectations[index].figure))
+    }
+}
+
+fn is_ratio(value: f64) -> bool {
+    (0.0..=1.0).contains(&value)
+}
+
+fn is_positive(value: f64) -> bool {
+    value.is_finite() && value > 0.0
 }
 
 /// Processes on one side of a link.
--- a/crates/simulator/src/simulation/clients.rs
+++ b/crates/simulator/src/simulation/clients.rs
@@ -1,4 +1,4 @@
-//! Clients: arrivals, tries, retries and final outcomes of requests.
+//! Clients: arrivals, retries and final outcomes of requests.
 
 use super::*;
 
@@ -19,7 +19,7 @@
         self.schedule_arrival();
     }
 
-    /// Sends a try of a client request to its proxy.
+    /// Sends a client request, or a retry of it, to its proxy.
     pub(super) fn start_try(&mut self, request: usize) {
         let now = self.now();
         let min_ratio = self.scenario.clients.min_timeout_ratio;
@@ -47,7 +47,7 @@
         self.deliver_event(proxy, event);
     }
 
-    /// Handles a try that ended unserved: schedules a retry, or ends the request with `outcome`.
+    /// Handles a request that ended unserved: schedules a retry, or ends it with `outcome`.
     pub(super) fn try_ended_unserved(
         &mut self,
         request: usize,
--- a/crates/simulator/src/simulation/mod.rs
+++ b/crates/simulator/src/simulation/mod.rs
@@ -56,7 +56,7 @@
     RefreshServerStates,
 }
 
-/// A client request, over all its tries.
+/// A client request, including its retries.
 struct Request {
     class: usize,
     proxy: usize,
