--- a/crates/proxy/src/body/memory_limit.rs
+++ b/crates/proxy/src/body/memory_limit.rs
@@ -122,19 +122,19 @@
         ConnectionMemory::of_rejected_client(&self.accounts)
     }
 
-    /// See [`MemoryAccounts::has_room_for_client`].
-    pub fn has_room_for_client(&self) -> bool {
-        self.accounts.has_room_for_client()
+    /// See [`MemoryAccounts::has_memory_for_client`].
+    pub fn has_memory_for_client(&self) -> bool {
+        self.accounts.has_memory_for_client()
     }
 
-    /// See [`MemoryAccounts::has_room_for_rejected_client`].
-    pub fn has_room_for_rejected_client(&self) -> bool {
-        self.accounts.has_room_for_rejected_client()
+    /// See [`MemoryAccounts::has_memory_for_rejected_client`].
+    pub fn has_memory_for_rejected_client(&self) -> bool {
+        self.accounts.has_memory_for_rejected_client()
     }
 
-    /// See [`MemoryAccounts::has_room_for_endpoint_connection`].
-    pub fn has_room_for_endpoint_connection(&self) -> bool {
-        self.accounts.has_room_for_endpoint_connection()
+    /// See [`MemoryAccounts::has_memory_for_endpoint_connection`].
+    pub fn has_memory_for_endpoint_connection(&self) -> bool {
+        self.accounts.has_memory_for_endpoint_connection()
     }
 
     /// See [`MemoryAccounts::set_expected_client_count`].
--- a/crates/proxy/src/call_table.rs
+++ b/crates/proxy/src/call_table.rs
@@ -386,7 +386,7 @@
         attempt.in_flight = false;
         self.timers.remove(&(attempt.timeout_at, TimerPurpose::AttemptTimeout(id)));
         if let Some(task) = attempt.task.take() {
-            // Aborting also closes the connection, which tells the endpoint that the response is no longer
+            // Aborting also closes the connection, so that the endpoint notices that the response is no longer
             // needed.
             task.abort();
         }
--- a/crates/proxy/src/config/human_readable.rs
+++ b/crates/proxy/src/config/human_readable.rs
@@ -100,7 +100,7 @@
     }
 }
 
-/// Adds missing keys, recursing into tables. A given value is kept, whatever its type.
+/// Adds missing keys, recursing into tables. A given value stays as it is, whatever its type.
 fn merge(given: &mut Value, defaults: &Value) {
     let (Value::Object(given), Value::Object(defaults)) = (given, defaults) else { return };
     for (key, default) in defaults {
--- a/crates/proxy/src/downstream/http_connection.rs
+++ b/crates/proxy/src/downstream/http_connection.rs
@@ -55,7 +55,7 @@
 enum ServingEnd {
     /// The connection ends.
     Connection(ConnectionEnd),
-    /// The connection goes on with another parser, as a large head has enlarged the buffer of this one.
+    /// Another parser serves the rest of the connection, as a large head has enlarged the buffer of this one.
     ReplaceParser,
 }
 
@@ -212,10 +212,8 @@
                 () = connection.read_ahead(), if connection.awaits_response() => {}
                 () = connection.check_delivery(), if connection.is_delivering() => {}
                 () = sleep_until(deadline) => {
-                    let deadline = connection.deadline(self.at_capacity, shutdown_began);
-                    let is_over = deadline.is_some_and(|deadline| deadline <= Instant::now());
-                    if is_over && !connection.await_delivery() {
-                        return ServingEnd::Connection(self.end_at_deadline());
+                    if let Some(end) = self.end_if_overdue(shutdown_began) {
+                        return ServingEnd::Connection(end);
                     }
                 }
                 () = sleep_until(handover_at), if may_hand_over => {
@@ -227,8 +225,7 @@
                 }
                 () = sleep_until(connection.head_memory().wait_deadline()) => {
                     // The wait may have ended since, or another one begun.
-                    let deadline = connection.head_memory().wait_deadline();
-                    if deadline.is_some_and(|deadline| deadline <= Instant::now()) {
+                    if is_over(connection.head_memory().wait_deadline()) {
                         return ServingEnd::Connection(ConnectionEnd::HeadRejected);
                     }
                 }
@@ -243,13 +240,28 @@
             if let Some(successor) = successor.take_if(|_| connection.is_detached()) {
                 return ServingEnd::Connection(ConnectionEnd::Detached(successor));
             }
-            // Unread bytes, such as a part of the next request, hide the client's close from the HTTP parser.
-            if connection.is_abandoned() {
-                return ServingEnd::Connection(ConnectionEnd::Abandoned);
-            }
-            if connection.has_idle_enlarged_parser() {
-                return ServingEnd::ReplaceParser;
+            if let Some(end) = self.serving_end() {
+                return end;
             }
         }
     }
+
+    /// Whether serving ends in the present state of the connection.
+    fn serving_end(&self) -> Option<ServingEnd> {
+        // Unread bytes, such as a part of the next request, hide the client's close from the HTTP parser.
+        if self.connection.is_abandoned() {
+            return Some(ServingEnd::Connection(ConnectionEnd::Abandoned));
+        }
+        self.connection.has_idle_enlarged_parser().then_some(ServingEnd::ReplaceParser)
+    }
+
+    /// How the connection ends if its deadline is over and its client has received all that was written.
+    fn end_if_overdue(&self, shutdown_began: Option<Instant>) -> Option<ConnectionEnd> {
+        let is_overdue = is_over(self.connection.deadline(self.at_capacity, shutdown_began));
+        (is_overdue && !self.connection.await_delivery()).then(|| self.end_at_deadline())
+    }
+}
+
+fn is_over(deadline: Option<Instant>) -> bool {
+    deadline.is_some_and(|deadline| deadline <= Instant::now())
 }
--- a/crates/proxy/src/downstream/listener.rs
+++ b/crates/proxy/src/downstream/listener.rs
@@ -165,7 +165,7 @@
                 self.await_memory().await;
                 let at_capacity = (self.is_at_capacity()
                     && !self.downstream.idle_connections.evict_longest_idle())
-                    || !self.downstream.handler.memory.has_room_for_client();
+                    || !self.downstream.handler.memory.has_memory_for_client();
                 self.log_capacity_change(at_capacity);
                 self.spawn_connection(stream, at_capacity, slot);
             }
@@ -176,10 +176,10 @@
     /// Waits until there is memory for the connection that was accepted, and closes idle ones meanwhile.
     async fn await_memory(&self) {
         let memory = &self.downstream.handler.memory;
-        if !memory.has_room_for_client() && !self.downstream.pool.evict_oldest() {
+        if !memory.has_memory_for_client() && !self.downstream.pool.evict_oldest() {
             self.downstream.idle_connections.evict_longest_idle();
         }
-        while !memory.has_room_for_rejected_client() {
+        while !memory.has_memory_for_rejected_client() {
             tokio::time::sleep(NO_MEMORY_PAUSE).await;
         }
     }
--- a/crates/proxy/src/memory_accounts.rs
+++ b/crates/proxy/src/memory_accounts.rs
@@ -148,17 +148,17 @@
     }
 
     /// Whether another client can be served within the limit, with a connection to an endpoint.
-    pub fn has_room_for_client(&self) -> bool {
+    pub fn has_memory_for_client(&self) -> bool {
         self.client_count.get() < MIN_CLIENTS || self.free_kib() >= CLIENT_KIB + CONNECTION_KIB
     }
 
     /// Whether another client can be accepted within the limit, if only to reject its request.
-    pub fn has_room_for_rejected_client(&self) -> bool {
-        self.has_room_for_client() || self.free_kib() >= CLIENT_KIB
+    pub fn has_memory_for_rejected_client(&self) -> bool {
+        self.has_memory_for_client() || self.free_kib() >= CLIENT_KIB
     }
 
     /// Whether another connection to an endpoint can be opened within the limit.
-    pub fn has_room_for_endpoint_connection(&self) -> bool {
+    pub fn has_memory_for_endpoint_connection(&self) -> bool {
         let included_count = self.client_count.get().min(MIN_ENDPOINT_CONNECTIONS);
         self.endpoint_connection_count.get() < included_count || self.free_kib() >= CONNECTION_KIB
     }
--- a/crates/proxy/src/metrics.rs
+++ b/crates/proxy/src/metrics.rs
@@ -53,7 +53,7 @@
     /// Attempts that waited for the reuse cooldown of a connection.
     #[serde(rename = "waits")]
     pub cooldown_waits: u64,
-    /// Connections on which an endpoint sent data that no request asked for.
+    /// Connections on which an endpoint sent unsolicited data.
     #[serde(default)]
     pub unsolicited: u64,
     /// Responses that came much sooner than usual on a reused connection, and were delayed until none followed.
@@ -190,7 +190,7 @@
         increment(&self.cooldown_waits);
     }
 
-    /// Counts a connection on which an endpoint sent data that no request asked for.
+    /// Counts a connection on which an endpoint sent unsolicited data.
     pub fn count_unsolicited_data(&self) {
         increment(&self.unsolicited_data);
     }
--- a/crates/proxy/src/process.rs
+++ b/crates/proxy/src/process.rs
@@ -126,10 +126,7 @@
         let shared_ids = budget.handover.as_ref().and_then(|handover| handover.borrow().open_request_ids());
         let request_ids = RequestIds::new(shared_ids);
         let dispatcher = start_dispatcher(&config, clock, &pool, &metrics, request_ids);
-        let name = config.name.clone().unwrap_or_else(|| config.listen.to_string());
-        let membership = config.membership.clone();
-        let membership = membership
-            .map(|parameters| MembershipService::new(parameters, name, config.seed, clock, proxy_count));
+        let membership = membership(&config, clock);
         let endpoints = list.as_ref().map_or(&[][..], |list| &list.endpoints);
         dispatcher.update_endpoints(ListUpdateKind::Cached, endpoints);
         let memory_budget =
@@ -265,6 +262,14 @@
     }
 }
 
+/// The membership of this process, if the configuration enables it.
+fn membership(config: &Config, clock: Clock) -> Option<Rc<MembershipService>> {
+    let parameters = config.membership.clone()?;
+    let name = config.name.clone().unwrap_or_else(|| config.listen.to_string());
+    let proxy_count = config.settings.settings.proxy_count;
+    Some(MembershipService::new(parameters, name, config.seed, clock, proxy_count))
+}
+
 fn start_dispatcher(
     config: &Config,
     clock: Clock,
--- a/crates/proxy/src/upstream/pool.rs
+++ b/crates/proxy/src/upstream/pool.rs
@@ -278,7 +278,7 @@
 
     /// `None` if no descriptor or no memory is left for another connection.
     fn acquire_descriptors(&self, connections: &EndpointConnections) -> Option<ConnectionDescriptors> {
-        if !self.memory.has_room_for_endpoint_connection() {
+        if !self.memory.has_memory_for_endpoint_connection() {
             return None;
         }
         let process = self.descriptors.try_acquire()?;
@@ -305,7 +305,7 @@
     /// Waits until there is memory for another connection, and closes idle ones meanwhile. Bodies return theirs as their
     /// calls end; the call that waits here ends at its own time limit.
     async fn await_memory(&self) {
-        while !self.memory.has_room_for_endpoint_connection() {
+        while !self.memory.has_memory_for_endpoint_connection() {
             if !self.evict_oldest() {
                 let _ = tokio::time::timeout(MEMORY_CHECK_INTERVAL, self.memory.returned()).await;
             }
