--- a/crates/proxy/src/downstream/delivery.rs
+++ b/crates/proxy/src/downstream/delivery.rs
@@ -27,7 +27,7 @@
         (unacknowledged_bytes > 0).then_some(PendingDelivery { unacknowledged_bytes, progressed_at: now })
     }
 
-    /// The delivery after a later check found this number of unacknowledged bytes. `None` if there are none.
+    /// The delivery after a check at `now`, at which so many bytes were unacknowledged. `None` if there were none.
     pub fn update(self, unacknowledged_bytes: usize, now: Instant) -> Option<Self> {
         if unacknowledged_bytes < self.unacknowledged_bytes {
             PendingDelivery::begin(unacknowledged_bytes, now)
--- a/crates/proxy/src/downstream/request_end.rs
+++ b/crates/proxy/src/downstream/request_end.rs
@@ -1,5 +1,5 @@
-//! Determines by when a request that is streamed to its endpoint must have its final answer: the client's time counts from
-//! the last byte that it wrote, however late the endpoint lets the proxy read it.
+//! Determines when the final response to a request that is streamed to its endpoint is due: the client's timeout begins
+//! with the last byte that the client wrote, however late the endpoint lets the proxy read that byte.
 
 use super::end_bound::EndBound;
 use super::open_request::OpenRequest;
--- a/crates/proxy/src/memory_accounts.rs
+++ b/crates/proxy/src/memory_accounts.rs
@@ -90,7 +90,7 @@
         self.beyond_connections_kib().min(max_kib).max(self.min_body_kib)
     }
 
-    /// The memory that connections and everything else leave.
+    /// The memory that remains besides connections and everything else that is counted.
     fn beyond_connections_kib(&self) -> usize {
         let limit_kib = self.limit_kib.get();
         let overhead_kib = percent_of(limit_kib, ALLOCATOR_OVERHEAD_PERCENT);
